--- /dev/null
+++ b/features/steps/fleet_steps.ts
@@ -0,0 +1,77 @@
+/** Steps that start a fleet and configure it. */
+import {Given} from '@cucumber/cucumber';
+import assert from 'node:assert/strict';
+import {until} from '../support/fleet.js';
+import type {World} from '../support/world.js';
+
+const SETTLE_MS = 10_000;
+
+Given(
+  'a store and {int} daemons in {int} failure domains',
+  async function (this: World, daemons: number, domains: number) {
+    await this.fleet.startStore();
+    const numbers = Array.from({length: daemons}, (_, index) => index);
+    for (const index of numbers) {
+      await this.fleet.startDaemon({
+        id: `d${index + 1}`,
+        failureDomain: `domain-${(index % domains) + 1}`,
+      });
+    }
+  },
+);
+
+Given(
+  'an instance {string} of {string} behind daemon {string}',
+  async function (this: World, id: string, service: string, daemon: string) {
+    await this.fleet.startInstance({id, service, daemons: [daemon]});
+    await until(
+      `all daemons know ${service}`,
+      async () => {
+        const all = await Promise.all(
+          [...this.fleet.daemons.keys()].map(d => this.fleet.status(d)),
+        );
+        return all.every(status =>
+          status.members.some(member => (member.slots[service] ?? 0) > 0),
+        );
+      },
+      SETTLE_MS,
+    );
+  },
+);
+
+Given('the sheet:', async function (this: World, text: string) {
+  const file = this.fleet.writeFile('sheet.csv', `\uFEFF${text}\r\n`);
+  const {settingsFile} = this.fleet.daemon('d1');
+  const args = ['apply', file, '--settings', settingsFile];
+  const result = await this.fleet.run(args);
+  assert.equal(result.code, 0, result.stderr);
+});
+
+Given('a key for {string}', async function (this: World, customer: string) {
+  const {settingsFile} = this.fleet.daemon('d1');
+  const args = ['key', 'issue', customer, '--settings', settingsFile];
+  const result = await this.fleet.run(args);
+  assert.equal(result.code, 0, result.stderr);
+  const issued = JSON.parse(result.stdout) as {key: string};
+  this.keys.set(customer, issued.key);
+  await until(
+    'the key works everywhere',
+    async () => {
+      const headers = {'x-api-key': issued.key};
+      const answers = await Promise.all(
+        [...this.fleet.daemons.keys()].map(d =>
+          this.request(d, '/no-such-path', {headers}),
+        ),
+      );
+      const revisions = await Promise.all(
+        [...this.fleet.daemons.keys()].map(d => this.fleet.status(d)),
+      );
+      const newest = Math.max(...revisions.map(r => r.revision));
+      return (
+        answers.every(answer => answer.status === 404) &&
+        revisions.every(r => r.revision === newest)
+      );
+    },
+    SETTLE_MS,
+  );
+});
--- /dev/null
+++ b/features/steps/request_steps.ts
@@ -0,0 +1,113 @@
+/** Steps that send requests as callers do, and look at the answers. */
+import {Then, When} from '@cucumber/cucumber';
+import assert from 'node:assert/strict';
+import type {CallerAnswer, World} from '../support/world.js';
+
+interface Problem {
+  readonly ran: string;
+  readonly type: string;
+}
+
+function last(world: World): CallerAnswer {
+  const answer = world.answers.at(-1);
+  assert.ok(answer, 'no request was sent');
+  return answer;
+}
+
+function keyHeader(world: World, customer: string): Record<string, string> {
+  return {'x-api-key': world.keys.get(customer) ?? ''};
+}
+
+When(
+  '{string} requests {string} from daemon {string}',
+  async function (this: World, customer: string, path: string, daemon: string) {
+    const headers = keyHeader(this, customer);
+    this.answers = [await this.request(daemon, path, {headers})];
+  },
+);
+
+When(
+  'somebody requests {string} from daemon {string}',
+  async function (this: World, path: string, daemon: string) {
+    this.answers = [await this.request(daemon, path)];
+  },
+);
+
+When(
+  'somebody with key {string} requests {string} from daemon {string}',
+  async function (this: World, key: string, path: string, daemon: string) {
+    const headers = {'x-api-key': key};
+    this.answers = [await this.request(daemon, path, {headers})];
+  },
+);
+
+When(
+  '{string} requests {string} from daemon {string} {int} times at once',
+  async function (
+    this: World,
+    customer: string,
+    path: string,
+    daemon: string,
+    times: number,
+  ) {
+    const headers = keyHeader(this, customer);
+    this.answers = await Promise.all(
+      Array.from({length: times}, () => this.request(daemon, path, {headers})),
+    );
+  },
+);
+
+Then(
+  'the answer is {int} from instance {string}',
+  function (this: World, status: number, instance: string) {
+    const answer = last(this);
+    assert.equal(answer.status, status, answer.text);
+    const body = JSON.parse(answer.text) as {instance: string};
+    assert.equal(body.instance, instance);
+  },
+);
+
+Then(
+  'the answer is {int} with ran {string}',
+  function (this: World, status: number, ran: string) {
+    const answer = last(this);
+    assert.equal(answer.status, status, answer.text);
+    assert.equal((JSON.parse(answer.text) as Problem).ran, ran);
+  },
+);
+
+Then(
+  'some answers are {int} with ran {string} and a time to come back',
+  function (this: World, status: number, ran: string) {
+    const refused = this.answers.filter(answer => answer.status === status);
+    assert.ok(refused.length > 0, 'nothing was refused');
+    refused.forEach(answer => {
+      assert.equal((JSON.parse(answer.text) as Problem).ran, ran);
+      assert.ok(Number(answer.headers.get('retry-after')) >= 1);
+    });
+  },
+);
+
+Then(
+  'instance {string} ran {int} requests',
+  async function (this: World, instance: string, count: number) {
+    assert.equal((await runsOf(this, instance)).length, count);
+  },
+);
+
+Then(
+  'instance {string} ran as many requests as were answered {int}',
+  async function (this: World, instance: string, status: number) {
+    const served = this.answers.filter(answer => answer.status === status);
+    assert.equal((await runsOf(this, instance)).length, served.length);
+  },
+);
+
+async function runsOf(
+  world: World,
+  instance: string,
+): Promise<readonly unknown[]> {
+  const {address} = world.fleet.instance(instance);
+  const res = await fetch(`http://${address}/ran`);
+  return (await res.json()) as readonly unknown[];
+}
--- /dev/null
+++ b/features/support/process.ts
@@ -0,0 +1,65 @@
+/** One process of a test: started by us, watched, and ended by its id. */
+import {spawn, type ChildProcess} from 'node:child_process';
+import {createInterface} from 'node:readline';
+
+/** Options of {@link TestProcess.start}. */
+export interface ProcessOptions {
+  readonly script: string;
+  readonly args: readonly string[];
+  readonly env?: Readonly<Record<string, string>>;
+}
+
+const READY_TIMEOUT_MS = 20_000;
+
+/** A process that printed its first line. */
+export class TestProcess {
+  readonly #child: ChildProcess;
+  readonly firstLine: string;
+  readonly errors: readonly string[];
+
+  private constructor(
+    child: ChildProcess,
+    firstLine: string,
+    errors: readonly string[],
+  ) {
+    this.#child = child;
+    this.firstLine = firstLine;
+    this.errors = errors;
+  }
+
+  /** Starts a script and waits for its first line of output. */
+  static async start(options: ProcessOptions): Promise<TestProcess> {
+    const child = spawn(process.execPath, [options.script, ...options.args], {
+      stdio: ['ignore', 'pipe', 'pipe'],
+      env: {...process.env, NODE_OPTIONS: '', ...options.env},
+    });
+    const errors: string[] = [];
+    createInterface({input: child.stderr}).on('line', l => errors.push(l));
+    const firstLine = await new Promise<string>((resolve, reject) => {
+      const fail = (reason: string) =>
+        reject(new Error(`${options.script} ${reason}: ${errors.join('\n')}`));
+      const timer = setTimeout(() => fail('not ready'), READY_TIMEOUT_MS);
+      createInterface({input: child.stdout}).once('line', resolve);
+      child.once('exit', code => fail(`ended with ${code}`));
+      child.stdout.once('data', () => clearTimeout(timer));
+    });
+    return new TestProcess(child, firstLine, errors);
+  }
+
+  get running(): boolean {
+    return this.#child.exitCode === null && this.#child.signalCode === null;
+  }
+
+  signal(signal: NodeJS.Signals): void {
+    this.#child.kill(signal);
+  }
+
+  /** Sends a signal and waits for the end; resolves to the exit code. */
+  end(signal: NodeJS.Signals = 'SIGKILL'): Promise<number | null> {
+    if (!this.running) return Promise.resolve(this.#child.exitCode);
+    return new Promise(resolve => {
+      this.#child.once('exit', code => resolve(code));
+      this.#child.kill(signal);
+    });
+  }
+}
--- /dev/null
+++ b/features/whole_path.feature
@@ -0,0 +1,35 @@
+Feature: The whole path
+  A request travels from a caller through router and gate to a backend
+  server, or is refused truthfully.
+
+  Background:
+    Given a store and 3 daemons in 3 failure domains
+    And an instance "ledger-1" of "ledger-read" behind daemon "d1"
+    And the sheet:
+      """
+      kind;id;name;ratePerSecond;burst;floor;path;service
+      customer;can-tho;Công ty Cần Thơ;50,0;20;;;
+      customer;da-lat;Công ty Đà Lạt;3;3;;;
+      service;ledger-read;;;;1;;
+      route;ledger;;;;;/ledger;ledger-read
+      """
+    And a key for "can-tho"
+    And a key for "da-lat"
+
+  Scenario: A request with a key is served through any daemon
+    When "can-tho" requests "/ledger/balances" from daemon "d1"
+    Then the answer is 200 from instance "ledger-1"
+    When "can-tho" requests "/ledger/balances" from daemon "d3"
+    Then the answer is 200 from instance "ledger-1"
+
+  Scenario: Requests without a valid key are refused as not run
+    When somebody requests "/ledger/balances" from daemon "d1"
+    Then the answer is 401 with ran "no"
+    When somebody with key "wrong" requests "/ledger/balances" from daemon "d1"
+    Then the answer is 401 with ran "no"
+    And instance "ledger-1" ran 0 requests
+
+  Scenario: Requests over the rate are refused with a time to come back
+    When "da-lat" requests "/ledger/balances" from daemon "d1" 20 times at once
+    Then some answers are 429 with ran "no" and a time to come back
+    And instance "ledger-1" ran as many requests as were answered 200
--- /dev/null
+++ b/scripts/build.mjs
@@ -0,0 +1,118 @@
+/**
+ * Bundles the program and the stand-ins into dist/. With --binary it also
+ * makes the single executable; with --mutant NAME it bundles the program
+ * with the modules of features/mutants/NAME put in place of the real ones.
+ */
+import {execFileSync} from 'node:child_process';
+import {existsSync} from 'node:fs';
+import {chmod, copyFile, readdir, writeFile} from 'node:fs/promises';
+import path from 'node:path';
+import {build} from 'esbuild';
+
+const root = path.resolve(import.meta.dirname, '..');
+const dist = path.join(root, 'dist');
+
+const common = {
+  bundle: true,
+  platform: 'node',
+  target: 'node20',
+  format: 'cjs',
+  logLevel: 'warning',
+  external: ['unix-dgram', 'bufferutil', 'utf-8-validate'],
+  define: {'import.meta.url': '__bundleUrl'},
+  banner: {
+    js: "const __bundleUrl = require('node:url').pathToFileURL(__filename).href;",
+  },
+};
+
+/** Puts a mutant's file in the place of the source file of the same path. */
+function mutantPlugin(name) {
+  const folder = path.join(root, 'features', 'mutants', name);
+  return {
+    name: 'mutant',
+    setup({onLoad}) {
+      onLoad({filter: /src\/.*\.ts$/}, async args => {
+        const file = path.join(folder, path.relative(root, args.path));
+        if (!existsSync(file)) return undefined;
+        const {readFile} = await import('node:fs/promises');
+        return {
+          contents: await readFile(file, 'utf8'),
+          loader: 'ts',
+          resolveDir: path.dirname(args.path),
+        };
+      });
+    },
+  };
+}
+
+async function bundleProgram() {
+  await build({
+    ...common,
+    entryPoints: [path.join(root, 'src/main.ts')],
+    outfile: path.join(dist, 'chicorycourse.cjs'),
+  });
+}
+
+async function bundleMutant(name) {
+  await build({
+    ...common,
+    entryPoints: [path.join(root, 'src/main.ts')],
+    outfile: path.join(dist, 'mutants', `${name}.cjs`),
+    plugins: [mutantPlugin(name)],
+  });
+}
+
+async function bundleMutants() {
+  const folder = path.join(root, 'features', 'mutants');
+  const names = existsSync(folder) ? await readdir(folder) : [];
+  await Promise.all(names.map(bundleMutant));
+}
+
+async function bundleFolder(folder) {
+  const files = await readdir(path.join(root, folder));
+  const entryPoints = files
+    .filter(file => file.endsWith('.ts'))
+    .map(file => path.join(root, folder, file));
+  if (entryPoints.length === 0) return;
+  const outdir = path.join(dist, folder);
+  await build({...common, entryPoints, outdir, outExtension: {'.js': '.cjs'}});
+}
+
+async function makeBinary() {
+  const config = path.join(dist, 'sea.json');
+  const blob = path.join(dist, 'sea.blob');
+  const binary = path.join(dist, 'chicorycourse');
+  await writeFile(
+    config,
+    JSON.stringify({
+      main: path.join(dist, 'chicorycourse.cjs'),
+      output: blob,
+      disableExperimentalSEAWarning: true,
+    }),
+  );
+  execFileSync(process.execPath, ['--experimental-sea-config', config]);
+  await copyFile(process.execPath, binary);
+  await chmod(binary, 0o755);
+  execFileSync(
+    path.join(root, 'node_modules/.bin/postject'),
+    [
+      binary,
+      'NODE_SEA_BLOB',
+      blob,
+      '--sentinel-fuse',
+      'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2',
+    ],
+    {stdio: 'ignore'},
+  );
+}
+
+const mutantIndex = process.argv.indexOf('--mutant');
+if (mutantIndex > 0) {
+  await bundleMutant(process.argv[mutantIndex + 1]);
+} else {
+  await bundleProgram();
+  await bundleFolder('standins');
+  await bundleFolder('bench');
+  if (process.argv.includes('--mutants')) await bundleMutants();
+  if (process.argv.includes('--binary')) await makeBinary();
+}
--- /dev/null
+++ b/spec/specifications.feature
@@ -0,0 +1,16 @@
+Feature: Specifications
+  Each core protocol has a small specification. Every reachable state is
+  visited; with a safety rule left out, an unsafe state must be found.
+
+  Scenario: Configuration order is safe
+    When "configuration order" is explored
+    Then no state is unsafe
+
+  Scenario Outline: Configuration order needs each of its rules
+    When "configuration order" is explored without the rule "<rule>"
+    Then an unsafe state is found
+
+    Examples:
+      | rule        |
+      | onlyForward |
+      | compare     |
--- /dev/null
+++ b/spec/steps/specification_steps.ts
@@ -0,0 +1,50 @@
+/** Steps that explore specifications, whole or with a rule left out. */
+import {Then, When} from '@cucumber/cucumber';
+import assert from 'node:assert/strict';
+import {configurationOrder} from '../configuration_order.js';
+import {explore, type Exploration} from '../explore.js';
+
+interface SpecificationWorld {
+  exploration: Exploration | undefined;
+}
+
+/** Explores a specification without the named rule, or with all. */
+type Explorer = (without: string | undefined) => Exploration;
+
+const EXPLORERS: Readonly<Record<string, Explorer>> = {
+  'configuration order': without =>
+    explore(
+      configurationOrder({
+        onlyForward: without !== 'onlyForward',
+        compare: without !== 'compare',
+      }),
+    ),
+};
+
+function run(name: string, without?: string): Exploration {
+  const explorer = EXPLORERS[name];
+  assert.ok(explorer, `no specification ${name}`);
+  const exploration = explorer(without);
+  const rule = without === undefined ? 'all rules' : `without ${without}`;
+  process.stdout.write(`\n${name}, ${rule}: ${exploration.states} states\n`);
+  return exploration;
+}
+
+When('{string} is explored', function (this: SpecificationWorld, name: string) {
+  this.exploration = run(name);
+});
+
+When(
+  '{string} is explored without the rule {string}',
+  function (this: SpecificationWorld, name: string, rule: string) {
+    this.exploration = run(name, rule);
+  },
+);
+
+Then('no state is unsafe', function (this: SpecificationWorld) {
+  assert.equal(this.exploration?.counterexample, undefined);
+});
+
+Then('an unsafe state is found', function (this: SpecificationWorld) {
+  assert.ok(this.exploration?.counterexample);
+});
--- /dev/null
+++ b/src/commands/serve.ts
@@ -0,0 +1,58 @@
+/** `serve`: runs one daemon until it is told to stop. */
+import {command, option, string} from 'cmd-ts';
+import {Daemon} from '../daemon/daemon.js';
+import {reasonOf} from '../errors/failure.js';
+import {createLogger} from '../log/logger.js';
+import {createMetrics} from '../metrics/metrics.js';
+import {loadSettings} from '../settings/load.js';
+
+/** The command itself. */
+export const serve = command({
+  name: 'serve',
+  description: 'Run one daemon on this VM.',
+  args: {
+    settings: option({
+      long: 'settings',
+      type: string,
+      description: 'The settings file (JSON).',
+    }),
+  },
+  handler: async args => {
+    const settings = loadSettings(args.settings);
+    const log = createLogger(settings.log);
+    const metrics = createMetrics(settings.statsd, settings.daemon.id);
+    const daemon = new Daemon({settings, log, metrics});
+    const bound = await daemon.start();
+    process.stdout.write(`${JSON.stringify({ready: true, ...bound})}\n`);
+    stopOnSignal(daemon, settings.limits.stopTimeoutMs, message =>
+      log.warn(message),
+    );
+  },
+});
+
+/** The first signal stops gracefully, the second one or the limit at once. */
+function stopOnSignal(
+  daemon: Daemon,
+  timeoutMs: number,
+  warn: (message: string) => void,
+): void {
+  let stopping = false;
+  const end = (code: number) => process.exit(code);
+  const onSignal = () => {
+    if (stopping) return end(1);
+    stopping = true;
+    setTimeout(() => {
+      warn('The stop took too long; open requests are cut.');
+      end(1);
+    }, timeoutMs).unref();
+    daemon.stop().then(
+      () => end(0),
+      (err: unknown) => {
+        warn(`The stop failed: ${reasonOf(err)}.`);
+        end(1);
+      },
+    );
+  };
+  process.on('SIGTERM', onSignal);
+  process.on('SIGINT', onSignal);
+}
--- /dev/null
+++ b/src/daemon/daemon.ts
@@ -0,0 +1,191 @@
+/**
+ * The root of the supervisor tree: creates every part of a daemon, starts
+ * them in order, and stops them in the reverse order. A planned stop leaves
+ * the fleet first, then finishes every request in flight.
+ */
+import {createServer, type Server} from 'node:http';
+import type {Duplex} from 'node:stream';
+import polka from 'polka';
+import {Administration} from '../admin/administration.js';
+import {ConfigurationKeeper} from '../configuration/keeper.js';
+import {serveAnnouncements} from '../gate/announcements.js';
+import {Gate} from '../gate/gate.js';
+import {serveHop} from '../gate/hop_server.js';
+import {close, listen} from '../http/listener.js';
+import type {Logger} from '../log/logger.js';
+import {WebSocketLinks} from '../member/links.js';
+import {Gossip} from '../member/membership.js';
+import type {Metrics} from '../metrics/metrics.js';
+import {HttpStore} from '../platform/http_store.js';
+import {StaticLimiter} from '../rates/static_limiter.js';
+import {Gates} from '../router/gates.js';
+import {Router} from '../router/router.js';
+import type {Settings} from '../settings/schema.js';
+
+/** Addresses that a daemon listens on, with the ports it was given. */
+export interface BoundAddresses {
+  readonly callers: string;
+  readonly administration: string;
+  readonly instances: string;
+  readonly peers: string;
+}
+
+/** What a daemon is made from. */
+export interface DaemonOptions {
+  readonly settings: Settings;
+  readonly log: Logger;
+  readonly metrics: Metrics;
+}
+
+/** The parts of a running daemon. */
+interface Parts {
+  readonly store: HttpStore;
+  readonly keeper: ConfigurationKeeper;
+  readonly links: WebSocketLinks;
+  readonly membership: Gossip;
+  readonly gate: Gate;
+  readonly gates: Gates;
+}
+
+interface Servers {
+  readonly callers: Server;
+  readonly administration: Server;
+  readonly instances: Server;
+  readonly peers: Server;
+}
+
+/** How long others are given to learn that this daemon leaves. */
+const LEAVE_PAUSE_MS = 1500;
+
+/** One daemon. */
+export class Daemon {
+  readonly #options: DaemonOptions;
+  readonly #servers: Servers;
+  #parts: Parts | undefined;
+
+  constructor(options: DaemonOptions) {
+    this.#options = options;
+    const {maxHeaderBytes} = options.settings.limits;
+    const http = {maxHeaderSize: maxHeaderBytes, requireHostHeader: true};
+    this.#servers = {
+      callers: createServer(http),
+      administration: createServer(http),
+      instances: createServer(http),
+      peers: createServer({maxHeaderSize: maxHeaderBytes * 2}),
+    };
+  }
+
+  /** Starts every part; resolves when the daemon listens everywhere. */
+  async start(): Promise<BoundAddresses> {
+    const bound = await this.#listenAll();
+    const parts = this.#createParts(bound);
+    this.#parts = parts;
+    this.#connect(parts);
+    parts.keeper.start();
+    parts.membership.start();
+    parts.gate.start();
+    this.#options.log.info(`Listening for callers on ${bound.callers}.`);
+    return bound;
+  }
+
+  /** Leaves the fleet and finishes every request in flight. */
+  async stop(): Promise<void> {
+    const parts = this.#parts;
+    if (!parts) return;
+    this.#options.log.info('Leaving.');
+    parts.membership.update({state: 'leaving'});
+    await new Promise(resolve => setTimeout(resolve, LEAVE_PAUSE_MS));
+    await close(this.#servers.callers);
+    await parts.gate.stop();
+    await parts.gates.stop();
+    parts.keeper.stop();
+    parts.membership.stop();
+    parts.links.stop();
+    const {administration, instances, peers} = this.#servers;
+    await Promise.all([administration, instances, peers].map(close));
+    await parts.store.close();
+    await this.#options.metrics.close();
+    this.#options.log.info('Stopped.');
+  }
+
+  async #listenAll(): Promise<BoundAddresses> {
+    const {listen: addresses} = this.#options.settings;
+    const bind = (part: keyof Servers) =>
+      listen(this.#servers[part], addresses[part], part);
+    return {
+      callers: await bind('callers'),
+      administration: await bind('administration'),
+      instances: await bind('instances'),
+      peers: await bind('peers'),
+    };
+  }
+
+  #createParts(bound: BoundAddresses): Parts {
+    const {settings, log} = this.#options;
+    const {dial, secret, seeds} = settings.peers;
+    const store = new HttpStore(settings.store);
+    const keeper = new ConfigurationKeeper(store, log.for('configuration'));
+    const links = new WebSocketLinks({secret, dial, log: log.for('links')});
+    const membership = new Gossip({
+      self: selfRecord(settings, bound),
+      seeds,
+      links,
+      log: log.for('member'),
+    });
+    const gate = new Gate({
+      maxQueueMs: settings.limits.maxQueueMs,
+      maxQueuePerService: settings.limits.maxQueuePerCustomer,
+      log: log.for('gate'),
+      onSlots: slots => membership.update({slots}),
+    });
+    const gates = new Gates({own: gate, membership, secret, dial});
+    return {store, keeper, links, membership, gate, gates};
+  }
+
+  /** Registers the parts on the servers. */
+  #connect(parts: Parts): void {
+    const {settings, log, metrics} = this.#options;
+    const {callers, administration, instances, peers} = this.#servers;
+    const router = new Router({
+      tables: () => parts.keeper.tables(),
+      limiter: new StaticLimiter(() => parts.membership.members().length),
+      gates: parts.gates,
+      log: log.for('router'),
+      metrics,
+    });
+    const app = polka({onNoMatch: (req, res) => router.handle(req, res)});
+    callers.on('request', app.handler);
+    new Administration({
+      server: administration,
+      credentials: settings.administration.credentials,
+      keeper: parts.keeper,
+      membership: parts.membership,
+      isReady: () => parts.keeper.tables().revision > 0,
+    });
+    serveAnnouncements(instances, parts.gate.instances);
+    const {secret} = settings.peers;
+    peers.on('request', (req, res) => {
+      serveHop(parts.gate, secret, req, res).catch(() => res.destroy());
+    });
+    peers.on('upgrade', (req, socket: Duplex, head) => {
+      if (req.headers.authorization !== `Bearer ${secret}`) {
+        socket.destroy();
+        return;
+      }
+      parts.links.accept(req, socket, head);
+    });
+  }
+}
+
+function selfRecord(settings: Settings, bound: BoundAddresses) {
+  return {
+    ...settings.daemon,
+    peersAddress: settings.advertise?.peers ?? bound.peers,
+    administrationAddress:
+      settings.advertise?.administration ?? bound.administration,
+    incarnation: Date.now(),
+    version: 1,
+    state: 'alive' as const,
+    slots: {},
+  };
+}
--- /dev/null
+++ b/src/errors/catalogue.ts
@@ -0,0 +1,94 @@
+/**
+ * Every way in which chicorycourse fails on purpose, in one table. An entry
+ * has a short title, a message made from typed data, a hint that tells the
+ * reader what to do, and the exit code that the command line ends with.
+ */
+
+/** Exit codes of the command line. Documented in docs/OPERATING.md. */
+export const EXIT_CODES = {
+  ok: 0,
+  internal: 1,
+  usage: 2,
+  invalidInput: 3,
+  conflict: 4,
+  unavailable: 5,
+  refused: 6,
+} as const;
+
+/** One kind of failure; `Data` is what its message is made from. */
+export interface FailureKind<Data> {
+  readonly title: string;
+  readonly message: (data: Data) => string;
+  readonly hint: string;
+  readonly exitCode: number;
+}
+
+/** Fixes the data type of an entry, so that the table stays inferred. */
+function kind<Data>(entry: FailureKind<Data>): FailureKind<Data> {
+  return entry;
+}
+
+/** The catalogue itself; a key is the stable name of a failure. */
+export const CATALOGUE = {
+  settingsUnreadable: kind<{file: string; reason: string}>({
+    title: 'The settings file cannot be read',
+    message: d => `${d.file}: ${d.reason}`,
+    hint: 'Check the path, its permissions, and that the file is JSON.',
+    exitCode: EXIT_CODES.invalidInput,
+  }),
+  settingsInvalid: kind<{file: string; faults: readonly string[]}>({
+    title: 'The settings are not valid',
+    message: d => `${d.file}:\n${d.faults.map(f => `  ${f}`).join('\n')}`,
+    hint: 'Mend each field that is named; docs/OPERATING.md lists them all.',
+    exitCode: EXIT_CODES.invalidInput,
+  }),
+  storeUnavailable: kind<{operation: string; reason: string}>({
+    title: 'The key-value service does not answer',
+    message: d => `${d.operation}: ${d.reason}`,
+    hint: 'Nothing is known to have changed. Try again when it is back.',
+    exitCode: EXIT_CODES.unavailable,
+  }),
+  storeRejected: kind<{operation: string; status: number; reason: string}>({
+    title: 'The key-value service rejected a call',
+    message: d => `${d.operation}: status ${d.status}: ${d.reason}`,
+    hint: 'Check the address of the service and the size of the value.',
+    exitCode: EXIT_CODES.unavailable,
+  }),
+  recordInvalid: kind<{record: string; reason: string}>({
+    title: 'A configuration record is not valid',
+    message: d => `${d.record}: ${d.reason}`,
+    hint: 'Mend the record that is named; nothing was changed.',
+    exitCode: EXIT_CODES.invalidInput,
+  }),
+  writeConflict: kind<{record: string; reason: string}>({
+    title: 'Another operator changed the same configuration',
+    message: d => `${d.record}: ${d.reason}`,
+    hint: 'Read the current state, decide again, and repeat the change.',
+    exitCode: EXIT_CODES.conflict,
+  }),
+  peerUnreachable: kind<{peer: string; reason: string}>({
+    title: 'A daemon cannot be reached',
+    message: d => `${d.peer}: ${d.reason}`,
+    hint: 'Check that the daemon runs and that its peer port is open.',
+    exitCode: EXIT_CODES.unavailable,
+  }),
+  frameInvalid: kind<{peer: string; reason: string}>({
+    title: 'A daemon sent a frame that cannot be read',
+    message: d => `${d.peer}: ${d.reason}`,
+    hint: 'Check that all daemons run compatible versions.',
+    exitCode: EXIT_CODES.internal,
+  }),
+  startFailed: kind<{part: string; reason: string}>({
+    title: 'A part of the daemon could not start',
+    message: d => `${d.part}: ${d.reason}`,
+    hint: 'Check the address and port in the settings, then start again.',
+    exitCode: EXIT_CODES.internal,
+  }),
+} as const;
+
+/** The stable name of a failure. */
+export type FailureName = keyof typeof CATALOGUE;
+
+/** The data that the message of a failure is made from. */
+export type FailureData<Name extends FailureName> =
+  (typeof CATALOGUE)[Name] extends FailureKind<infer Data> ? Data : never;
--- /dev/null
+++ b/src/errors/failure.ts
@@ -0,0 +1,54 @@
+/**
+ * The one error class that carries an entry of the catalogue, and the helpers
+ * that turn an unknown thrown value into text.
+ */
+import {
+  CATALOGUE,
+  type FailureData,
+  type FailureKind,
+  type FailureName,
+} from './catalogue.js';
+
+/** An expected failure: its name, its data, and what to do about it. */
+export class Failure<Name extends FailureName = FailureName> extends Error {
+  readonly failure: Name;
+  readonly data: FailureData<Name>;
+
+  constructor(failure: Name, data: FailureData<Name>, cause?: unknown) {
+    const entry = CATALOGUE[failure] as FailureKind<FailureData<Name>>;
+    super(entry.message(data), {cause});
+    this.name = 'Failure';
+    this.failure = failure;
+    this.data = data;
+  }
+
+  /** A short sentence that names the kind of failure. */
+  get title(): string {
+    return CATALOGUE[this.failure].title;
+  }
+
+  /** What the reader can do about it. */
+  get hint(): string {
+    return CATALOGUE[this.failure].hint;
+  }
+
+  /** The exit code that the command line ends with. */
+  get exitCode(): number {
+    return CATALOGUE[this.failure].exitCode;
+  }
+}
+
+/** True if `err` is the failure with the given name. */
+export function isFailure<Name extends FailureName>(
+  err: unknown,
+  failure: Name,
+): err is Failure<Name> {
+  return err instanceof Failure && err.failure === failure;
+}
+
+/** The text of anything that was thrown. */
+export function reasonOf(err: unknown): string {
+  if (!(err instanceof Error)) return String(err);
+  const code = 'code' in err ? String(err.code) : '';
+  return err.message || code || err.name;
+}
--- /dev/null
+++ b/src/gate/announcements.ts
@@ -0,0 +1,47 @@
+/** Where instances announce themselves, renew, and say goodbye. */
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import polka from 'polka';
+import {announcementSchema, type Instances} from './instances.js';
+
+const MAX_BODY_BYTES = 4096;
+
+/** Registers the announcement API on a server. */
+export function serveAnnouncements(server: Server, instances: Instances): void {
+  const app = polka()
+    .put('/v1/instances/:id', async (req, res) => {
+      const text = await readText(req);
+      const result = announcementSchema.safeParse(parseJson(text));
+      if (!result.success) return send(res, 400, result.error.message);
+      instances.announce(String(req.params['id']), result.data);
+      send(res, 204);
+    })
+    .delete('/v1/instances/:id', (req, res) => {
+      instances.withdraw(String(req.params['id']));
+      send(res, 204);
+    });
+  server.on('request', app.handler);
+}
+
+async function readText(req: IncomingMessage): Promise<string> {
+  const chunks: Buffer[] = [];
+  let bytes = 0;
+  for await (const chunk of req) {
+    bytes += (chunk as Buffer).length;
+    if (bytes > MAX_BODY_BYTES) return '';
+    chunks.push(chunk as Buffer);
+  }
+  return Buffer.concat(chunks).toString();
+}
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
+
+function send(res: ServerResponse, status: number, detail?: string): void {
+  res.writeHead(status, {'content-type': 'application/json'});
+  res.end(detail === undefined ? undefined : JSON.stringify({error: detail}));
+}
--- /dev/null
+++ b/src/gate/exchange.ts
@@ -0,0 +1,135 @@
+/**
+ * One exchange with an instance over undici. It knows for certain whether
+ * any byte of the request may have left: until then a failure is "not run".
+ */
+import {Readable} from 'node:stream';
+import type {Dispatcher} from 'undici';
+import {reasonOf} from '../errors/failure.js';
+
+/** What is sent. */
+export interface ExchangeRequest {
+  readonly method: string;
+  readonly path: string;
+  readonly headers: readonly string[];
+  readonly body: Readable | undefined;
+  readonly signal: AbortSignal;
+  /** Called right before the first byte; false stops the exchange. */
+  readonly mayStart: () => boolean;
+}
+
+/** The answer of the other side. */
+export interface ExchangeAnswer {
+  readonly status: number;
+  readonly headers: readonly string[];
+  readonly body: Readable;
+}
+
+/** An exchange that ended before the answer's headers. */
+export class ExchangeError extends Error {
+  /** True if bytes of the request may have left. */
+  readonly started: boolean;
+
+  constructor(started: boolean, reason: string, cause?: unknown) {
+    super(reason, {cause});
+    this.name = 'ExchangeError';
+    this.started = started;
+  }
+}
+
+type Controller = Dispatcher.DispatchController;
+
+/** Receives undici's callbacks and hands the body on with back-pressure. */
+class AnswerHandler implements Dispatcher.DispatchHandler {
+  readonly #request: ExchangeRequest;
+  readonly #resolve: (answer: ExchangeAnswer) => void;
+  readonly #reject: (err: ExchangeError) => void;
+  #controller: Controller | undefined;
+  #body: Readable | undefined;
+  #started = false;
+  #ended = false;
+
+  constructor(
+    request: ExchangeRequest,
+    resolve: (answer: ExchangeAnswer) => void,
+    reject: (err: ExchangeError) => void,
+  ) {
+    this.#request = request;
+    this.#resolve = resolve;
+    this.#reject = reject;
+  }
+
+  onRequestStart(controller: Controller): void {
+    this.#controller = controller;
+    if (this.#request.signal.aborted || !this.#request.mayStart()) {
+      controller.abort(new ExchangeError(false, 'not allowed to start'));
+      return;
+    }
+    this.#started = true;
+    this.#request.signal.addEventListener('abort', this.#abort, {once: true});
+  }
+
+  onResponseStart(controller: Controller, status: number): void {
+    if (status < 200) return;
+    const headers = (controller.rawHeaders ?? []) as readonly Buffer[];
+    this.#body = new Readable({
+      read: () => controller.resume(),
+      destroy: (err, callback) => {
+        if (!this.#ended) controller.abort(err ?? new Error('body discarded'));
+        callback(err);
+      },
+    });
+    this.#resolve({
+      status,
+      headers: headers.map(field => field.toString('latin1')),
+      body: this.#body,
+    });
+  }
+
+  onResponseData(controller: Controller, chunk: Buffer): void {
+    if (this.#body?.push(chunk) === false) controller.pause();
+  }
+
+  onResponseEnd(): void {
+    this.#finish();
+    this.#body?.push(null);
+  }
+
+  onResponseError(_controller: Controller, err: Error): void {
+    this.#finish();
+    if (this.#body) {
+      this.#body.destroy(err);
+      return;
+    }
+    this.#reject(new ExchangeError(this.#started, reasonOf(err), err));
+  }
+
+  readonly #abort = () => {
+    this.#controller?.abort(new Error('cancelled'));
+  };
+
+  #finish(): void {
+    this.#ended = true;
+    this.#request.signal.removeEventListener('abort', this.#abort);
+  }
+}
+
+/** Sends one request; throws `ExchangeError` if no answer came. */
+export function exchange(
+  dispatcher: Dispatcher,
+  request: ExchangeRequest,
+): Promise<ExchangeAnswer> {
+  return new Promise((resolve, reject) => {
+    const handler = new AnswerHandler(request, resolve, reject);
+    dispatcher.dispatch(
+      {
+        method: request.method as Dispatcher.HttpMethod,
+        path: request.path,
+        headers: [...request.headers],
+        body: request.body ?? null,
+        headersTimeout: 0,
+        bodyTimeout: 0,
+      },
+      handler,
+    );
+  });
+}
--- /dev/null
+++ b/src/gate/hop.ts
@@ -0,0 +1,56 @@
+/**
+ * How a request travels from a router to a gate on another VM: HTTP on the
+ * peer listener. The work's particulars stand in one header field; the
+ * outcome stands in another, which no instance can forge, because the gate
+ * drops that field from instances' answers.
+ */
+import type {Work} from './work.js';
+
+/** Field of the request that carries {@link HopWork}. */
+export const WORK_FIELD = 'x-chicorycourse-work';
+
+/** Field of the answer that carries {@link HopOutcome}. */
+export const OUTCOME_FIELD = 'x-chicorycourse-outcome';
+
+/** The particulars of work that the request itself doesn't carry. */
+export interface HopWork {
+  readonly requestId: string;
+  readonly service: string;
+  readonly customer?: string;
+  readonly idempotent: boolean;
+  /** Time left until the deadline, in milliseconds. */
+  readonly leftMs: number;
+  /** Time left until the rate token is void, in milliseconds. */
+  readonly tokenLeftMs?: number;
+}
+
+/** What became of the work, without the answer itself. */
+export interface HopOutcome {
+  readonly kind: 'answered' | 'not-run' | 'unknown';
+  readonly reason?: string;
+  readonly retryAfterMs?: number;
+  readonly instance?: string;
+}
+
+/** The particulars of `work`, counted from now. */
+export function hopWorkOf(work: Work): HopWork {
+  const nowMs = performance.now();
+  return {
+    requestId: work.requestId,
+    service: work.service,
+    customer: work.customer,
+    idempotent: work.idempotent,
+    leftMs: work.deadlineAtMs - nowMs,
+    tokenLeftMs: work.token && work.token.expiresAtMs - nowMs,
+  };
+}
+
+/** Header text of a value; safe in a field. */
+export function encodeField(value: HopWork | HopOutcome): string {
+  return Buffer.from(JSON.stringify(value)).toString('base64url');
+}
+
+/** The value of a header text made by {@link encodeField}. */
+export function decodeField<Value>(text: string): Value {
+  return JSON.parse(Buffer.from(text, 'base64url').toString()) as Value;
+}
--- /dev/null
+++ b/src/gate/hop_server.ts
@@ -0,0 +1,93 @@
+/** The side of the gate that takes work from routers on other VMs. */
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {pipeline} from 'node:stream/promises';
+import {
+  decodeField,
+  encodeField,
+  OUTCOME_FIELD,
+  WORK_FIELD,
+  type HopOutcome,
+  type HopWork,
+} from './hop.js';
+import type {GateDoor, Outcome, Work} from './work.js';
+
+const SECRET_FIELD = 'x-chicorycourse-secret';
+const OWN_FIELDS: ReadonlySet<string> = new Set([WORK_FIELD, SECRET_FIELD]);
+
+/** Handles one request of another daemon's router. */
+export async function serveHop(
+  gate: GateDoor,
+  secret: string,
+  req: IncomingMessage,
+  res: ServerResponse,
+): Promise<void> {
+  const field = req.headers[WORK_FIELD];
+  if (req.headers[SECRET_FIELD] !== secret || typeof field !== 'string') {
+    res.writeHead(401);
+    res.end();
+    return;
+  }
+  const gone = new AbortController();
+  res.on('close', () => gone.abort());
+  const hop = decodeField<HopWork>(field);
+  const outcome = await gate.run(workOf(hop, req, gone.signal));
+  await reply(outcome, res);
+}
+
+function workOf(hop: HopWork, req: IncomingMessage, signal: AbortSignal): Work {
+  const nowMs = performance.now();
+  const hasBody =
+    req.headers['content-length'] !== undefined ||
+    req.headers['transfer-encoding'] !== undefined;
+  return {
+    requestId: hop.requestId,
+    service: hop.service,
+    method: req.method ?? 'GET',
+    path: req.url ?? '/',
+    headers: withoutOwnFields(req.rawHeaders),
+    body: hasBody ? req : undefined,
+    customer: hop.customer,
+    idempotent: hop.idempotent,
+    deadlineAtMs: nowMs + hop.leftMs,
+    token: hop.tokenLeftMs === undefined ? undefined : token(hop.tokenLeftMs),
+    signal,
+  };
+}
+
+function token(leftMs: number) {
+  const expiresAtMs = performance.now() + leftMs;
+  return {
+    expiresAtMs,
+    spend: () => performance.now() < expiresAtMs,
+    giveBack: () => undefined,
+  };
+}
+
+function withoutOwnFields(raw: readonly string[]): readonly string[] {
+  const dropped = new Set([...OWN_FIELDS, 'connection', 'transfer-encoding']);
+  return raw.filter((_, index) => {
+    const name = raw[index - (index % 2)] ?? '';
+    return !dropped.has(name.toLowerCase());
+  });
+}
+
+async function reply(outcome: Outcome, res: ServerResponse): Promise<void> {
+  if (outcome.kind !== 'answered') {
+    const {kind, reason} = outcome;
+    const retryAfterMs =
+      outcome.kind === 'not-run' ? outcome.retryAfterMs : undefined;
+    res.writeHead(503, [
+      OUTCOME_FIELD,
+      encodeField({kind, reason, retryAfterMs}),
+    ]);
+    res.end();
+    return;
+  }
+  const told: HopOutcome = {kind: 'answered', instance: outcome.instance};
+  const headers = outcome.headers.filter((_, index) => {
+    const name = outcome.headers[index - (index % 2)] ?? '';
+    return name.toLowerCase() !== OUTCOME_FIELD;
+  });
+  res.writeHead(outcome.status, [...headers, OUTCOME_FIELD, encodeField(told)]);
+  await pipeline(outcome.body, res).catch(() => res.destroy());
+}
--- /dev/null
+++ b/src/gate/remote_gate.ts
@@ -0,0 +1,94 @@
+/** A gate on another VM, reached over HTTP on its peer listener. */
+import {Pool} from 'undici';
+import {exchange, ExchangeError} from './exchange.js';
+import {
+  decodeField,
+  encodeField,
+  hopWorkOf,
+  OUTCOME_FIELD,
+  WORK_FIELD,
+  type HopOutcome,
+} from './hop.js';
+import type {GateDoor, NotRun, Outcome, Unknown, Work} from './work.js';
+
+/** Options of {@link RemoteGate}. */
+export interface RemoteGateOptions {
+  /** Where to dial, `IP:PORT`. */
+  readonly address: string;
+  readonly secret: string;
+}
+
+const CONNECT_TIMEOUT_MS = 500;
+/** Time that an answer may still need on the way back. */
+const ANSWER_GRACE_MS = 50;
+
+/** The door of a gate behind the network. */
+export class RemoteGate implements GateDoor {
+  readonly #pool: Pool;
+  readonly #secret: string;
+
+  constructor(options: RemoteGateOptions) {
+    this.#secret = options.secret;
+    this.#pool = new Pool(`http://${options.address}`, {
+      pipelining: 1,
+      connect: {timeout: CONNECT_TIMEOUT_MS},
+    });
+  }
+
+  async run(work: Work): Promise<Outcome> {
+    const leftMs = work.deadlineAtMs - performance.now() + ANSWER_GRACE_MS;
+    const deadline = new AbortController();
+    const timer = setTimeout(() => deadline.abort(), Math.max(1, leftMs));
+    try {
+      return await this.#exchange(work, deadline.signal);
+    } catch (err) {
+      if (!(err instanceof ExchangeError)) throw err;
+      if (!err.started) return {kind: 'not-run', reason: 'connect-failed'};
+      if (work.signal.aborted) return {kind: 'unknown', reason: 'cancelled'};
+      const reason = deadline.signal.aborted ? 'timeout' : 'connection-lost';
+      return {kind: 'unknown', reason};
+    } finally {
+      clearTimeout(timer);
+    }
+  }
+
+  async close(): Promise<void> {
+    await this.#pool.close();
+  }
+
+  async #exchange(work: Work, deadline: AbortSignal): Promise<Outcome> {
+    const answer = await exchange(this.#pool, {
+      method: work.method,
+      path: work.path,
+      headers: [
+        ...work.headers,
+        'x-chicorycourse-secret',
+        this.#secret,
+        WORK_FIELD,
+        encodeField(hopWorkOf(work)),
+      ],
+      body: work.body,
+      signal: AbortSignal.any([work.signal, deadline]),
+      mayStart: () => true,
+    });
+    const index = answer.headers.findIndex(
+      (field, i) => i % 2 === 0 && field.toLowerCase() === OUTCOME_FIELD,
+    );
+    if (index < 0) {
+      answer.body.destroy();
+      return {kind: 'unknown', reason: 'connection-lost'};
+    }
+    const outcome = decodeField<HopOutcome>(answer.headers[index + 1] ?? '');
+    if (outcome.kind !== 'answered') {
+      answer.body.resume();
+      return outcome as NotRun | Unknown;
+    }
+    return {
+      kind: 'answered',
+      instance: outcome.instance ?? '',
+      status: answer.status,
+      headers: answer.headers.filter((_, i) => i !== index && i !== index + 1),
+      body: answer.body,
+    };
+  }
+}
--- /dev/null
+++ b/src/main.ts
@@ -0,0 +1,28 @@
+/** The command line: picks the command, prints failures, sets exit codes. */
+import {binary, run, subcommands} from 'cmd-ts';
+import {apply} from './commands/apply.js';
+import {check} from './commands/check.js';
+import {key} from './commands/key.js';
+import {serve} from './commands/serve.js';
+import {EXIT_CODES} from './errors/catalogue.js';
+import {Failure, reasonOf} from './errors/failure.js';
+import {VERSION} from './version.js';
+
+const app = subcommands({
+  name: 'chicorycourse',
+  description: 'A proxy fleet for backend servers that fail grayly.',
+  version: VERSION,
+  cmds: {serve, check, apply, key},
+});
+
+function printFailure(err: unknown): void {
+  if (!(err instanceof Failure)) {
+    process.stderr.write(`error: ${reasonOf(err)}\n`);
+    process.exit(EXIT_CODES.internal);
+  }
+  process.stderr.write(`error: ${err.title}\n${err.message}\n`);
+  process.stderr.write(`hint: ${err.hint}\n`);
+  process.exit(err.exitCode);
+}
+
+run(binary(app), process.argv).catch(printFailure);
--- /dev/null
+++ b/src/member/links.ts
@@ -0,0 +1,195 @@
+/**
+ * Links between daemons: one websocket for each peer that this daemon calls,
+ * dialled when first needed. Calls are matched to replies by number. A reply
+ * on an old connection can't reach a newer call: numbers aren't reused, and
+ * open calls fail with their connection.
+ */
+import type {IncomingMessage} from 'node:http';
+import {WebSocket, WebSocketServer} from 'ws';
+import {Failure, reasonOf} from '../errors/failure.js';
+import type {Logger} from '../log/logger.js';
+import {decodeFrame, encodeFrame, type CallFrame} from '../wire/codec.js';
+import type {MessageKind, ReplyOf, RequestOf} from '../wire/messages.js';
+
+/** Handles one kind of call from peers. */
+export type Handler<Kind extends MessageKind> = (
+  body: RequestOf<Kind>,
+) => ReplyOf<Kind> | Promise<ReplyOf<Kind>>;
+
+/** What the parts of a daemon need to talk to other daemons. */
+export interface Links {
+  /** Calls the daemon at `address`; throws `peerUnreachable`. */
+  call<Kind extends MessageKind>(
+    address: string,
+    kind: Kind,
+    body: RequestOf<Kind>,
+    timeoutMs: number,
+  ): Promise<ReplyOf<Kind>>;
+  /** Registers the handler of one kind; there is one for each kind. */
+  handle<Kind extends MessageKind>(kind: Kind, handler: Handler<Kind>): void;
+}
+
+/** Options of {@link WebSocketLinks}. */
+export interface LinksOptions {
+  readonly secret: string;
+  /** Rewrites an advertised address before it is dialled. */
+  readonly dial: Readonly<Record<string, string>>;
+  readonly log: Logger;
+}
+
+interface OpenCall {
+  readonly resolve: (body: unknown) => void;
+  readonly reject: (err: Failure) => void;
+}
+
+interface Link {
+  readonly socket: WebSocket;
+  readonly opened: Promise<void>;
+  readonly calls: Map<number, OpenCall>;
+}
+
+const MAX_FRAME_BYTES = 4 * 1024 * 1024;
+const CONNECT_TIMEOUT_MS = 2000;
+
+/** Links over websockets. */
+export class WebSocketLinks implements Links {
+  readonly #options: LinksOptions;
+  readonly #links = new Map<string, Link>();
+  readonly #inbound = new Set<WebSocket>();
+  readonly #handlers = new Map<string, (body: unknown) => unknown>();
+  readonly #server = new WebSocketServer({
+    noServer: true,
+    maxPayload: MAX_FRAME_BYTES,
+    perMessageDeflate: false,
+  });
+  #nextCall = 1;
+
+  constructor(options: LinksOptions) {
+    this.#options = options;
+  }
+
+  handle<Kind extends MessageKind>(kind: Kind, handler: Handler<Kind>): void {
+    this.#handlers.set(kind, handler as (body: unknown) => unknown);
+  }
+
+  async call<Kind extends MessageKind>(
+    address: string,
+    kind: Kind,
+    body: RequestOf<Kind>,
+    timeoutMs: number,
+  ): Promise<ReplyOf<Kind>> {
+    const link = this.#linkTo(address);
+    const id = this.#nextCall++;
+    const reply = new Promise<unknown>((resolve, reject) => {
+      link.calls.set(id, {resolve, reject});
+    });
+    const timer = setTimeout(
+      () => this.#fail(link, id, address, 'no reply in time'),
+      timeoutMs,
+    );
+    try {
+      link.opened
+        .then(() => {
+          link.socket.send(encodeFrame({type: 'call', id, kind, body}));
+        })
+        .catch((err: unknown) => this.#fail(link, id, address, reasonOf(err)));
+      return (await reply) as ReplyOf<Kind>;
+    } finally {
+      clearTimeout(timer);
+      link.calls.delete(id);
+    }
+  }
+
+  /** Takes over an upgraded connection of a peer. */
+  accept(
+    req: IncomingMessage,
+    socket: import('node:stream').Duplex,
+    head: Buffer,
+  ): void {
+    this.#server.handleUpgrade(req, socket, head, ws => {
+      this.#inbound.add(ws);
+      ws.on('close', () => this.#inbound.delete(ws));
+      ws.on('error', () => ws.terminate());
+      ws.on('message', data => void this.#answer(ws, data as Buffer));
+    });
+  }
+
+  /** Closes every connection; open calls fail. */
+  stop(): void {
+    this.#links.forEach(link => link.socket.terminate());
+    this.#inbound.forEach(socket => socket.terminate());
+    this.#server.close();
+  }
+
+  #linkTo(address: string): Link {
+    const known = this.#links.get(address);
+    if (known) return known;
+    const dialled = this.#options.dial[address] ?? address;
+    const socket = new WebSocket(`ws://${dialled}/`, {
+      headers: {authorization: `Bearer ${this.#options.secret}`},
+      handshakeTimeout: CONNECT_TIMEOUT_MS,
+      maxPayload: MAX_FRAME_BYTES,
+      perMessageDeflate: false,
+    });
+    const opened = new Promise<void>((resolve, reject) => {
+      socket.once('open', () => resolve());
+      socket.once('error', reject);
+    });
+    opened.catch(() => undefined);
+    const link: Link = {socket, opened, calls: new Map()};
+    this.#links.set(address, link);
+    socket.on('message', data => this.#settle(link, data as Buffer, address));
+    socket.on('error', () => socket.terminate());
+    socket.on('close', () => this.#forget(address, link));
+    return link;
+  }
+
+  #forget(address: string, link: Link): void {
+    if (this.#links.get(address) === link) this.#links.delete(address);
+    [...link.calls.keys()].forEach(id =>
+      this.#fail(link, id, address, 'connection closed'),
+    );
+  }
+
+  #fail(link: Link, id: number, peer: string, reason: string): void {
+    link.calls.get(id)?.reject(new Failure('peerUnreachable', {peer, reason}));
+    link.calls.delete(id);
+  }
+
+  #settle(link: Link, bytes: Buffer, peer: string): void {
+    try {
+      const frame = decodeFrame(bytes, peer);
+      if (frame.type !== 'reply') return;
+      if (frame.error !== undefined) {
+        return this.#fail(link, frame.id, peer, frame.error);
+      }
+      link.calls.get(frame.id)?.resolve(frame.body);
+    } catch (err) {
+      this.#options.log.warn(`Bad frame from ${peer}: ${reasonOf(err)}.`);
+      link.socket.terminate();
+    }
+  }
+
+  async #answer(socket: WebSocket, bytes: Buffer): Promise<void> {
+    try {
+      const frame = decodeFrame(bytes, 'inbound peer');
+      if (frame.type === 'call') await this.#run(socket, frame);
+    } catch (err) {
+      this.#options.log.warn(`Bad inbound frame: ${reasonOf(err)}.`);
+      socket.terminate();
+    }
+  }
+
+  async #run(socket: WebSocket, frame: CallFrame): Promise<void> {
+    const handler = this.#handlers.get(frame.kind);
+    const reply = async () => {
+      if (!handler) return {error: `unknown kind ${frame.kind}`};
+      return {body: await handler(frame.body)};
+    };
+    const outcome = await reply().catch((err: unknown) => ({
+      error: reasonOf(err),
+    }));
+    if (socket.readyState !== WebSocket.OPEN) return;
+    socket.send(encodeFrame({type: 'reply', id: frame.id, ...outcome}));
+  }
+}
--- /dev/null
+++ b/src/router/access.ts
@@ -0,0 +1,48 @@
+/** Who may use which route: the key decides the customer, never the caller. */
+import {createHash} from 'node:crypto';
+import type {Customer, Route} from '../configuration/records.js';
+import type {Tables} from '../configuration/tables.js';
+import type {RefusalName} from './refusals.js';
+
+/** A route that the request may take, and for whom it runs. */
+export interface Granted {
+  readonly granted: true;
+  readonly route: Route;
+  /** Undefined on a route that is open to all. */
+  readonly customer: Customer | undefined;
+}
+
+/** Why the request may not pass. */
+export interface Denied {
+  readonly granted: false;
+  readonly refusal: RefusalName;
+}
+
+/** SHA-256 of a key, hexadecimal, as the configuration keeps it. */
+export function digestOf(key: string): string {
+  return createHash('sha256').update(key).digest('hex');
+}
+
+/** Decides by the tables of the moment. */
+export function decideAccess(
+  tables: Tables,
+  host: string,
+  path: string,
+  key: string | undefined,
+): Granted | Denied {
+  const routes = tables.routes(host, path);
+  const best = routes[0];
+  if (!best) return {granted: false, refusal: 'no-route'};
+  const candidates = routes.filter(route => route.path === best.path);
+  const open = candidates.find(route => route.access === 'open');
+  if (open) return {granted: true, route: open, customer: undefined};
+  if (key === undefined) return {granted: false, refusal: 'key-missing'};
+  const record = tables.key(digestOf(key), Date.now());
+  const customer = record && tables.customer(record.customer);
+  if (!customer) return {granted: false, refusal: 'key-unknown'};
+  const route = candidates.find(({customers}) => {
+    return customers.length === 0 || customers.includes(customer.id);
+  });
+  if (!route) return {granted: false, refusal: 'not-allowed'};
+  return {granted: true, route, customer};
+}
--- /dev/null
+++ b/src/router/refusals.ts
@@ -0,0 +1,75 @@
+/**
+ * Every refusal that a caller can get, in one table, answered as a problem
+ * document (RFC 9457). `ran` says whether the request ran: `no` is certain,
+ * `unknown` means that it may have run.
+ */
+import type {ServerResponse} from 'node:http';
+
+interface RefusalKind {
+  readonly status: number;
+  readonly title: string;
+  readonly ran: 'no' | 'unknown';
+}
+
+/** The table; a key is the stable end of the problem's type. */
+export const REFUSALS = {
+  'bad-request': {status: 400, title: 'The request is malformed', ran: 'no'},
+  'key-missing': {status: 401, title: 'A key is needed here', ran: 'no'},
+  'key-unknown': {status: 401, title: 'The key is not valid', ran: 'no'},
+  'not-allowed': {status: 403, title: 'No route for this customer', ran: 'no'},
+  'no-route': {status: 404, title: 'No route leads there', ran: 'no'},
+  'over-rate': {status: 429, title: 'Over the rate of the customer', ran: 'no'},
+  'rate-unknown': {
+    status: 503,
+    title: 'The rate of the customer cannot be known now',
+    ran: 'no',
+  },
+  'no-instance': {status: 503, title: 'No backend server is there', ran: 'no'},
+  busy: {status: 503, title: 'All backend servers are busy', ran: 'no'},
+  deadline: {status: 504, title: 'The deadline passed in the queue', ran: 'no'},
+  stopping: {status: 503, title: 'This daemon is stopping', ran: 'no'},
+  'not-ready': {status: 503, title: 'No configuration is known', ran: 'no'},
+  timeout: {status: 504, title: 'No answer came in time', ran: 'unknown'},
+  'connection-lost': {
+    status: 502,
+    title: 'The connection was lost before the answer',
+    ran: 'unknown',
+  },
+  internal: {status: 500, title: 'The router failed', ran: 'unknown'},
+} as const satisfies Readonly<Record<string, RefusalKind>>;
+
+/** The stable name of a refusal. */
+export type RefusalName = keyof typeof REFUSALS;
+
+/** Details of one refusal. */
+export interface RefusalDetail {
+  readonly requestId?: string;
+  readonly detail?: string;
+  /** When coming back helps, in milliseconds from now. */
+  readonly retryAfterMs?: number;
+}
+
+/** Answers with a refusal, at once. */
+export function refuse(
+  res: ServerResponse,
+  name: RefusalName,
+  detail: RefusalDetail = {},
+): void {
+  const {status, title, ran} = REFUSALS[name];
+  const body = JSON.stringify({
+    type: `urn:chicorycourse:refusal:${name}`,
+    status,
+    title,
+    ran,
+    ...detail,
+  });
+  res.statusCode = status;
+  res.setHeader('content-type', 'application/problem+json');
+  res.setHeader('content-length', Buffer.byteLength(body));
+  if (detail.retryAfterMs !== undefined) {
+    const seconds = Math.max(1, Math.ceil(detail.retryAfterMs / 1000));
+    res.setHeader('retry-after', String(seconds));
+  }
+  if (status === 401) res.setHeader('www-authenticate', 'Bearer');
+  res.end(body);
+}
--- /dev/null
+++ b/src/settings/address.ts
@@ -0,0 +1,13 @@
+/** Addresses as the settings write them: `IP:PORT`. */
+
+/** A parsed address. */
+export interface Address {
+  readonly host: string;
+  readonly port: number;
+}
+
+/** Splits `IP:PORT`; the settings schema has checked its form. */
+export function parseAddress(text: string): Address {
+  const colon = text.lastIndexOf(':');
+  return {host: text.slice(0, colon), port: Number(text.slice(colon + 1))};
+}
--- /dev/null
+++ b/src/wire/codec.ts
@@ -0,0 +1,47 @@
+/**
+ * Frames between daemons, encoded by msgpackr. A frame is one call or the
+ * reply to one call, matched by a number that the caller of the link chose.
+ */
+import {Packr} from 'msgpackr';
+import {Failure, reasonOf} from '../errors/failure.js';
+
+/** A request on a link. */
+export interface CallFrame {
+  readonly type: 'call';
+  readonly id: number;
+  readonly kind: string;
+  readonly body: unknown;
+}
+
+/** The reply to a request; `error` is set if the handler failed. */
+export interface ReplyFrame {
+  readonly type: 'reply';
+  readonly id: number;
+  readonly body?: unknown;
+  readonly error?: string;
+}
+
+export type Frame = CallFrame | ReplyFrame;
+
+const packr = new Packr({useRecords: false});
+
+/** The bytes of a frame. */
+export function encodeFrame(frame: Frame): Buffer {
+  return packr.pack(frame);
+}
+
+/** Reads a frame; throws `frameInvalid` if it isn't one. */
+export function decodeFrame(bytes: Buffer, peer: string): Frame {
+  const value = unpack(bytes, peer) as Partial<Frame> | undefined;
+  const known = value?.type === 'call' || value?.type === 'reply';
+  if (known && typeof value.id === 'number') return value as Frame;
+  throw new Failure('frameInvalid', {peer, reason: 'not a call or a reply'});
+}
+
+function unpack(bytes: Buffer, peer: string): unknown {
+  try {
+    return packr.unpack(bytes);
+  } catch (err) {
+    throw new Failure('frameInvalid', {peer, reason: reasonOf(err)}, err);
+  }
+}
--- /dev/null
+++ b/src/wire/messages.ts
@@ -0,0 +1,23 @@
+/**
+ * The typed messages between daemons. Each part owns the file with its own
+ * kinds; this module puts them together. A kind has a request and a reply.
+ */
+import type {MemberMessages} from '../member/messages.js';
+
+/** One kind of message: what is asked, and what is answered. */
+export interface Exchange<Request, Reply> {
+  readonly request: Request;
+  readonly reply: Reply;
+}
+
+/** Every kind of message between daemons. */
+export type Messages = MemberMessages;
+
+/** The name of a kind of message. */
+export type MessageKind = keyof Messages & string;
+
+/** What is asked by a kind of message. */
+export type RequestOf<Kind extends MessageKind> = Messages[Kind]['request'];
+
+/** What is answered to a kind of message. */
+export type ReplyOf<Kind extends MessageKind> = Messages[Kind]['reply'];
--- /dev/null
+++ b/standins/backend.ts
@@ -0,0 +1,202 @@
+/**
+ * Stand-in of a backend server: a few slots, a service time, and faults that
+ * are switched at run time by `PUT /faults`. It announces itself to a daemon
+ * and renews. It counts what ran: `GET /ran` lists each run with its request
+ * id, and `GET /seen` tells whether a text was in any byte it received.
+ *
+ * Arguments: SERVICE ID ANNOUNCE_ADDRESS[,ADDRESS...] [SLOTS] [SERVICE_MS]
+ */
+import {
+  createServer,
+  type IncomingMessage,
+  type ServerResponse,
+} from 'node:http';
+import type {Socket} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
+
+interface Faults {
+  /** Share of real requests that fail, 0 to 1. */
+  readonly errorShare?: number;
+  /** Replaces the service time, in milliseconds. */
+  readonly serviceMs?: number;
+  /** Real requests are taken and never answered. */
+  readonly hang?: boolean;
+  /** Answers probes with this status, whatever the truth. */
+  readonly probeStatus?: number;
+  /** Reports this load instead of the true one. */
+  readonly reportedBusy?: number;
+  /** Runs the request, then drops the connection without an answer. */
+  readonly dropAnswer?: boolean;
+  readonly draining?: boolean;
+}
+
+interface Run {
+  readonly id: string;
+  readonly customer: string;
+  readonly method: string;
+  readonly path: string;
+  /** Milliseconds on the machine's monotonic clock. */
+  readonly startedMs: number;
+  readonly bodyBytes: number;
+  finished: boolean;
+}
+
+const RENEW_INTERVAL_MS = 500;
+const [
+  service = 'service',
+  id = 'instance',
+  announce = '',
+  slots = '3',
+  ms = '5',
+] = process.argv.slice(2);
+const SLOTS = Number(slots);
+const SERVICE_MS = Number(ms);
+
+let faults: Faults = {};
+let busy = 0;
+let sequence = 0;
+const runs: Run[] = [];
+const received: Buffer[] = [];
+let keepBytes = false;
+
+function fails(): boolean {
+  sequence += 1;
+  const share = faults.errorShare ?? 0;
+  return Math.floor(sequence * share) !== Math.floor((sequence - 1) * share);
+}
+
+async function drain(req: IncomingMessage): Promise<number> {
+  let bytes = 0;
+  for await (const chunk of req) bytes += (chunk as Buffer).length;
+  return bytes;
+}
+
+async function work(req: IncomingMessage, res: ServerResponse): Promise<void> {
+  if (busy >= SLOTS) {
+    res.writeHead(503, {'retry-after': '1', 'x-overload': 'slots'});
+    res.end();
+    return;
+  }
+  busy += 1;
+  const run = {
+    id: String(req.headers['x-request-id'] ?? ''),
+    customer: String(req.headers['x-customer'] ?? ''),
+    method: req.method ?? '',
+    path: req.url ?? '',
+    startedMs: performance.timeOrigin + performance.now(),
+    bodyBytes: 0,
+    finished: false,
+  };
+  runs.push(run);
+  try {
+    const bodyBytes = await drain(req);
+    if (faults.hang)
+      await new Promise<void>(resolve => res.on('close', resolve));
+    await sleep(
+      Number(req.headers['x-work-ms'] ?? faults.serviceMs ?? SERVICE_MS),
+    );
+    if (res.destroyed) return;
+    Object.assign(run, {bodyBytes, finished: true});
+    if (faults.dropAnswer) return void res.destroy();
+    answer(req, res, bodyBytes);
+  } finally {
+    busy -= 1;
+  }
+}
+
+function answer(req: IncomingMessage, res: ServerResponse, bodyBytes: number) {
+  const status = fails() ? 500 : 200;
+  const padding = 'x'.repeat(Number(req.headers['x-answer-bytes'] ?? 0));
+  res.writeHead(status, {'content-type': 'application/json'});
+  res.end(
+    JSON.stringify({
+      instance: id,
+      request: req.headers['x-request-id'],
+      echo: req.headers['x-echo'],
+      path: req.url,
+      bodyBytes,
+      padding,
+    }),
+  );
+}
+
+async function switchFaults(req: IncomingMessage, res: ServerResponse) {
+  const chunks: Buffer[] = [];
+  for await (const chunk of req) chunks.push(chunk as Buffer);
+  faults = JSON.parse(Buffer.concat(chunks).toString()) as Faults;
+  await renew().catch(() => undefined);
+  res.end('{}');
+}
+
+const CONTROL: Readonly<
+  Record<string, (req: IncomingMessage, res: ServerResponse) => unknown>
+> = {
+  '/faults': switchFaults,
+  '/ran': (_req, res) => res.end(JSON.stringify(runs)),
+  '/keep-bytes': (_req, res) => {
+    keepBytes = true;
+    res.end('{}');
+  },
+  '/seen': (req, res) => {
+    const text = new URL(req.url ?? '', 'http://x').searchParams.get('text');
+    const seen = Buffer.concat(received).includes(text ?? '');
+    res.end(JSON.stringify({seen}));
+  },
+  '/health': (_req, res) => {
+    setTimeout(() => {
+      res.writeHead(faults.probeStatus ?? 200, {
+        'content-type': 'application/json',
+      });
+      res.end(
+        JSON.stringify({status: 'ok', busy: faults.reportedBusy ?? busy}),
+      );
+    }, 25);
+  },
+};
+
+const server = createServer((req, res) => {
+  const path = (req.url ?? '').split('?')[0] ?? '';
+  const handler = CONTROL[path] ?? work;
+  Promise.resolve(handler(req, res)).catch(() => res.destroy());
+});
+server.on('connection', (socket: Socket) => {
+  socket.prependListener('data', chunk => {
+    if (keepBytes) received.push(chunk);
+  });
+});
+
+let addressIndex = 0;
+const daemons = announce.split(',').filter(text => text !== '');
+
+async function renew(): Promise<void> {
+  const daemon = daemons[addressIndex % daemons.length];
+  const address = server.address();
+  if (!daemon || address === null || typeof address === 'string') return;
+  try {
+    const res = await fetch(`http://${daemon}/v1/instances/${id}`, {
+      method: 'PUT',
+      headers: {'content-type': 'application/json'},
+      body: JSON.stringify({
+        service,
+        address: `127.0.0.1:${address.port}`,
+        slots: SLOTS,
+        format: 'json-status',
+        probePath: '/health',
+        draining: faults.draining ?? false,
+      }),
+      signal: AbortSignal.timeout(1000),
+    });
+    if (!res.ok) addressIndex += 1;
+  } catch {
+    addressIndex += 1;
+  }
+}
+
+server.listen(0, '127.0.0.1', () => {
+  const address = server.address();
+  const port = typeof address === 'object' ? address?.port : 0;
+  process.stdout.write(`listening ${port}\n`);
+  void renew();
+  setInterval(() => void renew(), RENEW_INTERVAL_MS);
+});
+process.on('SIGTERM', () => process.exit(0));
--- /dev/null
+++ b/standins/kv.ts
@@ -0,0 +1,244 @@
+/**
+ * Stand-in of the platform's key-value service: one process, in memory, over
+ * HTTP and JSON. Its faults are switched at run time by `PUT /faults`:
+ * `outage` closes every call unanswered, `delayMs` slows calls down,
+ * `loseAnswers` takes writes and drops the answer, `staleReads` serves reads
+ * from the state at the moment when it was switched on. `GET /counts` tells
+ * how many calls of each kind came.
+ */
+import {randomUUID} from 'node:crypto';
+import {
+  createServer,
+  type IncomingMessage,
+  type ServerResponse,
+} from 'node:http';
+import {setTimeout as sleep} from 'node:timers/promises';
+
+interface Entry {
+  readonly key: string;
+  readonly value: string;
+  readonly version: number;
+  readonly leaseId?: string;
+}
+
+interface Faults {
+  readonly outage?: boolean;
+  readonly delayMs?: number;
+  /** How many of the next writes take effect and lose their answer. */
+  readonly loseAnswers?: number;
+  readonly staleReads?: boolean;
+}
+
+interface Change {
+  readonly key: string;
+  readonly value: string | undefined;
+  readonly version: number;
+}
+
+interface Answer {
+  readonly status: number;
+  readonly body: unknown;
+}
+
+const MAX_VALUE_BYTES = 1_000_000;
+const TOKEN = process.env['KV_TOKEN'] ?? 'stand-in-store-token';
+
+let revision = 0;
+let values = new Map<string, Entry>();
+let staleValues: ReadonlyMap<string, Entry> | undefined;
+let faults: Faults = {};
+const history: Change[] = [];
+const leases = new Map<string, {ttlMs: number; timer: NodeJS.Timeout}>();
+const waiting = new Set<() => void>();
+const counts = new Map<string, number>();
+
+function record(key: string, value: string | undefined, leaseId?: string) {
+  revision += 1;
+  values = new Map(values);
+  if (value === undefined) values.delete(key);
+  else values.set(key, {key, value, version: revision, leaseId});
+  history.push({key, value, version: revision});
+  waiting.forEach(wake => wake());
+  return revision;
+}
+
+function swap(key: string, expected: number, value?: string, leaseId?: string) {
+  const current = values.get(key);
+  if ((current?.version ?? 0) !== expected) {
+    return {status: 412, body: {swapped: false, current}};
+  }
+  const version = record(key, value, leaseId);
+  return {status: 200, body: {swapped: true, version}};
+}
+
+function lapse(id: string): void {
+  clearTimeout(leases.get(id)?.timer);
+  leases.delete(id);
+  [...values.values()]
+    .filter(entry => entry.leaseId === id)
+    .forEach(entry => record(entry.key, undefined));
+}
+
+function grant(id: string, ttlMs: number): Answer {
+  clearTimeout(leases.get(id)?.timer);
+  leases.set(id, {ttlMs, timer: setTimeout(() => lapse(id), ttlMs)});
+  return {status: 200, body: {id}};
+}
+
+async function watch(url: URL): Promise<Answer> {
+  const prefix = url.searchParams.get('prefix') ?? '';
+  const after = Number(url.searchParams.get('after'));
+  const until = Date.now() + Number(url.searchParams.get('waitMs'));
+  const find = () =>
+    history.filter(c => c.version > after && c.key.startsWith(prefix));
+  while (find().length === 0 && Date.now() < until) {
+    await new Promise<void>(resolve => {
+      const timer = setTimeout(resolve, until - Date.now());
+      const wake = () => {
+        clearTimeout(timer);
+        resolve();
+      };
+      waiting.add(wake);
+      setTimeout(() => waiting.delete(wake), until - Date.now() + 1);
+    });
+  }
+  return {status: 200, body: {revision, events: find()}};
+}
+
+type Handler = (
+  url: URL,
+  body: Record<string, unknown>,
+) => Answer | Promise<Answer>;
+
+const HANDLERS: readonly (readonly [string, RegExp, Handler])[] = [
+  [
+    'GET',
+    /^\/v1\/values\/[^/]+$/,
+    url => {
+      const entry = (staleValues ?? values).get(keyOf(url));
+      return entry ? {status: 200, body: entry} : {status: 404, body: {}};
+    },
+  ],
+  [
+    'GET',
+    /^\/v1\/values$/,
+    url => {
+      const prefix = url.searchParams.get('prefix') ?? '';
+      const found = [...(staleValues ?? values).values()];
+      return {
+        status: 200,
+        body: {values: found.filter(entry => entry.key.startsWith(prefix))},
+      };
+    },
+  ],
+  [
+    'PUT',
+    /^\/v1\/values\/[^/]+$/,
+    (url, body) => {
+      const value = String(body['value']);
+      if (Buffer.byteLength(value) > MAX_VALUE_BYTES) {
+        return {status: 413, body: {error: 'value too large'}};
+      }
+      const leaseId = body['leaseId'] as string | undefined;
+      if (leaseId !== undefined && !leases.has(leaseId)) {
+        return {status: 409, body: {error: 'lease lapsed'}};
+      }
+      return swap(keyOf(url), Number(body['expected']), value, leaseId);
+    },
+  ],
+  [
+    'DELETE',
+    /^\/v1\/values\/[^/]+$/,
+    url => swap(keyOf(url), Number(url.searchParams.get('expected'))),
+  ],
+  [
+    'POST',
+    /^\/v1\/leases$/,
+    (_url, body) => grant(randomUUID(), Number(body['ttlMs'])),
+  ],
+  [
+    'POST',
+    /^\/v1\/leases\/[^/]+\/renewals$/,
+    url => {
+      const id = url.pathname.split('/')[3] ?? '';
+      const lease = leases.get(id);
+      return lease ? grant(id, lease.ttlMs) : {status: 404, body: {}};
+    },
+  ],
+  [
+    'DELETE',
+    /^\/v1\/leases\/[^/]+$/,
+    url => {
+      lapse(url.pathname.split('/')[3] ?? '');
+      return {status: 200, body: {}};
+    },
+  ],
+  ['GET', /^\/v1\/watch$/, url => watch(url)],
+];
+
+function keyOf(url: URL): string {
+  return decodeURIComponent(url.pathname.slice('/v1/values/'.length));
+}
+
+async function readBody(
+  req: IncomingMessage,
+): Promise<Record<string, unknown>> {
+  const chunks: Buffer[] = [];
+  for await (const chunk of req) chunks.push(chunk as Buffer);
+  const text = Buffer.concat(chunks).toString();
+  return text === '' ? {} : (JSON.parse(text) as Record<string, unknown>);
+}
+
+function send(res: ServerResponse, answer: Answer): void {
+  res.writeHead(answer.status, {'content-type': 'application/json'});
+  res.end(JSON.stringify(answer.body));
+}
+
+function loses(method: string): boolean {
+  const left = faults.loseAnswers ?? 0;
+  if (method === 'GET' || left === 0) return false;
+  faults = {...faults, loseAnswers: left - 1};
+  return true;
+}
+
+async function serveStore(req: IncomingMessage, res: ServerResponse, url: URL) {
+  const method = req.method ?? 'GET';
+  if (faults.outage) return req.socket.destroy();
+  if (req.headers.authorization !== `Bearer ${TOKEN}`) {
+    return send(res, {status: 401, body: {error: 'bad token'}});
+  }
+  const entry = HANDLERS.find(
+    ([verb, path]) => verb === method && path.test(url.pathname),
+  );
+  if (!entry) return send(res, {status: 404, body: {}});
+  const label = `${method} ${url.pathname.split('/')[2] ?? ''}`;
+  counts.set(label, (counts.get(label) ?? 0) + 1);
+  const body = await readBody(req);
+  if (faults.delayMs) await sleep(faults.delayMs);
+  const answer = await entry[2](url, body);
+  if (faults.outage || loses(method)) return req.socket.destroy();
+  return send(res, answer);
+}
+
+async function switchFaults(req: IncomingMessage, res: ServerResponse) {
+  faults = (await readBody(req)) as Faults;
+  staleValues = faults.staleReads ? (staleValues ?? values) : undefined;
+  if (faults.outage) waiting.forEach(wake => wake());
+  send(res, {status: 200, body: faults});
+}
+
+const server = createServer((req, res) => {
+  const url = new URL(req.url ?? '/', 'http://store');
+  if (url.pathname === '/faults') return void switchFaults(req, res);
+  if (url.pathname === '/counts') {
+    return send(res, {status: 200, body: Object.fromEntries(counts)});
+  }
+  serveStore(req, res, url).catch(() => req.socket.destroy());
+});
+const [host, port] = (process.argv[2] ?? '127.0.0.1:0').split(':');
+server.listen(Number(port), host, () => {
+  const address = server.address();
+  const bound = typeof address === 'object' ? address?.port : 0;
+  process.stdout.write(`listening ${bound}\n`);
+});
+process.on('SIGTERM', () => process.exit(0));
