--- /dev/null
+++ b/src/member/rendezvous.ts
@@ -0,0 +1,25 @@
+/**
+ * Rendezvous hashing: every daemon ranks the same members for the same name
+ * in the same order, and a member that comes or goes moves only its own part.
+ */
+import {createHash} from 'node:crypto';
+
+/** Members in order of their score for `name`, the best first. */
+export function rankMembers<Member extends {readonly id: string}>(
+  name: string,
+  members: readonly Member[],
+): readonly Member[] {
+  return members
+    .map(member => ({member, score: scoreOf(name, member.id)}))
+    .toSorted((a, b) => b.score - a.score || compare(a.member, b.member))
+    .map(({member}) => member);
+}
+
+function scoreOf(name: string, id: string): number {
+  const digest = createHash('md5').update(`${name}\n${id}`).digest();
+  return digest.readUIntBE(0, 6);
+}
+
+function compare(a: {readonly id: string}, b: {readonly id: string}): number {
+  return a.id < b.id ? -1 : 1;
+}
