Add a relay for links that can be cut one way or delayed

Every daemon of a test dials every other, and the store, through a link of its own. A cut direction holds its bytes back until it is healed, as TCP sees lost packets.

--- a/features/support/fleet.ts
+++ b/features/support/fleet.ts
@@ -8,6 +8,7 @@
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {Network} from './network.js';
 import {TestProcess} from './process.js';
 
 /** Addresses that a daemon listens on. */
@@ -73,6 +74,8 @@
   readonly daemons = new Map<string, TestDaemon>();
   readonly instances = new Map<string, TestInstance>();
   #store: TestProcess | undefined;
+  #network: Network | undefined;
+  #linkedIds: readonly string[] = [];
   storeAddress = '';
 
   async startStore(): Promise<void> {
@@ -84,15 +87,41 @@
     this.storeAddress = `127.0.0.1:${portOf(this.#store.firstLine)}`;
   }
 
+  /**
+   * Puts a relay between all daemons `ids` and the store. Call it after the
+   * store and before the first daemon was started.
+   */
+  async startNetwork(ids: readonly string[], delayMs = 0): Promise<Network> {
+    const network = await Network.start();
+    this.#network = network;
+    const pairs = ids.flatMap(from =>
+      ids.filter(to => to !== from).map(to => `${from}>${to}`),
+    );
+    await Promise.all(pairs.map(name => network.link(name, {delayMs})));
+    await Promise.all(
+      ids.map(id => network.link(`${id}>store`, {target: this.storeAddress})),
+    );
+    this.#linkedIds = ids;
+    return network;
+  }
+
+  /** The network between the daemons, if there is one. */
+  get network(): Network {
+    if (!this.#network) throw new Error('no network was started');
+    return this.#network;
+  }
+
   async startDaemon(plan: DaemonPlan): Promise<TestDaemon> {
     const settingsFile = path.join(this.#folder, `${plan.id}.json`);
-    const settings = {...this.#settingsFor(plan), ...plan.settings};
+    const usual = await this.#settingsFor(plan);
+    const settings = {...usual, ...plan.settings};
     writeFileSync(settingsFile, JSON.stringify(settings));
     const bundle = plan.mutant
       ? path.join(dist, 'mutants', `${plan.mutant}.cjs`)
       : path.join(dist, 'chicorycourse.cjs');
     const daemon = await this.#serve(plan.id, settingsFile, bundle);
     this.daemons.set(plan.id, daemon);
+    await this.#pointLinksTo(plan.id, daemon.addresses.peers);
     return daemon;
   }
 
@@ -180,6 +209,7 @@
       ...(this.#store ? [this.#store] : []),
     ];
     await Promise.all(all.map(proc => proc.end()));
+    await this.#network?.stop();
     rmSync(this.#folder, {recursive: true, force: true});
   }
 
@@ -203,9 +233,41 @@
     return JSON.parse(readFileSync(file, 'utf8')) as Record<string, unknown>;
   }
 
-  #settingsFor(plan: DaemonPlan): Record<string, unknown> {
+  async #pointLinksTo(id: string, target: string): Promise<void> {
+    const others = this.#linkedIds.filter(other => other !== id);
+    await Promise.all(
+      others.map(other => this.#network?.link(`${other}>${id}`, {target})),
+    );
+  }
+
+  /** Where a daemon finds its peers and the store, with or without links. */
+  async #reachFor(id: string): Promise<Record<string, unknown>> {
+    const network = this.#network;
+    const secret = 'peer-secret-for-tests';
+    if (!network) {
+      const seeds = [...this.daemons.values()].map(d => d.addresses.peers);
+      const store = {urls: [`http://${this.storeAddress}`], token: STORE_TOKEN};
+      return {peers: {seeds, secret}, store};
+    }
+    const others = this.#linkedIds.filter(other => other !== id);
+    const dial = await Promise.all(
+      others.map(async other => [
+        virtualAddress(this.#linkedIds.indexOf(other)),
+        await network.link(`${id}>${other}`, {}),
+      ]),
+    );
+    const seeds = dial.map(([address]) => address);
+    const store = await network.link(`${id}>store`, {});
+    const peers = virtualAddress(this.#linkedIds.indexOf(id));
+    return {
+      peers: {seeds, secret, dial: Object.fromEntries(dial)},
+      store: {urls: [`http://${store}`], token: STORE_TOKEN},
+      advertise: {peers, administration: peers},
+    };
+  }
+
+  async #settingsFor(plan: DaemonPlan): Promise<Record<string, unknown>> {
     const any = '127.0.0.1:0';
-    const seeds = [...this.daemons.values()].map(d => d.addresses.peers);
     return {
       daemon: {
         id: plan.id,
@@ -213,8 +275,7 @@
         failureDomain: plan.failureDomain,
       },
       listen: {callers: any, administration: any, instances: any, peers: any},
-      peers: {seeds, secret: 'peer-secret-for-tests'},
-      store: {urls: [`http://${this.storeAddress}`], token: STORE_TOKEN},
+      ...(await this.#reachFor(plan.id)),
       administration: {
         credentials: [
           {name: 'op', role: 'operator', tokenSha256: sha256(OPERATOR_TOKEN)},
@@ -256,6 +317,11 @@
   throw new Error(`not within ${boundMs} ms: ${what}`);
 }
 
+/** An address that only the dial settings of a fleet with links know. */
+function virtualAddress(index: number): string {
+  return `10.0.0.${index + 1}:7000`;
+}
+
 function portOf(line: string): number {
   return Number(line.split(' ')[1]);
 }
--- /dev/null
+++ b/standins/relay.ts
@@ -0,0 +1,175 @@
+/**
+ * Stand-in of the network between processes: a TCP relay with one named link
+ * for each direction of dialling. `PUT /links/NAME` creates or changes a link
+ * and answers with its port. A cut direction holds its bytes back until it is
+ * healed, as lost packets that TCP sends again; a connection that is opened
+ * while a link is cut waits. A delay holds each chunk for its time.
+ */
+import {createServer as createHttpServer} from 'node:http';
+import {connect, createServer, type Socket} from 'node:net';
+
+/** What a link does now. */
+interface LinkPlan {
+  /** Where the link leads, `IP:PORT`; empty until the target runs. */
+  readonly target: string;
+  readonly delayMs: number;
+  /** `forward` is from the side that dialled. */
+  readonly cut: 'none' | 'forward' | 'backward' | 'both';
+}
+
+const START_PLAN: LinkPlan = {target: '', delayMs: 0, cut: 'none'};
+
+/** One direction of one connection: delays chunks, holds them while cut. */
+class Direction {
+  readonly #from: Socket;
+  readonly #to: Socket;
+  readonly #isCut: () => boolean;
+  readonly #delayMs: () => number;
+  #waiting: (Buffer | undefined)[] = [];
+  #dueAtMs = 0;
+
+  constructor(
+    from: Socket,
+    to: Socket,
+    isCut: () => boolean,
+    delayMs: () => number,
+  ) {
+    this.#from = from;
+    this.#to = to;
+    this.#isCut = isCut;
+    this.#delayMs = delayMs;
+    from.on('data', chunk => this.#take(chunk));
+    from.on('end', () => this.#take(undefined));
+  }
+
+  /** Sends what was held back, once the direction isn't cut. */
+  flush(): void {
+    if (this.#isCut()) return;
+    const chunks = this.#waiting;
+    this.#waiting = [];
+    chunks.forEach(chunk => this.#pass(chunk));
+    this.#from.resume();
+  }
+
+  #take(chunk: Buffer | undefined): void {
+    const delayMs = this.#delayMs();
+    if (delayMs === 0) return this.#arrive(chunk);
+    // Timers of equal length may fire early; the due time keeps the order.
+    this.#dueAtMs = Math.max(this.#dueAtMs, performance.now() + delayMs);
+    setTimeout(() => this.#arrive(chunk), this.#dueAtMs - performance.now());
+  }
+
+  #arrive(chunk: Buffer | undefined): void {
+    if (this.#isCut() || this.#waiting.length > 0) {
+      this.#waiting.push(chunk);
+      this.#from.pause();
+      return;
+    }
+    this.#pass(chunk);
+  }
+
+  #pass(chunk: Buffer | undefined): void {
+    if (this.#to.destroyed) return;
+    if (chunk === undefined) {
+      this.#to.end();
+      return;
+    }
+    if (this.#to.write(chunk)) return;
+    this.#from.pause();
+    this.#to.once('drain', () => this.#from.resume());
+  }
+}
+
+/** One link: its listener and its open connections. */
+class Link {
+  #plan: LinkPlan = START_PLAN;
+  readonly #directions = new Set<Direction>();
+  readonly #held = new Set<Socket>();
+  readonly #server = createServer({allowHalfOpen: true}, socket => {
+    socket.on('error', () => socket.destroy());
+    socket.on('close', () => this.#held.delete(socket));
+    this.#held.add(socket);
+    this.#openHeld();
+  });
+
+  listen(): Promise<number> {
+    return new Promise(resolve => {
+      this.#server.listen(0, '127.0.0.1', () => resolve(this.port));
+    });
+  }
+
+  get port(): number {
+    const address = this.#server.address();
+    return typeof address === 'object' ? (address?.port ?? 0) : 0;
+  }
+
+  change(plan: Partial<LinkPlan>): void {
+    this.#plan = {...this.#plan, ...plan};
+    this.#directions.forEach(direction => direction.flush());
+    this.#openHeld();
+  }
+
+  #openHeld(): void {
+    if (this.#plan.cut !== 'none' || this.#plan.target === '') return;
+    this.#held.forEach(socket => this.#open(socket));
+    this.#held.clear();
+  }
+
+  #open(near: Socket): void {
+    const [host, port] = this.#plan.target.split(':');
+    const far = connect({host, port: Number(port), allowHalfOpen: true});
+    const isCut = (way: 'forward' | 'backward') => () =>
+      this.#plan.cut === way || this.#plan.cut === 'both';
+    const delayMs = () => this.#plan.delayMs;
+    const directions = [
+      new Direction(near, far, isCut('forward'), delayMs),
+      new Direction(far, near, isCut('backward'), delayMs),
+    ];
+    directions.forEach(direction => this.#directions.add(direction));
+    const end = () => {
+      near.destroy();
+      far.destroy();
+      directions.forEach(direction => this.#directions.delete(direction));
+    };
+    near.on('close', end);
+    far.on('close', () => setTimeout(end, this.#plan.delayMs));
+    far.on('error', end);
+    near.setNoDelay(true);
+    far.setNoDelay(true);
+  }
+}
+
+const links = new Map<string, Promise<Link>>();
+
+async function makeLink(): Promise<Link> {
+  const link = new Link();
+  await link.listen();
+  return link;
+}
+
+function linkOf(name: string): Promise<Link> {
+  const known = links.get(name) ?? makeLink();
+  links.set(name, known);
+  return known;
+}
+
+const control = createHttpServer((req, res) => {
+  const name = decodeURIComponent((req.url ?? '').slice('/links/'.length));
+  const chunks: Buffer[] = [];
+  req.on('data', (chunk: Buffer) => chunks.push(chunk));
+  req.on('end', () => {
+    const plan = JSON.parse(
+      Buffer.concat(chunks).toString(),
+    ) as Partial<LinkPlan>;
+    void linkOf(name).then(link => {
+      link.change(plan);
+      res.end(JSON.stringify({port: link.port}));
+    });
+  });
+});
+control.listen(0, '127.0.0.1', () => {
+  const address = control.address();
+  const port = typeof address === 'object' ? address?.port : 0;
+  process.stdout.write(`listening ${port}\n`);
+});
+process.on('SIGTERM', () => process.exit(0));
