Find failed members with bounded work, and heal every view

Cause: the first membership exchanged everything with everybody, so its work grew with the square of the fleet, and a one-way cut would have evicted the healthy. Ruled out: UDP for pings, since the links between daemons are websockets already and can be cut in tests.

--- /dev/null
+++ b/features/steps/membership_steps.ts
@@ -0,0 +1,125 @@
+/** Steps that stop, pause and restart daemons, and look at who they know. */
+import {Then, When} from '@cucumber/cucumber';
+import assert from 'node:assert/strict';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {until} from '../support/fleet.js';
+import type {World} from '../support/world.js';
+
+const SAMPLE_INTERVAL_MS = 200;
+
+async function membersOf(world: World, daemon: string): Promise<string> {
+  const {members} = await world.fleet.status(daemon);
+  return members
+    .map(member => member.id)
+    .toSorted()
+    .join(' ');
+}
+
+async function allKnow(
+  world: World,
+  daemons: readonly string[],
+  expected: string,
+): Promise<boolean> {
+  const views = await Promise.all(daemons.map(id => membersOf(world, id)));
+  return views.every(view => view === expected);
+}
+
+async function assertStays(
+  world: World,
+  daemons: readonly string[],
+  expected: string,
+  seconds: number,
+): Promise<void> {
+  const endAtMs = performance.now() + seconds * 1000;
+  while (performance.now() < endAtMs) {
+    const views = await Promise.all(daemons.map(id => membersOf(world, id)));
+    views.forEach(view => assert.equal(view, expected));
+    await sleep(SAMPLE_INTERVAL_MS);
+  }
+}
+
+When('daemon {string} is killed', async function (this: World, id: string) {
+  await this.fleet.daemon(id).process.end('SIGKILL');
+});
+
+When(
+  'daemon {string} is started again',
+  async function (this: World, id: string) {
+    await this.fleet.restartDaemon(id);
+  },
+);
+
+When(
+  'daemon {string} is paused for {int} s',
+  async function (this: World, id: string, seconds: number) {
+    this.fleet.daemon(id).process.signal('SIGSTOP');
+    await sleep(seconds * 1000);
+    this.fleet.daemon(id).process.signal('SIGCONT');
+  },
+);
+
+When(
+  '{string} is cut off from all other daemons',
+  async function (this: World, id: string) {
+    const others = [...this.fleet.daemons.keys()].filter(d => d !== id);
+    const {network} = this.fleet;
+    await Promise.all(others.map(other => network.cut(id, other)));
+  },
+);
+
+When(
+  '{string} is connected to all other daemons again',
+  async function (this: World, id: string) {
+    const others = [...this.fleet.daemons.keys()].filter(d => d !== id);
+    const {network} = this.fleet;
+    await Promise.all(others.map(other => network.heal(id, other)));
+  },
+);
+
+Then(
+  'every daemon knows exactly {string} within {int} s',
+  async function (this: World, expected: string, seconds: number) {
+    const daemons = [...this.fleet.daemons.keys()];
+    await until(
+      `every daemon knows ${expected}`,
+      () => allKnow(this, daemons, expected),
+      seconds * 1000,
+    );
+  },
+);
+
+Then(
+  'daemons {string} know exactly {string} within {int} s',
+  async function (
+    this: World,
+    daemons: string,
+    expected: string,
+    seconds: number,
+  ) {
+    await until(
+      `${daemons} know ${expected}`,
+      () => allKnow(this, daemons.split(' '), expected),
+      seconds * 1000,
+    );
+  },
+);
+
+Then(
+  'every daemon knows exactly {string} for {int} s',
+  async function (this: World, expected: string, seconds: number) {
+    const daemons = [...this.fleet.daemons.keys()];
+    await assertStays(this, daemons, expected, seconds);
+  },
+);
+
+Then(
+  'daemons {string} know exactly {string} for {int} s',
+  async function (
+    this: World,
+    daemons: string,
+    expected: string,
+    seconds: number,
+  ) {
+    await assertStays(this, daemons.split(' '), expected, seconds);
+  },
+);
--- a/scripts/check.mjs
+++ b/scripts/check.mjs
@@ -52,7 +52,7 @@
   const file = path.join(results, `${profile}.json`);
   const {status} = spawnSync(
     bin('cucumber-js'),
-    ['--profile', profile, '--format', `json:${file}`],
+    [profile, '--profile', profile, '--format', `json:${file}`],
     {
       cwd: root,
       stdio: 'inherit',
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -14,7 +14,7 @@
 import {close, listen} from '../http/listener.js';
 import type {Logger} from '../log/logger.js';
 import {WebSocketLinks} from '../member/links.js';
-import {Gossip} from '../member/membership.js';
+import {SwimMembership} from '../member/membership.js';
 import type {Metrics} from '../metrics/metrics.js';
 import {HttpStore} from '../platform/http_store.js';
 import {StaticLimiter} from '../rates/static_limiter.js';
@@ -42,7 +42,7 @@
   readonly store: HttpStore;
   readonly keeper: ConfigurationKeeper;
   readonly links: WebSocketLinks;
-  readonly membership: Gossip;
+  readonly membership: SwimMembership;
   readonly gate: Gate;
   readonly gates: Gates;
 }
@@ -126,7 +126,7 @@
     const store = new HttpStore(settings.store);
     const keeper = new ConfigurationKeeper(store, log.for('configuration'));
     const links = new WebSocketLinks({secret, dial, log: log.for('links')});
-    const membership = new Gossip({
+    const membership = new SwimMembership({
       self: selfRecord(settings, bound),
       seeds,
       links,
--- a/src/member/links.ts
+++ b/src/member/links.ts
@@ -46,10 +46,19 @@
   readonly socket: WebSocket;
   readonly opened: Promise<void>;
   readonly calls: Map<number, OpenCall>;
+  /** Last call; monotonic clock, milliseconds. */
+  usedAtMs: number;
+  /** Last frame that arrived; monotonic clock, milliseconds. */
+  heardAtMs: number;
 }
 
 const MAX_FRAME_BYTES = 4 * 1024 * 1024;
 const CONNECT_TIMEOUT_MS = 2000;
+const SWEEP_INTERVAL_MS = 5000;
+/** A link that wasn't used for so long is closed. */
+const IDLE_MS = 30_000;
+/** A link that is used but silent for so long is dialled anew. */
+const SILENT_MS = 5000;
 
 /** Links over websockets. */
 export class WebSocketLinks implements Links {
@@ -62,10 +71,12 @@
     maxPayload: MAX_FRAME_BYTES,
     perMessageDeflate: false,
   });
+  readonly #sweeper: NodeJS.Timeout;
   #nextCall = 1;
 
   constructor(options: LinksOptions) {
     this.#options = options;
+    this.#sweeper = setInterval(() => this.#sweep(), SWEEP_INTERVAL_MS);
   }
 
   handle<Kind extends MessageKind>(kind: Kind, handler: Handler<Kind>): void {
@@ -79,6 +90,7 @@
     timeoutMs: number,
   ): Promise<ReplyOf<Kind>> {
     const link = this.#linkTo(address);
+    link.usedAtMs = performance.now();
     const id = this.#nextCall++;
     const reply = new Promise<unknown>((resolve, reject) => {
       link.calls.set(id, {resolve, reject});
@@ -116,11 +128,21 @@
 
   /** Closes every connection; open calls fail. */
   stop(): void {
+    clearInterval(this.#sweeper);
     this.#links.forEach(link => link.socket.terminate());
     this.#inbound.forEach(socket => socket.terminate());
     this.#server.close();
   }
 
+  #sweep(): void {
+    const nowMs = performance.now();
+    this.#links.forEach(link => {
+      const idle = nowMs - link.usedAtMs > IDLE_MS;
+      const silent = link.usedAtMs - link.heardAtMs > SILENT_MS;
+      if (idle || silent) link.socket.terminate();
+    });
+  }
+
   #linkTo(address: string): Link {
     const known = this.#links.get(address);
     if (known) return known;
@@ -136,7 +158,14 @@
       socket.once('error', reject);
     });
     opened.catch(() => undefined);
-    const link: Link = {socket, opened, calls: new Map()};
+    const nowMs = performance.now();
+    const link: Link = {
+      socket,
+      opened,
+      calls: new Map(),
+      usedAtMs: nowMs,
+      heardAtMs: nowMs,
+    };
     this.#links.set(address, link);
     socket.on('message', data => this.#settle(link, data as Buffer, address));
     socket.on('error', () => socket.terminate());
@@ -157,6 +186,7 @@
   }
 
   #settle(link: Link, bytes: Buffer, peer: string): void {
+    link.heardAtMs = performance.now();
     try {
       const frame = decodeFrame(bytes, peer);
       if (frame.type !== 'reply') return;
--- a/src/member/membership.ts
+++ b/src/member/membership.ts
@@ -1,12 +1,17 @@
 /**
- * Who is in the fleet. Each daemon exchanges what it knows with the others on
- * a fixed interval; a daemon that has not been heard of for a while is left
- * out. The record with the higher incarnation, then version, wins.
+ * Who is in the fleet, in the manner of SWIM: bounded work for each daemon
+ * whatever the size of the fleet. News travels with pings and, between them,
+ * to a few fixed neighbours; now and then two daemons compare all they know
+ * by digests, so that lost news and healed partitions end in one view.
  */
 import {reasonOf} from '../errors/failure.js';
 import type {Logger} from '../log/logger.js';
+import {FailureDetector} from './failure_detector.js';
 import type {Links} from './links.js';
 import type {MemberRecord} from './messages.js';
+import {NewsQueue} from './news_queue.js';
+import {rankMembers} from './rendezvous.js';
+import {View} from './view.js';
 
 /** What the parts of a daemon need to know about the fleet. */
 export interface Membership {
@@ -19,106 +24,198 @@
   update(change: Partial<Pick<MemberRecord, 'state' | 'slots'>>): void;
 }
 
-/** Options of {@link Gossip}. */
-export interface GossipOptions {
+/** Options of {@link SwimMembership}. */
+export interface MembershipOptions {
   readonly self: MemberRecord;
+  /** Addresses of daemons to join by. */
   readonly seeds: readonly string[];
   readonly links: Links;
   readonly log: Logger;
+  /** A number in [0, 1), for choosing peers. */
+  readonly random?: () => number;
 }
 
-interface Heard {
-  readonly record: MemberRecord;
-  readonly atMs: number;
-}
-
-const SYNC_INTERVAL_MS = 500;
-const SYNC_TIMEOUT_MS = 400;
-const SILENCE_MS = 3000;
-
-/** Membership by full exchange with every known daemon. */
-export class Gossip implements Membership {
-  readonly #options: GossipOptions;
-  readonly #heard = new Map<string, Heard>();
-  #self: MemberRecord;
-  #timer: NodeJS.Timeout | undefined;
-
-  constructor(options: GossipOptions) {
+const NEWS_INTERVAL_MS = 200;
+const NEIGHBOUR_COUNT = 8;
+const NEIGHBOUR_INTERVAL_MS = 5000;
+/** Neighbours that get news in one round. */
+const NEWS_FANOUT = 2;
+const COMPARE_INTERVAL_MS = 5000;
+const JOIN_INTERVAL_MS = 500;
+const CALL_TIMEOUT_MS = 1000;
+const PING_FOR_TIMEOUT_MS = 400;
+
+/** Membership of one daemon. */
+export class SwimMembership implements Membership {
+  readonly #options: MembershipOptions;
+  readonly #view: View;
+  readonly #news: NewsQueue;
+  readonly #detector: FailureDetector;
+  readonly #random: () => number;
+  #timers: readonly NodeJS.Timeout[] = [];
+  #neighbours: readonly MemberRecord[] = [];
+  #newsRound = 0;
+
+  constructor(options: MembershipOptions) {
     this.#options = options;
-    this.#self = options.self;
-    options.links.handle('member.sync', body => {
-      this.#merge(body.members);
-      return {members: this.members()};
+    this.#random = options.random ?? Math.random;
+    this.#view = new View(options.self);
+    this.#news = new NewsQueue(() => this.#view.size);
+    this.#detector = new FailureDetector({
+      view: this.#view,
+      news: this.#news,
+      links: options.links,
+      log: options.log,
+      random: this.#random,
     });
+    this.#handleCalls();
   }
 
   start(): void {
-    const round = () => void this.#syncAll();
-    this.#timer = setInterval(round, SYNC_INTERVAL_MS);
-    round();
+    this.#timers = [
+      setInterval(() => this.#spreadNews(), NEWS_INTERVAL_MS),
+      setInterval(() => void this.#compareWithAny(), COMPARE_INTERVAL_MS),
+      setInterval(() => void this.#join(), JOIN_INTERVAL_MS),
+      setInterval(() => this.#chooseNeighbours(), NEIGHBOUR_INTERVAL_MS),
+    ];
+    this.#news.add([{status: 'alive', record: this.#view.self}]);
+    this.#detector.start();
+    void this.#join();
   }
 
   stop(): void {
-    clearInterval(this.#timer);
+    this.#timers.forEach(timer => clearInterval(timer));
+    this.#detector.stop();
   }
 
   self(): MemberRecord {
-    return this.#self;
+    return this.#view.self;
   }
 
   members(): readonly MemberRecord[] {
-    const now = performance.now();
-    const others = [...this.#heard.values()]
-      .filter(heard => now - heard.atMs < SILENCE_MS)
-      .map(heard => heard.record);
-    return [this.#self, ...others];
+    return [this.#view.self, ...this.#view.others()];
   }
 
   member(id: string): MemberRecord | undefined {
-    return this.members().find(member => member.id === id);
+    if (id === this.#view.self.id) return this.#view.self;
+    const known = this.#view.get(id);
+    return known?.status === 'dead' ? undefined : known?.record;
   }
 
   update(change: Partial<Pick<MemberRecord, 'state' | 'slots'>>): void {
-    const version = this.#self.version + 1;
-    this.#self = {...this.#self, ...change, version};
+    this.#news.add([this.#view.updateSelf(change)]);
+    this.#spreadNews();
+  }
+
+  #handleCalls(): void {
+    const {links} = this.#options;
+    links.handle('member.ping', body => {
+      const from = {status: 'alive' as const, record: body.from};
+      this.#news.add(this.#view.merge([from, ...body.updates]));
+      return {updates: this.#news.take()};
+    });
+    links.handle('member.pingFor', async ({address}) => {
+      const reached = await this.#reaches(address);
+      return {reached};
+    });
+    links.handle('member.news', ({updates}) => {
+      this.#news.add(this.#view.merge(updates));
+      return null;
+    });
+    links.handle('member.compare', () => ({digests: this.#view.digests()}));
+    links.handle('member.exchange', ({buckets, updates}) => {
+      this.#news.add(this.#view.merge(updates));
+      return {updates: this.#view.updatesIn(buckets)};
+    });
+  }
+
+  async #reaches(address: string): Promise<boolean> {
+    const body = {from: this.#view.self, updates: []};
+    return this.#options.links
+      .call(address, 'member.ping', body, PING_FOR_TIMEOUT_MS)
+      .then(
+        () => true,
+        () => false,
+      );
+  }
+
+  /** Sends what is new to the next few neighbours. */
+  #spreadNews(): void {
+    if (this.#news.isEmpty) return;
+    if (this.#neighbours.length === 0) this.#chooseNeighbours();
+    const neighbours = this.#neighbours;
+    const count = Math.min(NEWS_FANOUT, neighbours.length);
+    Array.from({length: count}, (_, index) => {
+      const turn = (this.#newsRound + index) % neighbours.length;
+      const updates = this.#news.take();
+      const address = neighbours[turn]?.peersAddress;
+      if (address === undefined || updates.length === 0) return;
+      this.#options.links
+        .call(address, 'member.news', {updates}, CALL_TIMEOUT_MS)
+        .catch((err: unknown) => this.#note(address, err));
+    });
+    this.#newsRound += count;
+  }
+
+  /** Mostly the same few members, so that links to them stay open. */
+  #chooseNeighbours(): void {
+    const ranked = rankMembers(this.#view.self.id, this.#view.others());
+    this.#neighbours = ranked.slice(0, NEIGHBOUR_COUNT);
   }
 
-  /** Exchanges once with every known daemon. */
-  async #syncAll(): Promise<void> {
-    const known = this.members().map(member => member.peersAddress);
-    const targets = new Set([...this.#options.seeds, ...known]);
-    targets.delete(this.#self.peersAddress);
-    await Promise.all([...targets].map(address => this.#sync(address)));
+  /** Looks for the fleet through the seeds while nobody is known. */
+  async #join(): Promise<void> {
+    if (this.#view.others().length > 0) return;
+    await Promise.all(this.#options.seeds.map(seed => this.#compare(seed)));
   }
 
-  async #sync(address: string): Promise<void> {
+  /** Compares with any member, a failed one or a seed among them. */
+  async #compareWithAny(): Promise<void> {
+    this.#view.forgetOld();
+    const alive = this.#view.others().map(member => member.peersAddress);
+    const lost = [
+      ...this.#view.withStatus('dead').map(known => known.record.peersAddress),
+      ...this.#options.seeds.filter(seed => !alive.includes(seed)),
+    ].filter(address => address !== this.#view.self.peersAddress);
+    await Promise.all(
+      [this.#pick(alive), this.#pick(lost)]
+        .filter(address => address !== undefined)
+        .map(address => this.#compare(address)),
+    );
+  }
+
+  /** Brings both views to the same state, bucket by bucket. */
+  async #compare(address: string): Promise<void> {
+    const {links} = this.#options;
+    const digests = this.#view.digests();
     try {
-      const reply = await this.#options.links.call(
+      const theirs = await links.call(
+        address,
+        'member.compare',
+        null,
+        CALL_TIMEOUT_MS,
+      );
+      const buckets = [...digests.keys()].filter(
+        bucket => digests[bucket] !== theirs.digests[bucket],
+      );
+      if (buckets.length === 0) return;
+      const reply = await links.call(
         address,
-        'member.sync',
-        {members: [this.#self]},
-        SYNC_TIMEOUT_MS,
+        'member.exchange',
+        {buckets, updates: this.#view.updatesIn(buckets)},
+        CALL_TIMEOUT_MS,
       );
-      this.#merge(reply.members);
+      this.#news.add(this.#view.merge(reply.updates));
     } catch (err) {
-      this.#options.log.debug(`No sync with ${address}: ${reasonOf(err)}.`);
+      this.#note(address, err);
     }
   }
 
-  #merge(records: readonly MemberRecord[]): void {
-    records
-      .filter(record => record.id !== this.#self.id)
-      .filter(record => isNewer(record, this.#heard.get(record.id)?.record))
-      .forEach(record => {
-        this.#heard.set(record.id, {record, atMs: performance.now()});
-      });
+  #pick(addresses: readonly string[]): string | undefined {
+    return addresses[Math.floor(this.#random() * addresses.length)];
   }
-}
 
-function isNewer(next: MemberRecord, last: MemberRecord | undefined): boolean {
-  if (!last) return true;
-  if (next.incarnation !== last.incarnation) {
-    return next.incarnation > last.incarnation;
+  #note(address: string, err: unknown): void {
+    this.#options.log.debug(`No word from ${address}: ${reasonOf(err)}.`);
   }
-  return next.version >= last.version;
 }
--- a/src/member/messages.ts
+++ b/src/member/messages.ts
@@ -19,11 +19,48 @@
   readonly slots: Readonly<Record<string, number>>;
 }
 
+/** What the fleet believes of a member. */
+export type MemberStatus = 'alive' | 'suspect' | 'dead';
+
+/** A claim that a member failed, about one version of its record. */
+export interface FailureClaim {
+  readonly status: 'suspect' | 'dead';
+  readonly id: string;
+  readonly incarnation: number;
+  readonly version: number;
+}
+
+/** A piece of news about a member. */
+export type MemberUpdate =
+  {readonly status: 'alive'; readonly record: MemberRecord} | FailureClaim;
+
+/** News that travels with every message of membership. */
+export interface MemberNews {
+  readonly updates: readonly MemberUpdate[];
+}
+
 /** Kinds of messages of membership. */
 export interface MemberMessages {
-  /** Exchanges all that both sides know. */
-  readonly 'member.sync': Exchange<
-    {readonly members: readonly MemberRecord[]},
-    {readonly members: readonly MemberRecord[]}
+  /** Are you there? News goes along both ways. */
+  readonly 'member.ping': Exchange<
+    MemberNews & {readonly from: MemberRecord},
+    MemberNews
+  >;
+  /** Asks a third daemon to ping the one at an address. */
+  readonly 'member.pingFor': Exchange<
+    {readonly address: string},
+    {readonly reached: boolean}
+  >;
+  /** Passes news on between rounds of pings. */
+  readonly 'member.news': Exchange<MemberNews, null>;
+  /** Compares digests of all that both sides know, bucket by bucket. */
+  readonly 'member.compare': Exchange<
+    null,
+    {readonly digests: readonly number[]}
+  >;
+  /** Exchanges everything in some buckets. */
+  readonly 'member.exchange': Exchange<
+    MemberNews & {readonly buckets: readonly number[]},
+    MemberNews
   >;
 }
