Add generations and the witnesses that vouch for them

Shares of rates need an agreed set of holders and a proof, with the store away, that no newer set exists. A lease in the store was ruled out: its holder must stop when the store is away for hours. Witnesses (up to three in a failure domain, nine in all) vouch for the newest generation and revision; a vouch counts from the sending of the ask.

--- a/src/admin/administration.ts
+++ b/src/admin/administration.ts
@@ -6,6 +6,7 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import polka from 'polka';
 import type {ConfigurationKeeper} from '../configuration/keeper.js';
+import type {FleetAuthority} from '../member/fleet_authority.js';
 import type {Membership} from '../member/membership.js';
 import type {Settings} from '../settings/schema.js';
 
@@ -15,6 +16,7 @@
   readonly credentials: Settings['administration']['credentials'];
   readonly keeper: ConfigurationKeeper;
   readonly membership: Membership;
+  readonly authority: FleetAuthority;
   readonly isReady: () => boolean;
 }
 
@@ -40,11 +42,13 @@
 
   #status(req: IncomingMessage, res: ServerResponse): void {
     if (!this.#authenticate(req)) return sendProblem(res, 401, 'Unauthorized');
-    const {keeper, membership} = this.#options;
+    const {keeper, membership, authority} = this.#options;
     sendJson(res, 200, {
       self: membership.self(),
       members: membership.members(),
       revision: keeper.tables().revision,
+      generation: authority.generations.current()?.number ?? 0,
+      vouched: authority.vouches.current() !== undefined,
     });
   }
 
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -7,12 +7,14 @@
 import type {Duplex} from 'node:stream';
 import polka from 'polka';
 import {Administration} from '../admin/administration.js';
+import {readFreshRevision} from '../configuration/fresh_revision.js';
 import {ConfigurationKeeper} from '../configuration/keeper.js';
 import {serveAnnouncements} from '../gate/announcements.js';
 import {Gate} from '../gate/gate.js';
 import {serveHop} from '../gate/hop_server.js';
 import {close, listen} from '../http/listener.js';
 import type {Logger} from '../log/logger.js';
+import {FleetAuthority} from '../member/fleet_authority.js';
 import {WebSocketLinks} from '../member/links.js';
 import {Gossip} from '../member/membership.js';
 import type {Metrics} from '../metrics/metrics.js';
@@ -43,6 +45,7 @@
   readonly keeper: ConfigurationKeeper;
   readonly links: WebSocketLinks;
   readonly membership: Gossip;
+  readonly authority: FleetAuthority;
   readonly gate: Gate;
   readonly gates: Gates;
 }
@@ -83,6 +86,7 @@
     this.#connect(parts);
     parts.keeper.start();
     parts.membership.start();
+    parts.authority.start();
     parts.gate.start();
     this.#options.log.info(`Listening for callers on ${bound.callers}.`);
     return bound;
@@ -99,6 +103,7 @@
     await parts.gate.stop();
     await parts.gates.stop();
     parts.keeper.stop();
+    parts.authority.stop();
     parts.membership.stop();
     parts.links.stop();
     const {administration, instances, peers} = this.#servers;
@@ -132,6 +137,13 @@
       links,
       log: log.for('member'),
     });
+    const authority = new FleetAuthority({
+      store,
+      links,
+      membership,
+      log: log.for('generations'),
+      readRevision: () => readFreshRevision(store),
+    });
     const gate = new Gate({
       maxQueueMs: settings.limits.maxQueueMs,
       maxQueuePerService: settings.limits.maxQueuePerCustomer,
@@ -139,7 +151,7 @@
       onSlots: slots => membership.update({slots}),
     });
     const gates = new Gates({own: gate, membership, secret, dial});
-    return {store, keeper, links, membership, gate, gates};
+    return {store, keeper, links, membership, authority, gate, gates};
   }
 
   /** Registers the parts on the servers. */
@@ -160,6 +172,7 @@
       credentials: settings.administration.credentials,
       keeper: parts.keeper,
       membership: parts.membership,
+      authority: parts.authority,
       isReady: () => parts.keeper.tables().revision > 0,
     });
     serveAnnouncements(instances, parts.gate.instances);
--- /dev/null
+++ b/src/member/fleet_authority.ts
@@ -0,0 +1,70 @@
+/**
+ * Supervises the parts that agree on generations: the keeper of the newest
+ * one, the witness, the collector of vouches, and the writer.
+ */
+import type {Logger} from '../log/logger.js';
+import type {Store} from '../platform/store.js';
+import {GenerationKeeper} from './generation_keeper.js';
+import {GenerationWriter, readGeneration} from './generation_writer.js';
+import type {Links} from './links.js';
+import type {Membership} from './membership.js';
+import {VouchCollector} from './vouch_collector.js';
+import {Witness} from './witness.js';
+import {WitnessCalls} from './witness_calls.js';
+
+/** Options of {@link FleetAuthority}. */
+export interface FleetAuthorityOptions {
+  readonly store: Store;
+  readonly links: Links;
+  readonly membership: Membership;
+  readonly log: Logger;
+  /** The newest accepted revision; throws `storeUnavailable`. */
+  readonly readRevision: () => Promise<number>;
+}
+
+/** Generations and vouches of one daemon. */
+export class FleetAuthority {
+  readonly generations: GenerationKeeper;
+  readonly vouches: VouchCollector;
+  readonly #witness: Witness;
+  readonly #writer: GenerationWriter;
+
+  constructor(options: FleetAuthorityOptions) {
+    const {store, links, membership, log, readRevision} = options;
+    const keeper = new GenerationKeeper(log);
+    const calls = new WitnessCalls({links, self: membership.self()});
+    this.generations = keeper;
+    this.vouches = new VouchCollector({keeper, calls, links, membership, log});
+    this.#witness = new Witness({
+      keeper,
+      calls,
+      links,
+      log,
+      readStore: async () => {
+        const revision = await readRevision();
+        const {generation} = await readGeneration(store);
+        return {generation, revision};
+      },
+    });
+    const {vouches} = this;
+    this.#writer = new GenerationWriter({
+      store,
+      keeper,
+      vouches,
+      membership,
+      log,
+    });
+  }
+
+  start(): void {
+    this.#witness.start();
+    this.vouches.start();
+    this.#writer.start();
+  }
+
+  stop(): void {
+    this.#writer.stop();
+    this.vouches.stop();
+    this.#witness.stop();
+  }
+}
--- /dev/null
+++ b/src/member/generation_plan.ts
@@ -0,0 +1,64 @@
+/**
+ * What the next generation should be: the members that are alive, and a
+ * stable choice of witnesses spread over the failure domains.
+ */
+import {
+  witnessesOf,
+  type Generation,
+  type GenerationMember,
+} from './generation.js';
+import type {MemberRecord} from './messages.js';
+import {rankMembers} from './rendezvous.js';
+
+const MAX_WITNESSES_PER_DOMAIN = 3;
+const MAX_WITNESSES = 9;
+
+/** The generation after `current` for this view of the fleet. */
+export function planGeneration(
+  current: Generation | undefined,
+  alive: readonly MemberRecord[],
+): Generation {
+  const members = alive
+    .filter(record => record.state === 'alive')
+    .map(toMember)
+    .toSorted((a, b) => (a.id < b.id ? -1 : 1));
+  return {
+    number: (current?.number ?? 0) + 1,
+    members,
+    witnesses: chooseWitnesses(current, members),
+    previousWitnesses: current ? witnessesOf(current) : [],
+  };
+}
+
+/** True if two generations have the same members at the same addresses. */
+export function sameMembers(a: Generation, b: Generation): boolean {
+  return JSON.stringify(a.members) === JSON.stringify(b.members);
+}
+
+/** Keeps witnesses that are still there, and fills up by rendezvous. */
+function chooseWitnesses(
+  current: Generation | undefined,
+  members: readonly GenerationMember[],
+): readonly string[] {
+  const domains = [...new Set(members.map(member => member.failureDomain))];
+  const quota = Math.max(
+    1,
+    Math.min(
+      MAX_WITNESSES_PER_DOMAIN,
+      Math.floor(MAX_WITNESSES / Math.max(1, domains.length)),
+    ),
+  );
+  const kept = new Set(current?.witnesses);
+  return domains.flatMap(domain => {
+    const inDomain = members.filter(m => m.failureDomain === domain);
+    return rankMembers('witness', inDomain)
+      .toSorted((a, b) => Number(kept.has(b.id)) - Number(kept.has(a.id)))
+      .slice(0, quota)
+      .map(member => member.id);
+  });
+}
+
+function toMember(record: MemberRecord): GenerationMember {
+  const {id, failureDomain, region, peersAddress} = record;
+  return {id, failureDomain, region, peersAddress};
+}
--- /dev/null
+++ b/src/member/generation_writer.ts
@@ -0,0 +1,150 @@
+/**
+ * Writes the next generation when the fleet differs from the current one for
+ * some seconds. The daemon with the best rank does it; if two believe that
+ * they are, the compare-and-swap lets one win. Nothing is written without a
+ * valid vouch and before the current generation is in force everywhere, so
+ * that there are never more than two generations in use.
+ */
+import {setTimeout as sleep} from 'node:timers/promises';
+import {Failure, reasonOf} from '../errors/failure.js';
+import type {Logger} from '../log/logger.js';
+import {readFresh} from '../platform/fresh_read.js';
+import type {Store} from '../platform/store.js';
+import {generationSchema, type Generation, type Vouches} from './generation.js';
+import type {GenerationKeeper} from './generation_keeper.js';
+import {planGeneration, sameMembers} from './generation_plan.js';
+import type {Membership} from './membership.js';
+import {rankMembers} from './rendezvous.js';
+
+/** Options of {@link GenerationWriter}. */
+export interface GenerationWriterOptions {
+  readonly store: Store;
+  readonly keeper: GenerationKeeper;
+  readonly vouches: Vouches;
+  readonly membership: Membership;
+  readonly log: Logger;
+}
+
+/** A generation and the store's version of it. */
+interface StoredGeneration {
+  readonly generation: Generation | undefined;
+  readonly version: number;
+}
+
+const GENERATION_KEY = 'fleet/generation';
+const ROUND_PAUSE_MS = 250;
+const STORE_RETRY_PAUSE_MS = 1000;
+const FIRST_STABLE_MS = 1000;
+const STABLE_MS = 3000;
+/** What was lent under the generation before must have expired as well. */
+const GRACE_MS = 2500;
+
+/** Reads the generation without lag; throws `storeUnavailable`. */
+export async function readGeneration(store: Store): Promise<StoredGeneration> {
+  const stored = await readFresh(store, GENERATION_KEY);
+  if (!stored) return {generation: undefined, version: 0};
+  const generation = generationSchema.parse(JSON.parse(stored.value));
+  return {generation, version: stored.version};
+}
+
+/** The task that writes generations. */
+export class GenerationWriter {
+  readonly #options: GenerationWriterOptions;
+  readonly #stopped = new AbortController();
+  #lastView = '';
+  #viewSinceMs = 0;
+
+  constructor(options: GenerationWriterOptions) {
+    this.#options = options;
+  }
+
+  start(): void {
+    void this.#run();
+  }
+
+  stop(): void {
+    this.#stopped.abort();
+  }
+
+  async #run(): Promise<void> {
+    const {signal} = this.#stopped;
+    while (!signal.aborted) {
+      const pauseMs = await this.#round().then(
+        () => ROUND_PAUSE_MS,
+        (err: unknown) => {
+          this.#options.log.warn(`No new generation: ${reasonOf(err)}.`);
+          return STORE_RETRY_PAUSE_MS;
+        },
+      );
+      await sleep(pauseMs, undefined, {signal}).catch(() => undefined);
+    }
+  }
+
+  async #round(): Promise<void> {
+    const {keeper, membership} = this.#options;
+    const current = keeper.current();
+    const next = planGeneration(current, membership.members());
+    if (current && sameMembers(current, next)) {
+      this.#lastView = '';
+      return;
+    }
+    if (!this.#isStable(next) || !this.#isFirst(next)) return;
+    if (current && !this.#isInForce(current)) return;
+    await this.#write(current, next);
+  }
+
+  /** True once the view has not changed for long enough. */
+  #isStable(next: Generation): boolean {
+    const view = JSON.stringify(next.members);
+    const nowMs = performance.now();
+    if (view !== this.#lastView) {
+      this.#lastView = view;
+      this.#viewSinceMs = nowMs;
+    }
+    const neededMs = next.number === 1 ? FIRST_STABLE_MS : STABLE_MS;
+    return nowMs - this.#viewSinceMs >= neededMs;
+  }
+
+  #isFirst(next: Generation): boolean {
+    const ranked = rankMembers('generation', next.members);
+    return ranked[0]?.id === this.#options.membership.self().id;
+  }
+
+  #isInForce(current: Generation): boolean {
+    const {keeper, vouches} = this.#options;
+    const fromMs = keeper.movedDutiesFromMs();
+    return (
+      vouches.current()?.generation === current.number &&
+      fromMs !== undefined &&
+      performance.now() >= fromMs + GRACE_MS
+    );
+  }
+
+  async #write(current: Generation | undefined, next: Generation) {
+    const {store, keeper, vouches} = this.#options;
+    const stored = await readGeneration(store);
+    if (stored.generation && stored.generation.number >= next.number) {
+      keeper.offer(stored.generation);
+      return;
+    }
+    if (stored.generation?.number !== current?.number) return;
+    const value = JSON.stringify(next);
+    const swapped = await this.#swap(stored.version, value);
+    if (!swapped) return;
+    keeper.offer(next);
+    await vouches.raise({generation: next.number});
+  }
+
+  /** Swaps; after a lost answer the store tells who won. */
+  async #swap(version: number, value: string): Promise<boolean> {
+    const {store} = this.#options;
+    try {
+      const result = await store.compareAndSwap(GENERATION_KEY, version, value);
+      return result.swapped;
+    } catch (err) {
+      if (!(err instanceof Failure)) throw err;
+      const stored = await readFresh(store, GENERATION_KEY);
+      return stored?.value === value;
+    }
+  }
+}
--- /dev/null
+++ b/src/member/witness_calls.ts
@@ -0,0 +1,99 @@
+/**
+ * Calls to witnesses, and when a majority of them agrees. A witness is an id
+ * at an address: a process of the same id elsewhere is another daemon.
+ */
+import type {MessageKind, ReplyOf, RequestOf} from '../wire/messages.js';
+import {
+  isSameDaemon,
+  majorityOf,
+  type DaemonIdentity,
+  type GenerationMember,
+} from './generation.js';
+import type {Links} from './links.js';
+
+/** Kinds of calls that a witness answers with its word. */
+export type WitnessKind = Extract<MessageKind, `witness.${string}`>;
+
+/** How this daemon's own witness answers, without a link. */
+export type OwnWitness = <Kind extends WitnessKind>(
+  kind: Kind,
+  body: RequestOf<Kind>,
+) => ReplyOf<Kind>;
+
+/** Options of {@link WitnessCalls}. */
+export interface WitnessCallsOptions {
+  readonly links: Links;
+  readonly self: DaemonIdentity;
+}
+
+/** One answer and the witness that gave it. */
+export interface WitnessAnswer<Kind extends WitnessKind> {
+  readonly witness: GenerationMember;
+  /** When the call was sent; monotonic clock, milliseconds. */
+  readonly sentAtMs: number;
+  readonly word: ReplyOf<Kind>;
+}
+
+const CALL_TIMEOUT_MS = 900;
+
+/** Calls witnesses over links, and the own one directly. */
+export class WitnessCalls {
+  readonly #options: WitnessCallsOptions;
+  #own: OwnWitness | undefined;
+
+  constructor(options: WitnessCallsOptions) {
+    this.#options = options;
+  }
+
+  /** Sets how this daemon's own witness answers. */
+  setOwn(own: OwnWitness): void {
+    this.#own = own;
+  }
+
+  /** Calls one witness; throws `peerUnreachable`. */
+  async call<Kind extends WitnessKind>(
+    witness: GenerationMember,
+    kind: Kind,
+    body: RequestOf<Kind>,
+  ): Promise<WitnessAnswer<Kind>> {
+    const sentAtMs = performance.now();
+    if (this.isSelf(witness) && this.#own) {
+      return {witness, sentAtMs, word: this.#own(kind, body)};
+    }
+    const {peersAddress} = witness;
+    const {links} = this.#options;
+    const word = await links.call(peersAddress, kind, body, CALL_TIMEOUT_MS);
+    return {witness, sentAtMs, word};
+  }
+
+  /** True if a member of a generation is this daemon. */
+  isSelf(member: GenerationMember): boolean {
+    const {self} = this.#options;
+    return isSameDaemon(member, self);
+  }
+
+  /**
+   * Calls all witnesses at once; resolves to the answers that `agrees` holds
+   * for as soon as they are a majority, else to `undefined`.
+   */
+  askMajority<Kind extends WitnessKind>(
+    witnesses: readonly GenerationMember[],
+    kind: Kind,
+    body: RequestOf<Kind>,
+    agrees: (word: ReplyOf<Kind>) => boolean,
+  ): Promise<readonly ReplyOf<Kind>[] | undefined> {
+    const needed = majorityOf(witnesses.length);
+    const words: ReplyOf<Kind>[] = [];
+    return new Promise(resolve => {
+      if (needed === 0) resolve([]);
+      const ask = async (witness: GenerationMember) => {
+        const answer = await this.call(witness, kind, body);
+        if (agrees(answer.word)) words.push(answer.word);
+        if (words.length === needed) resolve([...words]);
+      };
+      void Promise.allSettled(witnesses.map(ask)).then(() =>
+        resolve(undefined),
+      );
+    });
+  }
+}
--- a/src/wire/messages.ts
+++ b/src/wire/messages.ts
@@ -3,6 +3,7 @@
  * kinds; this module puts them together. A kind has a request and a reply.
  */
 import type {MemberMessages} from '../member/messages.js';
+import type {WitnessMessages} from '../member/witness_messages.js';
 
 /** One kind of message: what is asked, and what is answered. */
 export interface Exchange<Request, Reply> {
@@ -11,7 +12,7 @@
 }
 
 /** Every kind of message between daemons. */
-export type Messages = MemberMessages;
+export type Messages = MemberMessages & WitnessMessages;
 
 /** The name of a kind of message. */
 export type MessageKind = keyof Messages & string;
