Send a body only to a slot, and serve waiting customers in turn

Cause: the caller's request stream was handed to undici as it was. undici destroys the body of a failed attempt, which closes the caller's own connection, and a read body could not be told from an unread one, so that a retry could have sent a truncated one. Waiting work left the queue only when a slot became free, and one customer's line delayed all others.

Now bodies up to 64 KB are held whole and may be sent again after a sure 'not run'; a larger one is an iterable of which nothing is read before the connection to the instance is open, and towards another VM a slot is reserved first. The queue serves customers in turn; a cancelled or overdue waiter is answered at once. The exchange refuses to be started twice by the client library. Outcomes of the hop name their attempt.

Ruled out: Expect: 100-continue on the hop (the client library refuses to send it).

--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -69,6 +69,7 @@
 }
 
 async function bundleFolder(folder) {
+  if (!existsSync(path.join(root, folder))) return;
   const files = await readdir(path.join(root, folder));
   const entryPoints = files
     .filter(file => file.endsWith('.ts'))
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -10,7 +10,7 @@
 import {ConfigurationKeeper} from '../configuration/keeper.js';
 import {serveAnnouncements} from '../gate/announcements.js';
 import {Gate} from '../gate/gate.js';
-import {serveHop} from '../gate/hop_server.js';
+import {serveHop, serveReservations} from '../gate/hop_server.js';
 import {close, listen} from '../http/listener.js';
 import type {Logger} from '../log/logger.js';
 import {WebSocketLinks} from '../member/links.js';
@@ -134,11 +134,11 @@
     });
     const gate = new Gate({
       maxQueueMs: settings.limits.maxQueueMs,
-      maxQueuePerService: settings.limits.maxQueuePerCustomer,
+      maxQueuePerCustomer: settings.limits.maxQueuePerCustomer,
       log: log.for('gate'),
       onSlots: slots => membership.update({slots}),
     });
-    const gates = new Gates({own: gate, membership, secret, dial});
+    const gates = new Gates({own: gate, membership, links, secret, dial});
     return {store, keeper, links, membership, gate, gates};
   }
 
@@ -163,6 +163,7 @@
       isReady: () => parts.keeper.tables().revision > 0,
     });
     serveAnnouncements(instances, parts.gate.instances);
+    serveReservations(parts.links, parts.gate);
     const {secret} = settings.peers;
     peers.on('request', (req, res) => {
       serveHop(parts.gate, secret, req, res).catch(() => res.destroy());
--- a/src/gate/exchange.ts
+++ b/src/gate/exchange.ts
@@ -5,13 +5,14 @@
 import {Readable} from 'node:stream';
 import type {Dispatcher} from 'undici';
 import {reasonOf} from '../errors/failure.js';
+import type {RequestBody} from './body.js';
 
 /** What is sent. */
 export interface ExchangeRequest {
   readonly method: string;
   readonly path: string;
   readonly headers: readonly string[];
-  readonly body: Readable | undefined;
+  readonly body: RequestBody | undefined;
   readonly signal: AbortSignal;
   /** Called right before the first byte; false stops the exchange. */
   readonly mayStart: () => boolean;
@@ -59,6 +60,11 @@
   }
 
   onRequestStart(controller: Controller): void {
+    // The client would send again what it believes was never sent.
+    if (this.#started) {
+      controller.abort(new Error('the request was already sent once'));
+      return;
+    }
     this.#controller = controller;
     if (this.#request.signal.aborted || !this.#request.mayStart()) {
       controller.abort(new ExchangeError(false, 'not allowed to start'));
@@ -125,7 +131,8 @@
         method: request.method as Dispatcher.HttpMethod,
         path: request.path,
         headers: [...request.headers],
-        body: request.body ?? null,
+        // An iterable is sent as it is; the types of undici leave it out.
+        body: (request.body?.open() ?? null) as Buffer | null,
         headersTimeout: 0,
         bodyTimeout: 0,
       },
--- a/src/gate/gate.ts
+++ b/src/gate/gate.ts
@@ -3,31 +3,43 @@
  * themselves to this daemon, and knows whether a request was started. Work
  * waits for a slot in one queue for each service.
  */
-import PQueue from 'p-queue';
 import type {Logger} from '../log/logger.js';
 import {exchange, ExchangeError} from './exchange.js';
 import {Instances, mayReceiveWork, type Instance} from './instances.js';
-import type {GateDoor, NotRun, Outcome, Work} from './work.js';
+import type {ReserveReply} from './messages.js';
+import {Reservations} from './reservations.js';
+import {Slots, type Slot, type SlotLimits, type SlotRequest} from './slots.js';
+import {
+  notRun,
+  type GateDoor,
+  type NotRunReason,
+  type Outcome,
+  type Work,
+} from './work.js';
 
 /** Options of {@link Gate}. */
-export interface GateOptions {
-  readonly maxQueueMs: number;
-  readonly maxQueuePerService: number;
+export interface GateOptions extends SlotLimits {
   readonly log: Logger;
   /** Called when slots in service have changed. */
   readonly onSlots: (slots: Readonly<Record<string, number>>) => void;
 }
 
+/** Instances that one piece of work is tried on, at most. */
+const MAX_INSTANCES = 3;
+
 /** The gate of one daemon. */
 export class Gate implements GateDoor {
   readonly instances: Instances;
-  readonly #options: GateOptions;
-  readonly #queues = new Map<string, PQueue>();
+  readonly #slots: Slots;
+  readonly #reservations = new Reservations();
   #stopping = false;
 
   constructor(options: GateOptions) {
-    this.#options = options;
-    this.instances = new Instances(() => this.#resize());
+    this.instances = new Instances(() => {
+      this.#slots.resize();
+      options.onSlots(this.instances.slots());
+    });
+    this.#slots = new Slots(this.instances, options);
   }
 
   start(): void {
@@ -37,7 +49,7 @@
   /** Takes no new work, and waits until all work has ended. */
   async stop(): Promise<void> {
     this.#stopping = true;
-    await Promise.all([...this.#queues.values()].map(q => q.onIdle()));
+    await this.#slots.idle();
     await this.instances.stop();
   }
 
@@ -48,45 +60,59 @@
       (sum, i) => sum + i.announcement.slots - i.busy,
       0,
     );
-    return free - (this.#queues.get(service)?.size ?? 0);
+    return free - this.#slots.waiting(service);
   }
 
   async run(work: Work): Promise<Outcome> {
+    const avoid = new Set<string>();
+    let outcome: Outcome = notRun('no-instance');
+    while (avoid.size < MAX_INSTANCES) {
+      const slot = await this.#slotFor(work, avoid);
+      if ('kind' in slot) return avoid.size === 0 ? slot : outcome;
+      outcome = await this.#send(work, slot);
+      if (!mayGoToSibling(outcome, work)) return outcome;
+      avoid.add(slot.instance.id);
+    }
+    return outcome;
+  }
+
+  /** Waits for a slot and keeps it for a request that follows. */
+  async reserve(request: SlotRequest): Promise<ReserveReply> {
+    if (this.#stopping) return {refusal: notRun('draining')};
+    const slot = await this.#slots.take(request);
+    if ('kind' in slot) return {refusal: slot};
+    return {reservation: this.#reservations.keep(slot)};
+  }
+
+  async #slotFor(work: Work, avoid: ReadonlySet<string>) {
+    if (work.reservation !== undefined && avoid.size === 0) {
+      return this.#reservations.claim(work.reservation) ?? notRun('busy');
+    }
     if (this.#stopping) return notRun('draining');
-    const queue = this.#queueOf(work.service);
     const instances = this.instances.inService(work.service);
-    if (instances.length === 0) return notRun('no-instance');
-    if (queue.size >= this.#options.maxQueuePerService) return notRun('busy');
-    return new Promise<Outcome>(resolve => {
-      const giveUpAtMs = performance.now() + this.#options.maxQueueMs;
-      void queue.add(() => this.#send(work, giveUpAtMs, resolve));
-    });
+    const left = instances.filter(instance => !avoid.has(instance.id));
+    if (left.length === 0) return notRun('no-instance');
+    return this.#slots.take(work, avoid);
   }
 
-  /** Holds a slot until the answer's body has ended. */
-  async #send(
-    work: Work,
-    giveUpAtMs: number,
-    resolve: (outcome: Outcome) => void,
-  ): Promise<void> {
-    const refusal = refusalOf(work, giveUpAtMs);
-    if (refusal) return resolve(refusal);
-    const instance = this.#choose(work.service);
-    if (!instance) return resolve(notRun('busy'));
-    this.instances.occupy(instance.id, 1);
-    try {
-      const outcome = await this.#exchange(work, instance);
-      resolve(outcome);
-      if (outcome.kind === 'answered') await ended(outcome.body);
-    } finally {
-      this.instances.occupy(instance.id, -1);
-    }
+  /** Holds the slot until the answer's body has ended. */
+  async #send(work: Work, slot: Slot): Promise<Outcome> {
+    const outcome = await this.#exchange(work, slot.instance).catch(
+      (err: unknown) => {
+        slot.release();
+        throw err;
+      },
+    );
+    if (outcome.kind !== 'answered') slot.release();
+    else outcome.body.once('close', slot.release);
+    return outcome;
   }
 
   async #exchange(work: Work, instance: Instance): Promise<Outcome> {
     const leftMs = Math.max(1, work.deadlineAtMs - performance.now());
     const deadline = new AbortController();
     const timer = setTimeout(() => deadline.abort(), leftMs);
+    let refusal: NotRunReason | undefined;
     try {
       const answer = await exchange(instance.dispatcher, {
         method: work.method,
@@ -94,13 +120,15 @@
         headers: work.headers,
         body: work.body,
         signal: AbortSignal.any([work.signal, deadline.signal]),
-        mayStart: () =>
-          mayReceiveWork(instance) && (work.token?.spend() ?? true),
+        mayStart: () => {
+          refusal = startRefusalOf(work, instance);
+          return refusal === undefined;
+        },
       });
       return {kind: 'answered', instance: instance.id, ...answer};
     } catch (err) {
       if (!(err instanceof ExchangeError)) throw err;
-      if (!err.started) return notRun('connect-failed');
+      if (!err.started) return notRun(refusal ?? 'connect-failed');
       if (work.signal.aborted) return {kind: 'unknown', reason: 'cancelled'};
       const reason = deadline.signal.aborted ? 'timeout' : 'connection-lost';
       return {kind: 'unknown', reason};
@@ -108,48 +136,22 @@
       clearTimeout(timer);
     }
   }
-
-  /** The instance with the most free slots. */
-  #choose(service: string): Instance | undefined {
-    const free = (i: Instance) => i.announcement.slots - i.busy;
-    return this.instances
-      .inService(service)
-      .filter(instance => free(instance) > 0)
-      .toSorted((a, b) => free(b) - free(a))[0];
-  }
-
-  #queueOf(service: string): PQueue {
-    const known = this.#queues.get(service);
-    if (known) return known;
-    const concurrency = Math.max(1, this.instances.slots()[service] ?? 0);
-    const queue = new PQueue({concurrency});
-    this.#queues.set(service, queue);
-    return queue;
-  }
-
-  #resize(): void {
-    const slots = this.instances.slots();
-    this.#queues.forEach((queue, service) => {
-      queue.concurrency = Math.max(1, slots[service] ?? 0);
-    });
-    this.#options.onSlots(slots);
-  }
-}
-
-function notRun(reason: NotRun['reason']): NotRun {
-  return {kind: 'not-run', reason};
 }
 
-function refusalOf(work: Work, giveUpAtMs: number): NotRun | undefined {
-  const nowMs = performance.now();
-  if (work.signal.aborted) return notRun('cancelled');
-  if (nowMs >= work.deadlineAtMs) return notRun('deadline');
-  if (nowMs >= giveUpAtMs) return notRun('busy');
-  return undefined;
+/** Why work must not start at an instance now; spends the rate token. */
+function startRefusalOf(
+  work: Work,
+  instance: Instance,
+): NotRunReason | undefined {
+  if (work.signal.aborted) return 'cancelled';
+  if (performance.now() >= work.deadlineAtMs) return 'deadline';
+  if (!mayReceiveWork(instance)) return 'draining';
+  const spent = work.token?.spend() ?? true;
+  return spent ? undefined : 'token-expired';
 }
 
-function ended(body: Readonly<NodeJS.ReadableStream>): Promise<void> {
-  return new Promise(resolve => {
-    body.once('close', () => resolve());
-  });
+function mayGoToSibling(outcome: Outcome, work: Work): boolean {
+  if (outcome.kind !== 'not-run') return false;
+  if (work.body?.replayable === false) return false;
+  return outcome.reason === 'connect-failed' || outcome.reason === 'draining';
 }
--- a/src/gate/hop.ts
+++ b/src/gate/hop.ts
@@ -4,6 +4,7 @@
  * outcome stands in another, which no instance can forge, because the gate
  * drops that field from instances' answers.
  */
+import {randomUUID} from 'node:crypto';
 import type {Work} from './work.js';
 
 /** Field of the request that carries {@link HopWork}. */
@@ -15,6 +16,8 @@
 /** The particulars of work that the request itself doesn't carry. */
 export interface HopWork {
   readonly requestId: string;
+  /** Unique for each attempt, so that an outcome can't be mistaken. */
+  readonly attempt: string;
   readonly service: string;
   readonly customer?: string;
   readonly idempotent: boolean;
@@ -22,6 +25,8 @@
   readonly leftMs: number;
   /** Time left until the rate token is void, in milliseconds. */
   readonly tokenLeftMs?: number;
+  /** The slot that was reserved for it. */
+  readonly reservation?: string;
 }
 
 /** What became of the work, without the answer itself. */
@@ -30,6 +35,8 @@
   readonly reason?: string;
   readonly retryAfterMs?: number;
   readonly instance?: string;
+  /** The attempt that this is the outcome of. */
+  readonly attempt?: string;
 }
 
 /** The particulars of `work`, counted from now. */
@@ -37,11 +44,13 @@
   const nowMs = performance.now();
   return {
     requestId: work.requestId,
+    attempt: randomUUID(),
     service: work.service,
     customer: work.customer,
     idempotent: work.idempotent,
     leftMs: work.deadlineAtMs - nowMs,
     tokenLeftMs: work.token && work.token.expiresAtMs - nowMs,
+    reservation: work.reservation,
   };
 }
 
--- a/src/gate/hop_server.ts
+++ b/src/gate/hop_server.ts
@@ -1,6 +1,7 @@
 /** The side of the gate that takes work from routers on other VMs. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {pipeline} from 'node:stream/promises';
+import {streamedBody} from './body.js';
 import {
   decodeField,
   encodeField,
@@ -9,6 +10,8 @@
   type HopOutcome,
   type HopWork,
 } from './hop.js';
+import type {Links} from '../member/links.js';
+import type {Gate} from './gate.js';
 import type {GateDoor, Outcome, Work} from './work.js';
 
 const SECRET_FIELD = 'x-chicorycourse-secret';
@@ -31,13 +34,25 @@
   res.on('close', () => gone.abort());
   const hop = decodeField<HopWork>(field);
   const outcome = await gate.run(workOf(hop, req, gone.signal));
-  await reply(outcome, res);
+  await reply(outcome, hop.attempt, res);
+}
+
+/** Lets routers on other VMs reserve slots. */
+export function serveReservations(links: Links, gate: Gate): void {
+  links.handle('gate.reserve', ({service, customer, leftMs}) =>
+    gate.reserve({
+      service,
+      customer,
+      deadlineAtMs: performance.now() + leftMs,
+      signal: new AbortController().signal,
+    }),
+  );
 }
 
 function workOf(hop: HopWork, req: IncomingMessage, signal: AbortSignal): Work {
   const nowMs = performance.now();
   const hasBody =
-    req.headers['content-length'] !== undefined ||
+    (req.headers['content-length'] ?? '0') !== '0' ||
     req.headers['transfer-encoding'] !== undefined;
   return {
     requestId: hop.requestId,
@@ -45,12 +60,13 @@
     method: req.method ?? 'GET',
     path: req.url ?? '/',
     headers: withoutOwnFields(req.rawHeaders),
-    body: hasBody ? req : undefined,
+    body: hasBody ? streamedBody(req) : undefined,
     customer: hop.customer,
     idempotent: hop.idempotent,
     deadlineAtMs: nowMs + hop.leftMs,
     token: hop.tokenLeftMs === undefined ? undefined : token(hop.tokenLeftMs),
     signal,
+    reservation: hop.reservation,
   };
 }
 
@@ -71,19 +87,24 @@
   });
 }
 
-async function reply(outcome: Outcome, res: ServerResponse): Promise<void> {
+async function reply(
+  outcome: Outcome,
+  attempt: string,
+  res: ServerResponse,
+): Promise<void> {
   if (outcome.kind !== 'answered') {
     const {kind, reason} = outcome;
     const retryAfterMs =
       outcome.kind === 'not-run' ? outcome.retryAfterMs : undefined;
     res.writeHead(503, [
       OUTCOME_FIELD,
-      encodeField({kind, reason, retryAfterMs}),
+      encodeField({kind, attempt, reason, retryAfterMs}),
     ]);
     res.end();
     return;
   }
-  const told: HopOutcome = {kind: 'answered', instance: outcome.instance};
+  const {kind, instance} = outcome;
+  const told: HopOutcome = {kind, attempt, instance};
   const headers = outcome.headers.filter((_, index) => {
     const name = outcome.headers[index - (index % 2)] ?? '';
     return name.toLowerCase() !== OUTCOME_FIELD;
--- a/src/gate/remote_gate.ts
+++ b/src/gate/remote_gate.ts
@@ -9,13 +9,23 @@
   WORK_FIELD,
   type HopOutcome,
 } from './hop.js';
-import type {GateDoor, NotRun, Outcome, Unknown, Work} from './work.js';
+import type {ReserveReply} from './messages.js';
+import {
+  notRun,
+  type GateDoor,
+  type NotRun,
+  type Outcome,
+  type Unknown,
+  type Work,
+} from './work.js';
 
 /** Options of {@link RemoteGate}. */
 export interface RemoteGateOptions {
   /** Where to dial, `IP:PORT`. */
   readonly address: string;
   readonly secret: string;
+  /** Reserves a slot at that gate; throws if it can't be reached. */
+  readonly reserve: (work: Work, timeoutMs: number) => Promise<ReserveReply>;
 }
 
 const CONNECT_TIMEOUT_MS = 500;
@@ -26,16 +36,33 @@
 export class RemoteGate implements GateDoor {
   readonly #pool: Pool;
   readonly #secret: string;
+  readonly #reserve: RemoteGateOptions['reserve'];
 
   constructor(options: RemoteGateOptions) {
     this.#secret = options.secret;
+    this.#reserve = options.reserve;
     this.#pool = new Pool(`http://${options.address}`, {
       pipelining: 1,
       connect: {timeout: CONNECT_TIMEOUT_MS},
     });
   }
 
+  /** A large body is sent only to a slot that waits for it. */
   async run(work: Work): Promise<Outcome> {
+    if (!work.body || work.body.whole) return this.#send(work);
+    const leftMs = work.deadlineAtMs - performance.now();
+    const reply = await this.#reserve(work, Math.max(1, leftMs)).catch(
+      (): ReserveReply => ({refusal: notRun('connect-failed')}),
+    );
+    if ('refusal' in reply) return reply.refusal;
+    return this.#send({...work, reservation: reply.reservation});
+  }
+
+  async close(): Promise<void> {
+    await this.#pool.close();
+  }
+
+  async #send(work: Work): Promise<Outcome> {
     const leftMs = work.deadlineAtMs - performance.now() + ANSWER_GRACE_MS;
     const deadline = new AbortController();
     const timer = setTimeout(() => deadline.abort(), Math.max(1, leftMs));
@@ -43,7 +70,7 @@
       return await this.#exchange(work, deadline.signal);
     } catch (err) {
       if (!(err instanceof ExchangeError)) throw err;
-      if (!err.started) return {kind: 'not-run', reason: 'connect-failed'};
+      if (!err.started) return notRun('connect-failed');
       if (work.signal.aborted) return {kind: 'unknown', reason: 'cancelled'};
       const reason = deadline.signal.aborted ? 'timeout' : 'connection-lost';
       return {kind: 'unknown', reason};
@@ -52,11 +79,8 @@
     }
   }
 
-  async close(): Promise<void> {
-    await this.#pool.close();
-  }
-
   async #exchange(work: Work, deadline: AbortSignal): Promise<Outcome> {
+    const hop = hopWorkOf(work);
     const answer = await exchange(this.#pool, {
       method: work.method,
       path: work.path,
@@ -65,7 +89,7 @@
         'x-chicorycourse-secret',
         this.#secret,
         WORK_FIELD,
-        encodeField(hopWorkOf(work)),
+        encodeField(hop),
       ],
       body: work.body,
       signal: AbortSignal.any([work.signal, deadline]),
@@ -74,11 +98,12 @@
     const index = answer.headers.findIndex(
       (field, i) => i % 2 === 0 && field.toLowerCase() === OUTCOME_FIELD,
     );
-    if (index < 0) {
+    const field = answer.headers[index + 1] ?? '';
+    const outcome = index < 0 ? undefined : decodeField<HopOutcome>(field);
+    if (outcome?.attempt !== hop.attempt) {
       answer.body.destroy();
       return {kind: 'unknown', reason: 'connection-lost'};
     }
-    const outcome = decodeField<HopOutcome>(answer.headers[index + 1] ?? '');
     if (outcome.kind !== 'answered') {
       answer.body.resume();
       return outcome as NotRun | Unknown;
--- /dev/null
+++ b/src/gate/reservations.ts
@@ -0,0 +1,39 @@
+/**
+ * Slots that routers on other VMs reserved before they send a large body. A
+ * reservation that is not used in time gives its slot back.
+ */
+import {randomUUID} from 'node:crypto';
+import type {Slot} from './slots.js';
+
+/** How long a reserved slot waits for its request. */
+export const RESERVATION_LIFETIME_MS = 1000;
+
+interface Reservation {
+  readonly slot: Slot;
+  readonly timer: NodeJS.Timeout;
+}
+
+/** The reserved slots of one gate. */
+export class Reservations {
+  readonly #reservations = new Map<string, Reservation>();
+
+  /** Keeps a slot; returns the name that claims it. */
+  keep(slot: Slot): string {
+    const id = randomUUID();
+    const timer = setTimeout(
+      () => this.claim(id)?.release(),
+      RESERVATION_LIFETIME_MS,
+    );
+    this.#reservations.set(id, {slot, timer});
+    return id;
+  }
+
+  /** Hands the slot over, once; undefined if it is no longer kept. */
+  claim(id: string): Slot | undefined {
+    const reservation = this.#reservations.get(id);
+    if (!reservation) return undefined;
+    clearTimeout(reservation.timer);
+    this.#reservations.delete(id);
+    return reservation.slot;
+  }
+}
--- /dev/null
+++ b/src/gate/slots.ts
@@ -0,0 +1,173 @@
+/**
+ * Slots of the instances behind one gate, and the queues of work that waits
+ * for them: one for each service. Whoever waits is answered the moment that
+ * it is cancelled, overdue or too old, not when a slot becomes free.
+ */
+import PQueue from 'p-queue';
+import {FairQueue, Place, type FairOptions} from './fair_queue.js';
+import type {Instance, Instances} from './instances.js';
+import {notRun, type NotRun} from './work.js';
+
+/** A slot of an instance; it is held until it is released. */
+export interface Slot {
+  readonly instance: Instance;
+  release(): void;
+}
+
+/** Who wants a slot, and until when. */
+export interface SlotRequest {
+  readonly service: string;
+  readonly customer: string | undefined;
+  /** Monotonic clock, milliseconds. */
+  readonly deadlineAtMs: number;
+  readonly signal: AbortSignal;
+}
+
+/** Bounds of the queues. */
+export interface SlotLimits {
+  readonly maxQueueMs: number;
+  readonly maxQueuePerCustomer: number;
+}
+
+/** A slot that work holds now. */
+interface Held {
+  readonly service: string;
+  readonly instance: string;
+}
+
+type ServiceQueue = PQueue<FairQueue, FairOptions>;
+
+/** The slots and queues of one gate. */
+export class Slots {
+  readonly #instances: Instances;
+  readonly #limits: SlotLimits;
+  readonly #queues = new Map<string, ServiceQueue>();
+  readonly #held = new Set<Held>();
+
+  constructor(instances: Instances, limits: SlotLimits) {
+    this.#instances = instances;
+    this.#limits = limits;
+  }
+
+  /** Work that waits for a slot of a service. */
+  waiting(service: string): number {
+    return this.#queues.get(service)?.size ?? 0;
+  }
+
+  /** Resolves when nothing waits and every slot is released. */
+  async idle(): Promise<void> {
+    const queues = [...this.#queues.values()];
+    await Promise.all(queues.map(queue => queue.onIdle()));
+  }
+
+  /** Waits for a slot on an instance that is not in `avoid`. */
+  take(
+    request: SlotRequest,
+    avoid: ReadonlySet<string> = new Set(),
+  ): Promise<Slot | NotRun> {
+    const {service, signal} = request;
+    const customer = request.customer ?? '';
+    const queue = this.#queueOf(service);
+    const line = queue.sizeBy({customer});
+    const isFull = line > 0 && line >= this.#limits.maxQueuePerCustomer;
+    if (isFull) return Promise.resolve(notRun('busy'));
+    if (signal.aborted) return Promise.resolve(notRun('cancelled'));
+    const leftMs = request.deadlineAtMs - performance.now();
+    if (leftMs <= 0) return Promise.resolve(notRun('deadline'));
+    const overdue = leftMs <= this.#limits.maxQueueMs ? 'deadline' : 'busy';
+    return new Promise(resolve => {
+      const place = new Place();
+      const settle = (result: Slot | NotRun) => {
+        clearTimeout(timer);
+        signal.removeEventListener('abort', onAbort);
+        resolve(result);
+      };
+      const giveUp = (refusal: NotRun) => {
+        place.leave();
+        settle(refusal);
+      };
+      const onAbort = () => giveUp(notRun('cancelled'));
+      const timer = setTimeout(
+        () => giveUp(notRun(overdue)),
+        Math.min(leftMs, this.#limits.maxQueueMs),
+      );
+      signal.addEventListener('abort', onAbort, {once: true});
+      const run = () => this.#hold(service, avoid, settle);
+      void queue.add(run, {customer, place});
+    });
+  }
+
+  /** Fits every queue to the slots in service. */
+  resize(): void {
+    this.#queues.forEach((queue, service) => this.#fit(queue, service));
+  }
+
+  /** Resolves when the slot is released. */
+  #hold(
+    service: string,
+    avoid: ReadonlySet<string>,
+    settle: (result: Slot | NotRun) => void,
+  ): Promise<void> {
+    const instance = this.#choose(service, avoid);
+    if (!instance) {
+      const there = this.#instances.inService(service).length > 0;
+      settle(notRun(there ? 'busy' : 'no-instance'));
+      return Promise.resolve();
+    }
+    const held = {service, instance: instance.id};
+    this.#held.add(held);
+    this.#instances.occupy(instance.id, 1);
+    return new Promise(resolve => {
+      const release = () => {
+        this.#held.delete(held);
+        this.#instances.occupy(instance.id, -1);
+        this.resize();
+        resolve();
+      };
+      settle({instance, release: once(release)});
+    });
+  }
+
+  /** The instance with the most free slots. */
+  #choose(service: string, avoid: ReadonlySet<string>): Instance | undefined {
+    const free = (i: Instance) => i.announcement.slots - i.busy;
+    return this.#instances
+      .inService(service)
+      .filter(instance => free(instance) > 0 && !avoid.has(instance.id))
+      .toSorted((a, b) => free(b) - free(a))[0];
+  }
+
+  #queueOf(service: string): ServiceQueue {
+    const known = this.#queues.get(service);
+    if (known) return known;
+    const queue = new PQueue<FairQueue, FairOptions>({queueClass: FairQueue});
+    this.#queues.set(service, queue);
+    this.#fit(queue, service);
+    return queue;
+  }
+
+  /**
+   * Slots of instances that left service are still held by their last work,
+   * which must not take turns away from the others.
+   */
+  #fit(queue: ServiceQueue, service: string): void {
+    const instances = this.#instances.inService(service);
+    const slots = instances.reduce((sum, i) => sum + i.announcement.slots, 0);
+    const ids = new Set(instances.map(instance => instance.id));
+    const elsewhere = [...this.#held].filter(
+      held => held.service === service && !ids.has(held.instance),
+    ).length;
+    // With no slot in service the queue empties: each one is refused.
+    const concurrency = slots === 0 ? Infinity : slots + elsewhere;
+    if (queue.concurrency !== concurrency) queue.concurrency = concurrency;
+  }
+}
+
+function once(action: () => void): () => void {
+  let isDone = false;
+  return () => {
+    if (isDone) return;
+    isDone = true;
+    action();
+  };
+}
--- a/src/gate/work.ts
+++ b/src/gate/work.ts
@@ -4,6 +4,7 @@
  */
 import type {Readable} from 'node:stream';
 import type {RateToken} from '../rates/limiter.js';
+import type {RequestBody} from './body.js';
 
 /** A request that may be sent to an instance. */
 export interface Work {
@@ -14,7 +15,7 @@
   readonly path: string;
   /** Names and values in turn, without hop-by-hop fields and keys. */
   readonly headers: readonly string[];
-  readonly body: Readable | undefined;
+  readonly body: RequestBody | undefined;
   /** Undefined on routes that are open to all. */
   readonly customer: string | undefined;
   readonly idempotent: boolean;
@@ -24,6 +25,8 @@
   readonly token: RateToken | undefined;
   /** Aborted when the caller has gone. */
   readonly signal: AbortSignal;
+  /** A slot that was reserved for it at the gate that it goes to. */
+  readonly reservation?: string;
 }
 
 /** Why a request surely did not run. */
@@ -68,3 +71,8 @@
 export interface GateDoor {
   run(work: Work): Promise<Outcome>;
 }
+
+/** The outcome of work that surely did not run. */
+export function notRun(reason: NotRunReason): NotRun {
+  return {kind: 'not-run', reason};
+}
--- a/src/router/gates.ts
+++ b/src/router/gates.ts
@@ -2,6 +2,7 @@
 import type {Gate} from '../gate/gate.js';
 import {RemoteGate} from '../gate/remote_gate.js';
 import type {GateDoor} from '../gate/work.js';
+import type {Links} from '../member/links.js';
 import type {Membership} from '../member/membership.js';
 import type {MemberRecord} from '../member/messages.js';
 
@@ -9,6 +10,7 @@
 export interface GatesOptions {
   readonly own: Gate;
   readonly membership: Membership;
+  readonly links: Links;
   readonly secret: string;
   /** Rewrites an advertised address before it is dialled. */
   readonly dial: Readonly<Record<string, string>>;
@@ -56,11 +58,20 @@
   }
 
   #remoteTo(member: MemberRecord): RemoteGate {
-    const {dial, secret} = this.#options;
+    const {dial, links, secret} = this.#options;
     const address = dial[member.peersAddress] ?? member.peersAddress;
     const known = this.#remote.get(address);
     if (known) return known;
-    const gate = new RemoteGate({address, secret});
+    const gate = new RemoteGate({
+      address,
+      secret,
+      reserve: (work, timeoutMs) => {
+        const {service, customer} = work;
+        const body = {service, customer, leftMs: timeoutMs};
+        const {peersAddress} = member;
+        return links.call(peersAddress, 'gate.reserve', body, timeoutMs);
+      },
+    });
     this.#remote.set(address, gate);
     return gate;
   }
--- a/src/router/refusals.ts
+++ b/src/router/refusals.ts
@@ -26,6 +26,12 @@
   },
   'no-instance': {status: 503, title: 'No backend server is there', ran: 'no'},
   busy: {status: 503, title: 'All backend servers are busy', ran: 'no'},
+  'body-late': {
+    status: 408,
+    title: 'The body did not come before the deadline',
+    ran: 'no',
+  },
+  'body-broken': {status: 400, title: 'The body was cut short', ran: 'no'},
   deadline: {status: 504, title: 'The deadline passed in the queue', ran: 'no'},
   stopping: {status: 503, title: 'This daemon is stopping', ran: 'no'},
   'not-ready': {status: 503, title: 'No configuration is known', ran: 'no'},
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -9,6 +9,7 @@
 import type {Customer, Route} from '../configuration/records.js';
 import type {Tables} from '../configuration/tables.js';
 import {reasonOf} from '../errors/failure.js';
+import type {RequestBody} from '../gate/body.js';
 import type {Answered, NotRun, Outcome, Unknown, Work} from '../gate/work.js';
 import type {Logger} from '../log/logger.js';
 import type {Metrics} from '../metrics/metrics.js';
@@ -16,6 +17,7 @@
 import {decideAccess} from './access.js';
 import type {Gates} from './gates.js';
 import {forwardedHeaders, keyOf, returnedHeaders} from './headers.js';
+import {receiveBody} from './receive.js';
 import {refuse, type RefusalName} from './refusals.js';
 
 /** Options of {@link Router}. */
@@ -84,14 +86,19 @@
     const access = decideAccess(tables, hostOf(req), pathOf(req), key);
     if (!access.granted) return refuse(res, access.refusal, {requestId});
     const {route, customer} = access;
+    const deadlineAtMs = arrivedAtMs + route.deadlineMs;
+    const received = await receiveBody(req, deadlineAtMs);
+    if ('failure' in received) {
+      return refuse(res, received.failure, {requestId});
+    }
     const admission = customer && (await this.#options.limiter.admit(customer));
     if (admission && !admission.admitted) {
       const {reason, retryAfterMs} = admission;
       this.#count(route, customer, reason);
       return refuse(res, reason, {requestId, retryAfterMs});
     }
-    const deadlineAtMs = arrivedAtMs + route.deadlineMs;
     const work = makeWork(req, res, {
+      body: received.body,
       requestId,
       route,
       customer,
@@ -148,6 +155,7 @@
 }
 
 interface WorkDetail {
+  readonly body: RequestBody | undefined;
   readonly requestId: string;
   readonly route: Route;
   readonly customer: Customer | undefined;
@@ -161,7 +169,7 @@
   res: ServerResponse,
   detail: WorkDetail,
 ): Work {
-  const {requestId, route, customer, key, deadlineAtMs, token} = detail;
+  const {requestId, route, customer, key, deadlineAtMs, token, body} = detail;
   const gone = new AbortController();
   res.on('close', () => {
     if (!res.writableFinished) gone.abort();
@@ -179,7 +187,7 @@
       key,
       leftMs,
     }),
-    body: hasBody(req) ? req : undefined,
+    body,
     customer: customer?.id,
     idempotent: isIdempotent(route, method),
     deadlineAtMs,
@@ -190,7 +198,7 @@
 
 function mayGoAgain(outcome: Outcome, work: Work): boolean {
   if (outcome.kind === 'answered' || work.signal.aborted) return false;
-  if (work.body?.readableDidRead) return false;
+  if (work.body?.replayable === false) return false;
   if (outcome.kind === 'unknown') return work.idempotent;
   return performance.now() < work.deadlineAtMs;
 }
@@ -200,12 +208,6 @@
   return route.idempotent === 'yes';
 }
 
-function hasBody(req: IncomingMessage): boolean {
-  const length = req.headers['content-length'];
-  if (req.headers['transfer-encoding'] !== undefined) return true;
-  return length !== undefined && length !== '0';
-}
-
 function hostOf(req: IncomingMessage): string {
   return (req.headers.host ?? '').replace(/:\d+$/, '').toLowerCase();
 }
