--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -11,7 +11,7 @@
 import {ConfigurationKeeper} from '../configuration/keeper.js';
 import {serveAnnouncements} from '../gate/announcements.js';
 import {Gate} from '../gate/gate.js';
-import {serveHop} from '../gate/hop_server.js';
+import {serveHop, serveReservations} from '../gate/hop_server.js';
 import {close, listen} from '../http/listener.js';
 import type {Logger} from '../log/logger.js';
 import {FleetAuthority} from '../member/fleet_authority.js';
@@ -146,11 +146,11 @@
     });
     const gate = new Gate({
       maxQueueMs: settings.limits.maxQueueMs,
-      maxQueuePerService: settings.limits.maxQueuePerCustomer,
+      maxQueuePerCustomer: settings.limits.maxQueuePerCustomer,
       log: log.for('gate'),
       onSlots: slots => membership.update({slots}),
     });
-    const gates = new Gates({own: gate, membership, secret, dial});
+    const gates = new Gates({own: gate, membership, links, secret, dial});
     return {store, keeper, links, membership, authority, gate, gates};
   }
 
@@ -176,6 +176,7 @@
       isReady: () => parts.keeper.tables().revision > 0,
     });
     serveAnnouncements(instances, parts.gate.instances);
+    serveReservations(parts.links, parts.gate);
     const {secret} = settings.peers;
     peers.on('request', (req, res) => {
       serveHop(parts.gate, secret, req, res).catch(() => res.destroy());
--- a/src/wire/messages.ts
+++ b/src/wire/messages.ts
@@ -2,6 +2,7 @@
  * The typed messages between daemons. Each part owns the file with its own
  * kinds; this module puts them together. A kind has a request and a reply.
  */
+import type {GateMessages} from '../gate/messages.js';
 import type {MemberMessages} from '../member/messages.js';
 import type {WitnessMessages} from '../member/witness_messages.js';
 
@@ -12,7 +13,7 @@
 }
 
 /** Every kind of message between daemons. */
-export type Messages = MemberMessages & WitnessMessages;
+export type Messages = MemberMessages & WitnessMessages & GateMessages;
 
 /** The name of a kind of message. */
 export type MessageKind = keyof Messages & string;
