Keep rates by escrow, with tokens that expire in the gate's clock

An even split by each daemon's own view is safe only while all views agree. A token that goes to another gate expires by a causal reading of that gate's clock, so that a stopped gate can't start it late. A request that may have started draws a new token before it goes again, and is never reported as not run afterwards.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -17,9 +17,10 @@
 import {FleetAuthority} from '../member/fleet_authority.js';
 import {WebSocketLinks} from '../member/links.js';
 import {SwimMembership} from '../member/membership.js';
+import {PeerClocks} from '../member/peer_clocks.js';
 import type {Metrics} from '../metrics/metrics.js';
 import {HttpStore} from '../platform/http_store.js';
-import {StaticLimiter} from '../rates/static_limiter.js';
+import {EscrowLimiter} from '../rates/escrow.js';
 import {Gates} from '../router/gates.js';
 import {Router} from '../router/router.js';
 import type {Settings} from '../settings/schema.js';
@@ -46,6 +47,7 @@
   readonly links: WebSocketLinks;
   readonly membership: SwimMembership;
   readonly authority: FleetAuthority;
+  readonly limiter: EscrowLimiter;
   readonly gate: Gate;
   readonly gates: Gates;
 }
@@ -87,6 +89,7 @@
     parts.keeper.start();
     parts.membership.start();
     parts.authority.start();
+    parts.limiter.start();
     parts.gate.start();
     this.#options.log.info(`Listening for callers on ${bound.callers}.`);
     return bound;
@@ -103,6 +106,7 @@
     await parts.gate.stop();
     await parts.gates.stop();
     parts.keeper.stop();
+    parts.limiter.stop();
     parts.authority.stop();
     parts.membership.stop();
     parts.links.stop();
@@ -144,14 +148,30 @@
       log: log.for('generations'),
       readRevision: () => readFreshRevision(store),
     });
+    const limiter = new EscrowLimiter({
+      self: membership.self(),
+      links,
+      generations: authority.generations,
+      vouches: authority.vouches,
+      customer: id => keeper.tables().customer(id),
+      log: log.for('rates'),
+    });
     const gate = new Gate({
       maxQueueMs: settings.limits.maxQueueMs,
       maxQueuePerCustomer: settings.limits.maxQueuePerCustomer,
       log: log.for('gate'),
       onSlots: slots => membership.update({slots}),
     });
-    const gates = new Gates({own: gate, membership, links, secret, dial});
-    return {store, keeper, links, membership, authority, gate, gates};
+    const clocks = new PeerClocks(links);
+    const gates = new Gates({
+      own: gate,
+      membership,
+      links,
+      clocks,
+      secret,
+      dial,
+    });
+    return {store, keeper, links, membership, authority, limiter, gate, gates};
   }
 
   /** Registers the parts on the servers. */
@@ -160,7 +180,7 @@
     const {callers, administration, instances, peers} = this.#servers;
     const router = new Router({
       tables: () => parts.keeper.tables(),
-      limiter: new StaticLimiter(() => parts.membership.members().length),
+      limiter: parts.limiter,
       gates: parts.gates,
       log: log.for('router'),
       metrics,
--- a/src/gate/hop.ts
+++ b/src/gate/hop.ts
@@ -5,6 +5,7 @@
  * drops that field from instances' answers.
  */
 import {randomUUID} from 'node:crypto';
+import type {ClockReading} from '../member/clock_messages.js';
 import type {Work} from './work.js';
 
 /** Field of the request that carries {@link HopWork}. */
@@ -21,10 +22,12 @@
   readonly service: string;
   readonly customer?: string;
   readonly idempotent: boolean;
-  /** Time left until the deadline, in milliseconds. */
-  readonly leftMs: number;
-  /** Time left until the rate token is void, in milliseconds. */
-  readonly tokenLeftMs?: number;
+  /** The process of the gate whose clock the times below are of. */
+  readonly process: string;
+  /** Deadline in the gate's monotonic clock, milliseconds. */
+  readonly deadlineAtMs: number;
+  /** The rate token is void after this; the gate's monotonic clock. */
+  readonly tokenExpiresAtMs?: number;
   /** The slot that was reserved for it. */
   readonly reservation?: string;
 }
@@ -37,19 +40,22 @@
   readonly instance?: string;
   /** The attempt that this is the outcome of. */
   readonly attempt?: string;
+  /** The gate's clock when it answered. */
+  readonly clock: ClockReading;
 }
 
-/** The particulars of `work`, counted from now. */
-export function hopWorkOf(work: Work): HopWork {
-  const nowMs = performance.now();
+/** The particulars of `work`, by the gate's clock as of now. */
+export function hopWorkOf(work: Work, clock: ClockReading): HopWork {
+  const toGateMs = clock.nowMs - performance.now();
   return {
     requestId: work.requestId,
     attempt: randomUUID(),
     service: work.service,
     customer: work.customer,
     idempotent: work.idempotent,
-    leftMs: work.deadlineAtMs - nowMs,
-    tokenLeftMs: work.token && work.token.expiresAtMs - nowMs,
+    process: clock.process,
+    deadlineAtMs: work.deadlineAtMs + toGateMs,
+    tokenExpiresAtMs: work.token && work.token.expiresAtMs + toGateMs,
     reservation: work.reservation,
   };
 }
--- a/src/gate/hop_server.ts
+++ b/src/gate/hop_server.ts
@@ -1,6 +1,7 @@
 /** The side of the gate that takes work from routers on other VMs. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {pipeline} from 'node:stream/promises';
+import {isOwnClock, readOwnClock} from '../member/peer_clocks.js';
 import {streamedBody} from './body.js';
 import {
   decodeField,
@@ -12,7 +13,8 @@
 } from './hop.js';
 import type {Links} from '../member/links.js';
 import type {Gate} from './gate.js';
-import type {GateDoor, Outcome, Work} from './work.js';
+import type {RateToken} from '../rates/limiter.js';
+import {notRun, type GateDoor, type Outcome, type Work} from './work.js';
 
 const SECRET_FIELD = 'x-chicorycourse-secret';
 const OWN_FIELDS: ReadonlySet<string> = new Set([WORK_FIELD, SECRET_FIELD]);
@@ -33,6 +35,11 @@
   const gone = new AbortController();
   res.on('close', () => gone.abort());
   const hop = decodeField<HopWork>(field);
+  if (!isOwnClock(hop)) {
+    // The times are of a process that ran here before: nothing can be said.
+    const outcome = notRun('token-expired');
+    return reply(outcome, hop.attempt, res);
+  }
   const outcome = await gate.run(workOf(hop, req, gone.signal));
   await reply(outcome, hop.attempt, res);
 }
@@ -50,7 +57,6 @@
 }
 
 function workOf(hop: HopWork, req: IncomingMessage, signal: AbortSignal): Work {
-  const nowMs = performance.now();
   const hasBody =
     (req.headers['content-length'] ?? '0') !== '0' ||
     req.headers['transfer-encoding'] !== undefined;
@@ -63,19 +69,29 @@
     body: hasBody ? streamedBody(req) : undefined,
     customer: hop.customer,
     idempotent: hop.idempotent,
-    deadlineAtMs: nowMs + hop.leftMs,
-    token: hop.tokenLeftMs === undefined ? undefined : token(hop.tokenLeftMs),
+    deadlineAtMs: hop.deadlineAtMs,
+    token: tokenOf(hop),
     signal,
     reservation: hop.reservation,
   };
 }
 
-function token(leftMs: number) {
-  const expiresAtMs = performance.now() + leftMs;
+/** The token that the router handed over; it is spent here or not at all. */
+function tokenOf(hop: HopWork): RateToken | undefined {
+  const expiresAtMs = hop.tokenExpiresAtMs;
+  if (expiresAtMs === undefined) return undefined;
+  let spent = false;
   return {
     expiresAtMs,
-    spend: () => performance.now() < expiresAtMs,
+    spend: () => {
+      if (spent || performance.now() >= expiresAtMs) return false;
+      spent = true;
+      return true;
+    },
     giveBack: () => undefined,
+    handOver: () => false,
+    confirm: () => undefined,
+    takeBack: () => undefined,
   };
 }
 
@@ -98,13 +114,14 @@
       outcome.kind === 'not-run' ? outcome.retryAfterMs : undefined;
     res.writeHead(503, [
       OUTCOME_FIELD,
-      encodeField({kind, attempt, reason, retryAfterMs}),
+      encodeField({kind, attempt, reason, retryAfterMs, clock: readOwnClock()}),
     ]);
     res.end();
     return;
   }
   const {kind, instance} = outcome;
-  const told: HopOutcome = {kind, attempt, instance};
+  const clock = readOwnClock();
+  const told: HopOutcome = {kind, attempt, instance, clock};
   const headers = outcome.headers.filter((_, index) => {
     const name = outcome.headers[index - (index % 2)] ?? '';
     return name.toLowerCase() !== OUTCOME_FIELD;
--- a/src/gate/remote_gate.ts
+++ b/src/gate/remote_gate.ts
@@ -8,7 +8,9 @@
   OUTCOME_FIELD,
   WORK_FIELD,
   type HopOutcome,
+  type HopWork,
 } from './hop.js';
+import type {ClockReading} from '../member/clock_messages.js';
 import type {ReserveReply} from './messages.js';
 import {
   notRun,
@@ -19,11 +21,20 @@
   type Work,
 } from './work.js';
 
+/** The clock of the gate's process as this daemon knows it. */
+export interface GateClock {
+  /** Throws if it isn't known and the gate can't be reached. */
+  readonly read: () => Promise<ClockReading>;
+  /** Notes a reading that came with an outcome. */
+  readonly note: (reading: ClockReading) => void;
+}
+
 /** Options of {@link RemoteGate}. */
 export interface RemoteGateOptions {
   /** Where to dial, `IP:PORT`. */
   readonly address: string;
   readonly secret: string;
+  readonly clock: GateClock;
   /** Reserves a slot at that gate; throws if it can't be reached. */
   readonly reserve: (work: Work, timeoutMs: number) => Promise<ReserveReply>;
 }
@@ -36,10 +47,12 @@
 export class RemoteGate implements GateDoor {
   readonly #pool: Pool;
   readonly #secret: string;
+  readonly #clock: GateClock;
   readonly #reserve: RemoteGateOptions['reserve'];
 
   constructor(options: RemoteGateOptions) {
     this.#secret = options.secret;
+    this.#clock = options.clock;
     this.#reserve = options.reserve;
     this.#pool = new Pool(`http://${options.address}`, {
       pipelining: 1,
@@ -62,12 +75,24 @@
     await this.#pool.close();
   }
 
+  /** The token goes along, to be spent by the clock of the gate. */
   async #send(work: Work): Promise<Outcome> {
+    const clock = await this.#clock.read().catch(() => undefined);
+    if (!clock) return notRun('connect-failed');
+    const hop = hopWorkOf(work, clock);
+    if (work.token?.handOver() === false) return notRun('token-expired');
+    const outcome = await this.#exchangeInTime(work, hop);
+    if (outcome.kind === 'answered') work.token?.confirm();
+    if (outcome.kind === 'not-run') work.token?.takeBack();
+    return outcome;
+  }
+
+  async #exchangeInTime(work: Work, hop: HopWork): Promise<Outcome> {
     const leftMs = work.deadlineAtMs - performance.now() + ANSWER_GRACE_MS;
     const deadline = new AbortController();
     const timer = setTimeout(() => deadline.abort(), Math.max(1, leftMs));
     try {
-      return await this.#exchange(work, deadline.signal);
+      return await this.#exchange(work, hop, deadline.signal);
     } catch (err) {
       if (!(err instanceof ExchangeError)) throw err;
       if (!err.started) return notRun('connect-failed');
@@ -79,8 +104,11 @@
     }
   }
 
-  async #exchange(work: Work, deadline: AbortSignal): Promise<Outcome> {
-    const hop = hopWorkOf(work);
+  async #exchange(
+    work: Work,
+    hop: HopWork,
+    deadline: AbortSignal,
+  ): Promise<Outcome> {
     const answer = await exchange(this.#pool, {
       method: work.method,
       path: work.path,
@@ -104,6 +132,7 @@
       answer.body.destroy();
       return {kind: 'unknown', reason: 'connection-lost'};
     }
+    if (outcome.clock) this.#clock.note(outcome.clock);
     if (outcome.kind !== 'answered') {
       answer.body.resume();
       return outcome as NotRun | Unknown;
--- /dev/null
+++ b/src/rates/escrow.ts
@@ -0,0 +1,141 @@
+/**
+ * Keeps customers within their rates over the whole fleet by escrow: every
+ * part of a customer's rate is owned by one holder, and moves only by loans
+ * that are deducted before they are sent and expire. docs/proofs/rates.md
+ * tells why no window of time can see more than burst plus rate times length.
+ */
+import {randomUUID} from 'node:crypto';
+import type {Customer} from '../configuration/records.js';
+import {reasonOf} from '../errors/failure.js';
+import type {Logger} from '../log/logger.js';
+import {
+  isSameDaemon,
+  type Generation,
+  type GenerationMember,
+  type Generations,
+  type Vouches,
+} from '../member/generation.js';
+import type {Links} from '../member/links.js';
+import {Account} from './account.js';
+import {Lender} from './lender.js';
+import type {Admission, RateLimiter} from './limiter.js';
+import type {DrawReply, DrawRequest} from './messages.js';
+import {Pocket} from './pocket.js';
+import type {CustomerRate, Holder} from './shares.js';
+
+/** Options of {@link EscrowLimiter}. */
+export interface EscrowOptions {
+  readonly self: GenerationMember;
+  readonly links: Links;
+  readonly generations: Generations;
+  readonly vouches: Vouches;
+  readonly customer: (id: string) => CustomerRate | undefined;
+  readonly log: Logger;
+}
+
+const DRAW_TIMEOUT_MS = 80;
+const SETTLE_TIMEOUT_MS = 400;
+const SETTLE_INTERVAL_MS = 100;
+const IDLE_MS = 60_000;
+const RETRY_AFTER_MS = 1000;
+
+/** The escrow of one daemon: lender and borrower. */
+export class EscrowLimiter implements RateLimiter {
+  readonly #options: EscrowOptions;
+  readonly #lender: Lender;
+  readonly #accounts = new Map<string, Account>();
+  /** Tells this process's loans from those of others at the same id. */
+  readonly #process = randomUUID();
+  #nextLoan = 1;
+  #timer: NodeJS.Timeout | undefined;
+
+  constructor(options: EscrowOptions) {
+    this.#options = options;
+    this.#lender = new Lender(options);
+    options.links.handle('rates.draw', ask => this.#lender.draw(ask));
+    options.links.handle('rates.settle', ({customer, settlements}) => {
+      this.#lender.settle(customer, settlements);
+      return {};
+    });
+  }
+
+  start(): void {
+    this.#timer = setInterval(() => this.#sweep(), SETTLE_INTERVAL_MS);
+  }
+
+  stop(): void {
+    clearInterval(this.#timer);
+  }
+
+  admit(customer: Customer): Promise<Admission> {
+    const generation = this.#options.generations.current();
+    if (generation && generation.members.length > 0) {
+      return this.#accountOf(customer, generation).admit();
+    }
+    return Promise.resolve({
+      admitted: false,
+      reason: 'rate-unknown',
+      retryAfterMs: RETRY_AFTER_MS,
+    });
+  }
+
+  #accountOf(customer: Customer, generation: Generation): Account {
+    const known = this.#accounts.get(customer.id);
+    if (known?.fits(customer, generation)) return known;
+    const {id, ratePerSecond, burst} = customer;
+    const account = new Account({
+      customer: {id, ratePerSecond, burst},
+      generation,
+      pocket: known?.pocket ?? new Pocket(),
+      draw: (holder, ask) => this.#draw(holder, ask),
+      distance: holder => this.#distance(holder),
+      nextLoan: () => `${this.#process}/${this.#nextLoan++}`,
+    });
+    this.#accounts.set(id, account);
+    return account;
+  }
+
+  #distance({member}: Holder): number {
+    const {self} = this.#options;
+    if (isSameDaemon(member, self)) return 0;
+    return member.failureDomain === self.failureDomain ? 1 : 2;
+  }
+
+  #draw({member}: Holder, ask: DrawRequest): Promise<DrawReply> {
+    const {self, links} = this.#options;
+    if (isSameDaemon(member, self)) {
+      return Promise.resolve(this.#lender.draw(ask));
+    }
+    return links.call(member.peersAddress, 'rates.draw', ask, DRAW_TIMEOUT_MS);
+  }
+
+  #sweep(): void {
+    const nowMs = performance.now();
+    this.#accounts.forEach((account, id) => {
+      account.pocket.sweep(nowMs);
+      account.pocket
+        .lendersToTell()
+        .forEach(lender => void this.#tell(id, account, lender));
+      const idle = account.idleMs(nowMs) > IDLE_MS;
+      if (idle && account.pocket.isEmpty) this.#accounts.delete(id);
+    });
+  }
+
+  /** Tells a lender what became of its loans. */
+  async #tell(customer: string, account: Account, lender: string) {
+    const {self, links, log} = this.#options;
+    const settlements = account.pocket.settlementsFor(lender);
+    if (lender === self.peersAddress) {
+      this.#lender.settle(customer, settlements);
+      account.pocket.told(settlements);
+      return;
+    }
+    try {
+      const told = {customer, settlements};
+      await links.call(lender, 'rates.settle', told, SETTLE_TIMEOUT_MS);
+      account.pocket.told(settlements);
+    } catch (err) {
+      log.debug(`No settlement with ${lender}: ${reasonOf(err)}.`);
+    }
+  }
+}
--- /dev/null
+++ b/src/rates/escrow_rules.ts
@@ -0,0 +1,53 @@
+/**
+ * The rules that the escrow's safety rests on, apart from the tasks that
+ * apply them. Times are milliseconds on the monotonic clock.
+ */
+import type {Vouch} from '../member/generation.js';
+import {smallerShare, type Share} from './micro_tokens.js';
+
+/** How long a borrower may spend, counted from when it sent the ask. */
+export const LOAN_LIFETIME_MS = 2000;
+
+/** After this a lender knows that a loan is void, counted from the grant. */
+export const LOAN_LAPSE_MS = 2200;
+
+/** A holder grants only while it is sure that it is still a holder. */
+export function mayGrant(vouch: Vouch | undefined, generation: number) {
+  return vouch !== undefined && vouch.generation >= generation - 1;
+}
+
+/**
+ * A process that starts may follow one whose loans are still out, so it
+ * grants nothing until these are void.
+ */
+export function opensAtMs(processStartedAtMs: number): number {
+  return processStartedAtMs + LOAN_LAPSE_MS;
+}
+
+/** What a bucket may gain: loans that are out count against the burst. */
+export function roomFor(
+  share: Share,
+  levelMicros: number,
+  outstandingMicros: number,
+): number {
+  return Math.max(0, share.burstMicros - levelMicros - outstandingMicros);
+}
+
+/** When a daemon may use its share of the current generation in full. */
+export interface ShareTimes {
+  readonly nowMs: number;
+  /** Undefined while it isn't known when the generation settled. */
+  readonly movedDutiesFromMs: number | undefined;
+}
+
+/** Shares shrink at once and grow only when nobody uses the old ones. */
+export function usableShare(before: Share, now: Share, times: ShareTimes) {
+  const {nowMs, movedDutiesFromMs: fromMs} = times;
+  const open = fromMs !== undefined && nowMs >= fromMs + LOAN_LAPSE_MS;
+  return open ? now : smallerShare(before, now);
+}
+
+/** True while a borrower may spend what it got for an ask. */
+export function isLoanValid(askedAtMs: number, nowMs: number): boolean {
+  return nowMs < askedAtMs + LOAN_LIFETIME_MS;
+}
--- /dev/null
+++ b/src/rates/lender.ts
@@ -0,0 +1,183 @@
+/**
+ * The holder's side of the escrow: owns shares of customers' rates by the
+ * generation and lends of them while a vouch is valid.
+ */
+import type {
+  DaemonIdentity,
+  Generation,
+  Generations,
+  Vouches,
+} from '../member/generation.js';
+import {Bucket} from './bucket.js';
+import {
+  LOAN_LAPSE_MS,
+  mayGrant,
+  opensAtMs,
+  usableShare,
+} from './escrow_rules.js';
+import {Loans} from './loans.js';
+import type {DrawReply, DrawRequest, Settlement} from './messages.js';
+import {
+  MICROS_PER_TOKEN,
+  NO_SHARE,
+  smallerShare,
+  type Share,
+} from './micro_tokens.js';
+import type {CustomerRate} from './shares.js';
+import {holdersOf, shareOf} from './shares.js';
+
+/** Options of {@link Lender}. */
+export interface LenderOptions {
+  readonly self: DaemonIdentity;
+  readonly generations: Generations;
+  readonly vouches: Vouches;
+  readonly customer: (id: string) => CustomerRate | undefined;
+}
+
+/** What this daemon holds of one customer. */
+interface Holding {
+  readonly bucket: Bucket;
+  readonly loans: Loans;
+  /** The shares and the time of the last change of the customer's rate. */
+  terms: Terms;
+}
+
+interface Terms {
+  readonly generation: Generation;
+  readonly ratePerSecond: number;
+  readonly burst: number;
+  readonly before: Share;
+  readonly now: Share;
+  /** Share by the rate that was configured before. */
+  readonly configuredBefore: Share;
+  readonly configuredAtMs: number;
+}
+
+/** All daemons have a changed rate in force and use no older vouch. */
+const RATE_CHANGE_MS = 7000;
+/** Part of a burst that one loan of more than a token may take. */
+const LOAN_PART = 3;
+
+const NOTHING: DrawReply = {
+  grants: false,
+  grantedMicros: 0,
+  balanceMicros: 0,
+  rateMicros: 0,
+};
+
+/** Lends of this daemon's shares. */
+export class Lender {
+  readonly #options: LenderOptions;
+  readonly #openAtMs = opensAtMs(performance.now());
+  readonly #holdings = new Map<string, Holding>();
+
+  constructor(options: LenderOptions) {
+    this.#options = options;
+  }
+
+  /** Answers a draw; grants at most what is there. */
+  draw(request: DrawRequest): DrawReply {
+    const nowMs = performance.now();
+    const holding = this.#holdingOf(request.customer, nowMs);
+    if (!holding) return NOTHING;
+    this.#settle(holding, request.settlements, nowMs);
+    const {bucket, loans} = holding;
+    const {burstMicros, rateMicros} = bucket.share;
+    if (burstMicros === 0 || nowMs < this.#openAtMs) return NOTHING;
+    const most = Math.max(MICROS_PER_TOKEN, burstMicros / LOAN_PART);
+    const wanted = Math.floor(Math.min(request.wantedMicros, most));
+    const grantedMicros = loans.grant(request.loan, wanted, nowMs);
+    const balanceMicros = bucket.available(nowMs);
+    return {grants: true, grantedMicros, balanceMicros, rateMicros};
+  }
+
+  /** Takes in settlements, whether or not it may grant now. */
+  settle(customer: string, settlements: readonly Settlement[]): void {
+    const holding = this.#holdings.get(customer);
+    if (holding) this.#settle(holding, settlements, performance.now());
+  }
+
+  #settle(
+    holding: Holding,
+    settlements: readonly Settlement[],
+    nowMs: number,
+  ): void {
+    settlements.forEach(told => holding.loans.settle(told, nowMs));
+    holding.loans.sweep(nowMs);
+  }
+
+  /** The holding by the terms of the moment, if this daemon may grant. */
+  #holdingOf(id: string, nowMs: number): Holding | undefined {
+    const {generations, vouches} = this.#options;
+    const generation = generations.current();
+    const customer = this.#options.customer(id);
+    if (!generation || !customer) return undefined;
+    if (!mayGrant(vouches.current(), generation.number)) return undefined;
+    const known = this.#holdings.get(id);
+    const terms = this.#termsOf(customer, generation, known?.terms, nowMs);
+    const share = this.#usable(terms, nowMs);
+    const holding = known ?? this.#create(id, terms, share);
+    holding.terms = terms;
+    if (!isSameShare(holding.bucket.share, share)) {
+      holding.bucket.reshape(share, nowMs);
+    }
+    return holding;
+  }
+
+  #create(id: string, terms: Terms, share: Share): Holding {
+    const bucket = new Bucket(share, this.#gainsFromMs());
+    const holding = {bucket, loans: new Loans(bucket), terms};
+    this.#holdings.set(id, holding);
+    return holding;
+  }
+
+  /**
+   * A bucket that nobody asked of yet has gained since this daemon could
+   * first grant all of the share.
+   */
+  #gainsFromMs(): number {
+    const nowMs = performance.now();
+    const movedMs = this.#options.generations.movedDutiesFromMs() ?? nowMs;
+    return Math.max(this.#openAtMs, Math.min(nowMs, movedMs + LOAN_LAPSE_MS));
+  }
+
+  #usable(terms: Terms, nowMs: number): Share {
+    const movedDutiesFromMs = this.#options.generations.movedDutiesFromMs();
+    const times = {nowMs, movedDutiesFromMs};
+    const share = usableShare(terms.before, terms.now, times);
+    if (nowMs >= terms.configuredAtMs + RATE_CHANGE_MS) return share;
+    return smallerShare(share, terms.configuredBefore);
+  }
+
+  #termsOf(
+    customer: CustomerRate,
+    generation: Generation,
+    last: Terms | undefined,
+    nowMs: number,
+  ): Terms {
+    const {ratePerSecond, burst} = customer;
+    const sameRate =
+      last?.ratePerSecond === ratePerSecond && last.burst === burst;
+    if (last && sameRate && last.generation === generation) return last;
+    const {self, generations} = this.#options;
+    const previous = generations.previous();
+    const share = (g: Generation) => shareOf(holdersOf(customer, g), self);
+    const now = share(generation);
+    const changed = last !== undefined && !sameRate;
+    return {
+      generation,
+      ratePerSecond,
+      burst,
+      before: previous ? share(previous) : NO_SHARE,
+      now,
+      configuredBefore: changed ? last.now : (last?.configuredBefore ?? now),
+      configuredAtMs: changed
+        ? nowMs
+        : (last?.configuredAtMs ?? -RATE_CHANGE_MS),
+    };
+  }
+}
+
+function isSameShare(a: Share, b: Share): boolean {
+  return a.rateMicros === b.rateMicros && a.burstMicros === b.burstMicros;
+}
--- a/src/rates/limiter.ts
+++ b/src/rates/limiter.ts
@@ -12,6 +12,15 @@
   spend(): boolean;
   /** Gives the token back: the request did not start. */
   giveBack(): void;
+  /**
+   * Lets another daemon spend it before it expires. False if void. A token
+   * that is neither taken back nor confirmed counts as in use until then.
+   */
+  handOver(): boolean;
+  /** The other daemon told that the request has started. */
+  confirm(): void;
+  /** The other daemon told that the request surely did not start. */
+  takeBack(): void;
 }
 
 /** The answer to the wish to start a request. */
--- /dev/null
+++ b/src/rates/loans.ts
@@ -0,0 +1,68 @@
+/**
+ * The loans that one bucket gave out. Each loan is granted once for its id,
+ * is settled by cumulative amounts that may come twice or out of order, and
+ * lapses when the borrower can't spend of it any more.
+ */
+import type {Bucket} from './bucket.js';
+import {LOAN_LAPSE_MS} from './escrow_rules.js';
+import type {Settlement} from './messages.js';
+
+interface Loan {
+  readonly grantedMicros: number;
+  readonly lapsesAtMs: number;
+  readonly spentMicros: number;
+  readonly returnedMicros: number;
+}
+
+/** The loans of one bucket. */
+export class Loans {
+  readonly #bucket: Bucket;
+  /** By id, in the order of their grants. */
+  readonly #loans = new Map<string, Loan>();
+
+  constructor(bucket: Bucket) {
+    this.#bucket = bucket;
+  }
+
+  /** Lends up to `wanted` micro-tokens; nothing if the id is known. */
+  grant(id: string, wanted: number, nowMs: number): number {
+    if (this.#loans.has(id)) return 0;
+    const grantedMicros = this.#bucket.take(wanted, nowMs);
+    this.#loans.set(id, {
+      grantedMicros,
+      lapsesAtMs: nowMs + LOAN_LAPSE_MS,
+      spentMicros: 0,
+      returnedMicros: 0,
+    });
+    return grantedMicros;
+  }
+
+  /** Takes in what a borrower tells of a loan. */
+  settle(told: Settlement, nowMs: number): void {
+    const loan = this.#loans.get(told.loan);
+    if (!loan) return;
+    const spent = Math.max(0, told.spentMicros - loan.spentMicros);
+    const returned = Math.max(0, told.returnedMicros - loan.returnedMicros);
+    if (spent + returned > openMicros(loan)) return;
+    this.#bucket.settle(spent, nowMs);
+    this.#bucket.putBack(returned, nowMs);
+    this.#loans.set(told.loan, {
+      ...loan,
+      spentMicros: loan.spentMicros + spent,
+      returnedMicros: loan.returnedMicros + returned,
+    });
+  }
+
+  /** Drops loans that have lapsed; what was open of them is lost. */
+  sweep(nowMs: number): void {
+    for (const [id, loan] of this.#loans) {
+      if (loan.lapsesAtMs > nowMs) return;
+      this.#bucket.settle(openMicros(loan), nowMs);
+      this.#loans.delete(id);
+    }
+  }
+}
+
+function openMicros(loan: Loan): number {
+  return loan.grantedMicros - loan.spentMicros - loan.returnedMicros;
+}
--- a/src/rates/static_limiter.ts
+++ b/src/rates/static_limiter.ts
@@ -44,5 +44,8 @@
     expiresAtMs,
     spend: () => performance.now() < expiresAtMs,
     giveBack: () => undefined,
+    handOver: () => performance.now() < expiresAtMs,
+    confirm: () => undefined,
+    takeBack: () => undefined,
   };
 }
--- a/src/router/gates.ts
+++ b/src/router/gates.ts
@@ -5,12 +5,14 @@
 import type {Links} from '../member/links.js';
 import type {Membership} from '../member/membership.js';
 import type {MemberRecord} from '../member/messages.js';
+import type {PeerClocks} from '../member/peer_clocks.js';
 
 /** Options of {@link Gates}. */
 export interface GatesOptions {
   readonly own: Gate;
   readonly membership: Membership;
   readonly links: Links;
+  readonly clocks: PeerClocks;
   readonly secret: string;
   /** Rewrites an advertised address before it is dialled. */
   readonly dial: Readonly<Record<string, string>>;
@@ -58,13 +60,17 @@
   }
 
   #remoteTo(member: MemberRecord): RemoteGate {
-    const {dial, links, secret} = this.#options;
+    const {dial, links, clocks, secret} = this.#options;
     const address = dial[member.peersAddress] ?? member.peersAddress;
     const known = this.#remote.get(address);
     if (known) return known;
     const gate = new RemoteGate({
       address,
       secret,
+      clock: {
+        read: () => clocks.read(member.peersAddress),
+        note: reading => clocks.note(member.peersAddress, reading),
+      },
       reserve: (work, timeoutMs) => {
         const {service, customer} = work;
         const body = {service, customer, leftMs: timeoutMs};
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -106,24 +106,39 @@
       deadlineAtMs,
       token: admission?.token,
     });
-    const outcome = await this.#attempt(work);
-    if (outcome.kind === 'not-run') admission?.token.giveBack();
+    const outcome = await this.#attempt(work, customer);
     this.#count(route, customer, outcome.kind);
     await this.#finish(res, outcome, requestId);
   }
 
   /** Tries gates until one answers or the request must not go again. */
-  async #attempt(work: Work): Promise<Outcome> {
-    const tried = new Set<string>();
+  async #attempt(first: Work, customer?: Customer): Promise<Outcome> {
+    let work = first;
+    let doubt: Unknown | undefined;
     let last: Outcome = {kind: 'not-run', reason: 'no-instance'};
+    const tried = new Set<string>();
     while (tried.size < MAX_ATTEMPTS) {
       const candidate = this.#options.gates.next(work.service, tried);
-      if (!candidate) return last;
+      if (!candidate) break;
       tried.add(candidate.memberId);
       last = await candidate.door.run(work);
-      if (!mayGoAgain(last, work)) return last;
+      if (last.kind === 'unknown') doubt = last;
+      if (!mayGoAgain(last, work)) break;
+      const next =
+        last.kind === 'unknown' ? await this.#renew(work, customer) : work;
+      if (!next) break;
+      work = next;
     }
-    return last;
+    work.token?.giveBack();
+    return last.kind === 'not-run' && doubt ? doubt : last;
+  }
+
+  /** A request that may have started needs another token to start again. */
+  async #renew(work: Work, customer?: Customer): Promise<Work | undefined> {
+    if (!customer) return work;
+    const admission = await this.#options.limiter.admit(customer);
+    if (!admission.admitted) return undefined;
+    return {...work, token: admission.token};
   }
 
   async #finish(
--- a/src/wire/messages.ts
+++ b/src/wire/messages.ts
@@ -3,8 +3,10 @@
  * kinds; this module puts them together. A kind has a request and a reply.
  */
 import type {GateMessages} from '../gate/messages.js';
+import type {ClockMessages} from '../member/clock_messages.js';
 import type {MemberMessages} from '../member/messages.js';
 import type {WitnessMessages} from '../member/witness_messages.js';
+import type {RateMessages} from '../rates/messages.js';
 
 /** One kind of message: what is asked, and what is answered. */
 export interface Exchange<Request, Reply> {
@@ -13,7 +15,11 @@
 }
 
 /** Every kind of message between daemons. */
-export type Messages = MemberMessages & WitnessMessages & GateMessages;
+export type Messages = ClockMessages &
+  GateMessages &
+  MemberMessages &
+  RateMessages &
+  WitnessMessages;
 
 /** The name of a kind of message. */
 export type MessageKind = keyof Messages & string;
