Keep the configuration in shards behind a head, and spread it by peers

Cause: the configuration was one value in the store. It can't grow past the store's limit of 1 MB, and every daemon watched the store by itself, which a fleet of thousands can't afford. A write whose answer was lost was reported as a failure although it may have taken effect.

Now a head value names the revision and the stamp of each of 256 shards; a shard is a new value, written before the head is swapped. The head lists the newest changes with their ids, so that the writer finds out after a lost answer whose change won by repeating the swap, which the store takes at most once. Three daemons of each failure domain, chosen by rendezvous ranking, watch the head; all others compare revisions with peers.

Ruled out: reading the head back after a lost answer. A lagging reader may show the old head while the swap has taken effect; the repeated swap can't be fooled.

--- a/src/commands/apply.ts
+++ b/src/commands/apply.ts
@@ -1,9 +1,10 @@
 /** `apply`: brings the configuration to what a sheet says. */
+import {randomUUID} from 'node:crypto';
 import {readFileSync} from 'node:fs';
 import {command, positional, string} from 'cmd-ts';
 import {mergeSheet, parseSheet} from '../configuration/sheet.js';
-import {readSnapshot, writeSnapshot} from '../configuration/snapshot.js';
-import {Failure} from '../errors/failure.js';
+import {EMPTY_STATE} from '../configuration/state.js';
+import {ChangeWriter} from '../configuration/writer.js';
 import {settingsOption, withStore} from './store_options.js';
 
 /** The command itself. */
@@ -17,14 +18,15 @@
   handler: async args => {
     const records = parseSheet(readFileSync(args.sheet), args.sheet);
     await withStore(args.settings, async store => {
-      const last = await readSnapshot(store);
-      const merged = mergeSheet(last.snapshot.records, records);
-      const written = await writeSnapshot(store, last, merged);
-      if (!written) {
-        const reason = 'the configuration changed meanwhile';
-        throw new Failure('writeConflict', {record: args.sheet, reason});
-      }
-      process.stdout.write(`revision ${written.revision} accepted\n`);
+      const made = await new ChangeWriter(store, () => EMPTY_STATE).write({
+        changeId: randomUUID(),
+        fingerprint: '',
+        by: 'command line',
+        action: `apply ${args.sheet}`,
+        edit: state => mergeSheet(state, records),
+        retryRaces: false,
+      });
+      process.stdout.write(`revision ${made.state.revision} accepted\n`);
     });
   },
 });
--- a/src/commands/key.ts
+++ b/src/commands/key.ts
@@ -1,25 +1,23 @@
 /** `key`: issues and withdraws customers' keys. */
 import {randomBytes, randomUUID} from 'node:crypto';
 import {command, positional, string, subcommands} from 'cmd-ts';
-import type {ConfigurationRecord} from '../configuration/records.js';
-import {readSnapshot, writeSnapshot} from '../configuration/snapshot.js';
-import {Failure} from '../errors/failure.js';
+import {EMPTY_STATE, type Edit} from '../configuration/state.js';
+import {ChangeWriter} from '../configuration/writer.js';
 import type {Store} from '../platform/store.js';
 import {digestOf} from '../router/access.js';
 import {settingsOption, withStore} from './store_options.js';
 
 const KEY_BYTES = 24;
 
-type Edit = (
-  records: readonly ConfigurationRecord[],
-) => readonly ConfigurationRecord[];
-
 async function change(store: Store, edit: Edit, record: string) {
-  const last = await readSnapshot(store);
-  const written = await writeSnapshot(store, last, edit(last.snapshot.records));
-  if (written) return written;
-  const reason = 'the configuration changed meanwhile';
-  throw new Failure('writeConflict', {record, reason});
+  return new ChangeWriter(store, () => EMPTY_STATE).write({
+    changeId: randomUUID(),
+    fingerprint: '',
+    by: 'command line',
+    action: record,
+    edit: () => edit,
+    retryRaces: true,
+  });
 }
 
 const issue = command({
@@ -35,7 +33,7 @@
     const digest = digestOf(key);
     const record = {kind: 'key', id, customer, digest} as const;
     await withStore(settings, store =>
-      change(store, records => [...records, record], `key/${id}`),
+      change(store, {put: [record], removed: []}, `key/${id}`),
     );
     process.stdout.write(`${JSON.stringify({id, customer, key})}\n`);
   },
@@ -50,11 +48,7 @@
   },
   handler: async ({id, settings}) => {
     await withStore(settings, store =>
-      change(
-        store,
-        records => records.filter(r => r.kind !== 'key' || r.id !== id),
-        `key/${id}`,
-      ),
+      change(store, {put: [], removed: [`key/${id}`]}, `key/${id}`),
     );
     process.stdout.write(`key ${id} withdrawn\n`);
   },
--- a/src/configuration/sheet.ts
+++ b/src/configuration/sheet.ts
@@ -6,6 +6,12 @@
 import {parse} from 'csv-parse/sync';
 import {Failure, reasonOf} from '../errors/failure.js';
 import {recordSchema, type ConfigurationRecord} from './records.js';
+import {
+  allRecords,
+  recordKey,
+  type ConfigurationState,
+  type Edit,
+} from './state.js';
 
 type Row = Readonly<Record<string, string>>;
 type Convert = (text: string) => unknown;
@@ -62,18 +68,20 @@
   return results.flatMap(result => (result.success ? [result.data] : []));
 }
 
-/** The sheet's records with the keys of customers that remain. */
+/** The edit that brings a state to what a sheet declares. */
 export function mergeSheet(
-  current: readonly ConfigurationRecord[],
+  state: ConfigurationState,
   sheet: readonly ConfigurationRecord[],
-): readonly ConfigurationRecord[] {
-  const customers = new Set(
-    sheet.filter(r => r.kind === 'customer').map(r => r.id),
-  );
-  const keys = current.filter(
-    r => r.kind === 'key' && customers.has(r.customer),
-  );
-  return [...sheet, ...keys];
+): Edit {
+  const declared = new Set(sheet.map(r => recordKey(r.kind, r.id)));
+  const removed = allRecords(state)
+    .filter(record =>
+      record.kind === 'key'
+        ? !declared.has(recordKey('customer', record.customer))
+        : !declared.has(recordKey(record.kind, record.id)),
+    )
+    .map(record => recordKey(record.kind, record.id));
+  return {put: sheet, removed};
 }
 
 function parseRows(bytes: Buffer, file: string): readonly ParsedRow[] {
--- /dev/null
+++ b/src/configuration/state.ts
@@ -0,0 +1,147 @@
+/**
+ * One revision of the whole configuration in memory. Records are spread over
+ * a fixed number of shards by the hash of their key; a shard carries a stamp
+ * that names its content, so that equal stamps mean equal records.
+ */
+import {createHash} from 'node:crypto';
+import type {Change} from './changes.js';
+import type {ConfigurationRecord, RecordKind} from './records.js';
+
+/** The records of one shard, by record key. */
+export interface Shard {
+  /** Empty for a shard that never had a record. */
+  readonly stamp: string;
+  readonly records: ReadonlyMap<string, ConfigurationRecord>;
+}
+
+/** All records of one revision. A state never changes. */
+export interface ConfigurationState {
+  readonly revision: number;
+  readonly shards: readonly Shard[];
+  /** The newest changes, the oldest first. */
+  readonly changes: readonly Change[];
+}
+
+/** What a change does to the records. */
+export interface Edit {
+  readonly put: readonly ConfigurationRecord[];
+  /** Record keys. */
+  readonly removed: readonly string[];
+}
+
+/** Fixed for ever: the first byte of a hash picks the shard. */
+export const SHARD_COUNT = 256;
+
+const EMPTY_SHARD: Shard = {stamp: '', records: new Map()};
+
+/** The state before the first change. */
+export const EMPTY_STATE: ConfigurationState = {
+  revision: 0,
+  shards: Array.from({length: SHARD_COUNT}, () => EMPTY_SHARD),
+  changes: [],
+};
+
+/** The key of a record, unique over all kinds. */
+export function recordKey(kind: RecordKind, id: string): string {
+  return `${kind}/${id}`;
+}
+
+/** The shard that a record key belongs to. */
+export function shardOf(key: string): number {
+  return createHash('md5').update(key).digest()[0] ?? 0;
+}
+
+/** A record by its kind and id. */
+export function findRecord<Kind extends RecordKind>(
+  state: ConfigurationState,
+  kind: Kind,
+  id: string,
+): Extract<ConfigurationRecord, {kind: Kind}> | undefined {
+  const key = recordKey(kind, id);
+  return state.shards[shardOf(key)]?.records.get(key) as
+    Extract<ConfigurationRecord, {kind: Kind}> | undefined;
+}
+
+/** Every record of the state. */
+export function allRecords(
+  state: ConfigurationState,
+): readonly ConfigurationRecord[] {
+  return state.shards.flatMap(shard => [...shard.records.values()]);
+}
+
+/** Every record of one kind. */
+export function recordsOf<Kind extends RecordKind>(
+  state: ConfigurationState,
+  kind: Kind,
+): readonly Extract<ConfigurationRecord, {kind: Kind}>[] {
+  return allRecords(state).filter(
+    (record): record is Extract<ConfigurationRecord, {kind: Kind}> =>
+      record.kind === kind,
+  );
+}
+
+/** A shard from the JSON text that the store or a peer holds. */
+export function parseShard(stamp: string, text: string): Shard {
+  const records = JSON.parse(text) as readonly ConfigurationRecord[];
+  const entries = records.map(
+    record => [recordKey(record.kind, record.id), record] as const,
+  );
+  return {stamp, records: new Map(entries)};
+}
+
+/** The JSON text of a shard. */
+export function shardText(shard: Shard): string {
+  return JSON.stringify([...shard.records.values()]);
+}
+
+/**
+ * The shards after an edit. Those that the edit touches get `stampOf` their
+ * index as a stamp; all others are the same objects as before.
+ */
+export function editShards(
+  shards: readonly Shard[],
+  edit: Edit,
+  stampOf: (index: number) => string,
+): readonly Shard[] {
+  const edited = new Map<number, Map<string, ConfigurationRecord>>();
+  const recordsAt = (key: string) => {
+    const index = shardOf(key);
+    const records = edited.get(index) ?? new Map(shards[index]?.records);
+    edited.set(index, records);
+    return records;
+  };
+  edit.removed.forEach(key => recordsAt(key).delete(key));
+  edit.put.forEach(record => {
+    const key = recordKey(record.kind, record.id);
+    recordsAt(key).set(key, record);
+  });
+  return shards.map((shard, index) => {
+    const records = edited.get(index);
+    return records ? {stamp: stampOf(index), records} : shard;
+  });
+}
+
+/** The edit without what is already as it asks for. */
+export function pruneEdit(state: ConfigurationState, edit: Edit): Edit {
+  const has = (key: string) => state.shards[shardOf(key)]?.records.get(key);
+  return {
+    put: edit.put.filter(record => {
+      const last = has(recordKey(record.kind, record.id));
+      return !last || canonicalText(last) !== canonicalText(record);
+    }),
+    removed: edit.removed.filter(key => has(key) !== undefined),
+  };
+}
+
+/** JSON with sorted fields: equal records give equal text. */
+export function canonicalText(record: ConfigurationRecord): string {
+  const fields = Object.entries(record).filter(([, v]) => v !== undefined);
+  return JSON.stringify(fields.toSorted(([a], [b]) => (a < b ? -1 : 1)));
+}
+
+/** A short name of a record's content, for ETag and If-Match. */
+export function etagOf(record: ConfigurationRecord): string {
+  const text = canonicalText(record);
+  const digest = createHash('sha256').update(text).digest('base64url');
+  return `"${digest.slice(0, 16)}"`;
+}
--- /dev/null
+++ b/src/configuration/store_watcher.ts
@@ -0,0 +1,97 @@
+/**
+ * Follows the head in the store. A few daemons of each failure domain do so,
+ * chosen by everybody alike from the membership, without an election; all
+ * others learn of changes from their peers.
+ */
+import {setTimeout as sleep} from 'node:timers/promises';
+import {reasonOf} from '../errors/failure.js';
+import type {Logger} from '../log/logger.js';
+import type {Membership} from '../member/membership.js';
+import {rankMembers} from '../member/rendezvous.js';
+import type {Store} from '../platform/store.js';
+import {HEAD_KEY, loadState, readHead, readShardFrom} from './archive.js';
+import {parseHead, type Head} from './changes.js';
+import type {ConfigurationKeeper} from './keeper.js';
+
+/** Options of {@link StoreWatcher}. */
+export interface StoreWatcherOptions {
+  readonly store: Store;
+  readonly keeper: ConfigurationKeeper;
+  readonly membership: Membership;
+  readonly log: Logger;
+}
+
+const WATCHERS_PER_FAILURE_DOMAIN = 3;
+const WATCH_WAIT_MS = 3000;
+const RETRY_PAUSE_MS = 500;
+const IDLE_PAUSE_MS = 1000;
+
+/** Watches the store while it is this daemon's turn. */
+export class StoreWatcher {
+  readonly #options: StoreWatcherOptions;
+  readonly #stopped = new AbortController();
+
+  constructor(options: StoreWatcherOptions) {
+    this.#options = options;
+  }
+
+  start(): void {
+    void this.#follow();
+  }
+
+  stop(): void {
+    this.#stopped.abort();
+  }
+
+  /** Whether this daemon is among the watchers of its failure domain. */
+  isWatcher(): boolean {
+    const {membership} = this.#options;
+    const self = membership.self();
+    const near = membership
+      .members()
+      .filter(member => member.failureDomain === self.failureDomain)
+      .filter(member => member.region === self.region);
+    return rankMembers('configuration-watcher', near)
+      .slice(0, WATCHERS_PER_FAILURE_DOMAIN)
+      .some(member => member.id === self.id);
+  }
+
+  async #follow(): Promise<void> {
+    const {signal} = this.#stopped;
+    while (!signal.aborted) {
+      if (this.isWatcher()) await this.#watchOnce(signal);
+      else await pause(IDLE_PAUSE_MS, signal);
+    }
+  }
+
+  async #watchOnce(signal: AbortSignal): Promise<void> {
+    try {
+      await this.#round(signal);
+    } catch (err) {
+      if (signal.aborted) return;
+      this.#options.log.warn(`The store did not answer: ${reasonOf(err)}.`);
+      await pause(RETRY_PAUSE_MS, signal);
+    }
+  }
+
+  async #round(signal: AbortSignal): Promise<void> {
+    const {store} = this.#options;
+    const {head, version} = await readHead(store);
+    await this.#take(head);
+    const watched = await store.watch(HEAD_KEY, version, WATCH_WAIT_MS, signal);
+    const value = watched.events.at(-1)?.value;
+    if (value !== undefined) await this.#take(parseHead(value));
+  }
+
+  /** Heads that are not newer are not worth loading. */
+  async #take(head: Head): Promise<void> {
+    const {store, keeper} = this.#options;
+    if (head.revision <= keeper.revision()) return;
+    const read = readShardFrom(store);
+    keeper.offer(await loadState(keeper.state(), head, read));
+  }
+}
+
+async function pause(ms: number, signal: AbortSignal): Promise<void> {
+  await sleep(ms, undefined, {signal}).catch(() => undefined);
+}
--- /dev/null
+++ b/src/configuration/writer.ts
@@ -0,0 +1,226 @@
+/**
+ * Writes changes: the shards that a change touches first, as new values, and
+ * then the head by compare-and-swap, so that a change is in force whole or
+ * not at all. After a lost answer the swap is repeated: the store takes it at
+ * most once, and the head that it shows instead tells whose change won.
+ */
+import {randomBytes} from 'node:crypto';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {Failure, isFailure} from '../errors/failure.js';
+import type {Store} from '../platform/store.js';
+import {
+  HEAD_KEY,
+  loadState,
+  readHead,
+  readShardFrom,
+  shardKey,
+  type StoredHead,
+} from './archive.js';
+import {parseHead, type Change, type Head} from './changes.js';
+import {nextHead, type Planned} from './next_head.js';
+import {
+  editShards,
+  pruneEdit,
+  shardText,
+  type ConfigurationState,
+  type Edit,
+} from './state.js';
+
+/** A change that somebody asks for. */
+export interface ChangeRequest {
+  readonly changeId: string;
+  readonly fingerprint: string;
+  readonly by: string;
+  readonly action: string;
+  /** Decides what to change; throws a `Failure` to refuse. */
+  readonly edit: (state: ConfigurationState) => Edit;
+  /** Whether to decide again if another change came in between. */
+  readonly retryRaces: boolean;
+}
+
+/** How an accepted change ended. */
+export interface ChangeOutcome {
+  /** The change, or undefined if everything was so already. */
+  readonly change: Change | undefined;
+  /** True if an earlier request with the same id had made it. */
+  readonly repeated: boolean;
+  readonly state: ConfigurationState;
+}
+
+type SwapOutcome =
+  {readonly won: true} | {readonly won: false; readonly current: StoredHead};
+
+const MAX_RACES = 8;
+const MAX_TRIES = 5;
+const FIRST_PAUSE_MS = 100;
+const WRITES_AT_ONCE = 8;
+const GARBAGE_AGE_MS = 60_000;
+const STAMP_BYTES = 4;
+
+/** Writes changes to the store. */
+export class ChangeWriter {
+  readonly #store: Store;
+  readonly #latest: () => ConfigurationState;
+  #newest: StoredHead | undefined;
+
+  /** `latest` gives a state to start from, so that little must be read. */
+  constructor(store: Store, latest: () => ConfigurationState) {
+    this.#store = store;
+    this.#latest = latest;
+  }
+
+  /**
+   * Makes a change. Throws `writeConflict` to the loser of a race,
+   * `changeUnknown` if the store's answer stays unknown, and whatever the
+   * edit throws.
+   */
+  async write(request: ChangeRequest): Promise<ChangeOutcome> {
+    let stored = await retry(() => this.#readHead());
+    let races = 0;
+    while (races < MAX_RACES) {
+      const state = await this.#load(stored.head);
+      const earlier = findRepeated(stored.head, request);
+      if (earlier) return {change: earlier, repeated: true, state};
+      const edit = pruneEdit(state, request.edit(state));
+      if (edit.put.length + edit.removed.length === 0) {
+        return {change: undefined, repeated: false, state};
+      }
+      const newest = this.#latest().revision;
+      const planned = plan(stored.head, state, edit, request, newest);
+      const result = await this.#commit(stored, planned);
+      if (result.won) return outcomeOf(planned);
+      if (!request.retryRaces) break;
+      stored = result.current;
+      races += 1;
+    }
+    const reason = 'the configuration changed meanwhile';
+    throw new Failure('writeConflict', {record: request.action, reason});
+  }
+
+  async #readHead(): Promise<StoredHead> {
+    const read = await readHead(this.#store);
+    return this.#remember(read);
+  }
+
+  /** A reader of the store may lag: the newest head that was seen counts. */
+  #remember(stored: StoredHead): StoredHead {
+    const newest = this.#newest;
+    if (newest && newest.version >= stored.version) return newest;
+    this.#newest = stored;
+    return stored;
+  }
+
+  async #load(head: Head): Promise<ConfigurationState> {
+    const readShard = readShardFrom(this.#store);
+    return retry(() => loadState(this.#latest(), head, readShard));
+  }
+
+  async #commit(stored: StoredHead, planned: Planned): Promise<SwapOutcome> {
+    const values = planned.values.values();
+    const writeAll = async () => {
+      for (const {key, text} of values) await this.#writeNew(key, text);
+    };
+    await Promise.all(Array.from({length: WRITES_AT_ONCE}, writeAll));
+    const result = await this.#swap(stored.version, planned);
+    const dropped = result.won
+      ? planned.collected
+      : planned.values.map(value => value.key);
+    void this.#drop(dropped);
+    return result;
+  }
+
+  /** The name is new, so a value that is there is the one just sent. */
+  async #writeNew(key: string, text: string): Promise<void> {
+    await retry(() => this.#store.compareAndSwap(key, 0, text));
+  }
+
+  async #swap(version: number, planned: Planned): Promise<SwapOutcome> {
+    const {head, change} = planned;
+    const value = JSON.stringify(head);
+    const result = await retry(() =>
+      this.#store.compareAndSwap(HEAD_KEY, version, value),
+    ).catch((err: unknown) => {
+      if (!isFailure(err, 'storeUnavailable')) throw err;
+      const {changeId} = change;
+      throw new Failure('changeUnknown', {changeId, reason: err.message}, err);
+    });
+    if (result.swapped) {
+      this.#remember({head, version: result.version});
+      return {won: true};
+    }
+    const current = result.current;
+    if (!current) return {won: false, current: await this.#readHead()};
+    const now = {head: parseHead(current.value), version: current.version};
+    this.#remember(now);
+    return judge(now, change);
+  }
+
+  async #drop(keys: readonly string[]): Promise<void> {
+    for (const key of keys) {
+      const stored = await this.#store.get(key).catch(() => undefined);
+      if (!stored) continue;
+      await this.#store.remove(key, stored.version).catch(() => undefined);
+    }
+  }
+}
+
+/** Whose change the head shows where ours should be. */
+function judge(now: StoredHead, change: Change): SwapOutcome {
+  const oldest = now.head.changes[0]?.revision ?? 0;
+  if (oldest > change.revision) {
+    const reason = 'too many changes came after it';
+    throw new Failure('changeUnknown', {changeId: change.changeId, reason});
+  }
+  const there = now.head.changes.some(c => c.changeId === change.changeId);
+  return there ? {won: true} : {won: false, current: now};
+}
+
+function findRepeated(head: Head, request: ChangeRequest): Change | undefined {
+  const {changeId, fingerprint} = request;
+  const earlier = head.changes.find(change => change.changeId === changeId);
+  if (!earlier || earlier.fingerprint === fingerprint) return earlier;
+  throw new Failure('changeIdReused', {changeId});
+}
+
+function plan(
+  head: Head,
+  state: ConfigurationState,
+  edit: Edit,
+  request: ChangeRequest,
+  newest: number,
+): Planned {
+  const revision = Math.max(head.revision, newest) + 1;
+  const attempt = randomBytes(STAMP_BYTES).toString('hex');
+  const stamp = `${revision}-${attempt}`;
+  const shards = editShards(state.shards, edit, () => stamp);
+  const values = shards.flatMap((shard, index) =>
+    shard === state.shards[index]
+      ? []
+      : [{key: shardKey(index, stamp), text: shardText(shard)}],
+  );
+  const {changeId, fingerprint, by, action} = request;
+  const made = {revision, changeId, fingerprint, by, action, atMs: Date.now()};
+  const oldestKeptMs = Date.now() - GARBAGE_AGE_MS;
+  return nextHead({head, edit, shards, change: made, values, oldestKeptMs});
+}
+
+function outcomeOf(planned: Planned): ChangeOutcome {
+  const {head, shards, change} = planned;
+  const {revision, changes} = head;
+  return {change, repeated: false, state: {revision, changes, shards}};
+}
+
+/** Repeats what can be repeated safely while the store gives no answer. */
+async function retry<Result>(task: () => Promise<Result>): Promise<Result> {
+  let tries = 1;
+  while (tries < MAX_TRIES) {
+    try {
+      return await task();
+    } catch (err) {
+      if (!isFailure(err, 'storeUnavailable')) throw err;
+      await sleep(FIRST_PAUSE_MS * 2 ** tries);
+      tries += 1;
+    }
+  }
+  return task();
+}
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -8,6 +8,8 @@
 import polka from 'polka';
 import {Administration} from '../admin/administration.js';
 import {ConfigurationKeeper} from '../configuration/keeper.js';
+import {Spread} from '../configuration/spread.js';
+import {StoreWatcher} from '../configuration/store_watcher.js';
 import {serveAnnouncements} from '../gate/announcements.js';
 import {Gate} from '../gate/gate.js';
 import {serveHop} from '../gate/hop_server.js';
@@ -41,6 +43,8 @@
 interface Parts {
   readonly store: HttpStore;
   readonly keeper: ConfigurationKeeper;
+  readonly watcher: StoreWatcher;
+  readonly spread: Spread;
   readonly links: WebSocketLinks;
   readonly membership: Gossip;
   readonly gate: Gate;
@@ -81,8 +85,9 @@
     const parts = this.#createParts(bound);
     this.#parts = parts;
     this.#connect(parts);
-    parts.keeper.start();
     parts.membership.start();
+    parts.watcher.start();
+    parts.spread.start();
     parts.gate.start();
     this.#options.log.info(`Listening for callers on ${bound.callers}.`);
     return bound;
@@ -98,7 +103,8 @@
     await close(this.#servers.callers);
     await parts.gate.stop();
     await parts.gates.stop();
-    parts.keeper.stop();
+    parts.watcher.stop();
+    parts.spread.stop();
     parts.membership.stop();
     parts.links.stop();
     const {administration, instances, peers} = this.#servers;
@@ -124,7 +130,8 @@
     const {settings, log} = this.#options;
     const {dial, secret, seeds} = settings.peers;
     const store = new HttpStore(settings.store);
-    const keeper = new ConfigurationKeeper(store, log.for('configuration'));
+    const configurationLog = log.for('configuration');
+    const keeper = new ConfigurationKeeper(configurationLog);
     const links = new WebSocketLinks({secret, dial, log: log.for('links')});
     const membership = new Gossip({
       self: selfRecord(settings, bound),
@@ -132,6 +139,9 @@
       links,
       log: log.for('member'),
     });
+    const shared = {keeper, membership, log: configurationLog};
+    const watcher = new StoreWatcher({...shared, store});
+    const spread = new Spread({...shared, links});
     const gate = new Gate({
       maxQueueMs: settings.limits.maxQueueMs,
       maxQueuePerService: settings.limits.maxQueuePerCustomer,
@@ -139,7 +149,7 @@
       onSlots: slots => membership.update({slots}),
     });
     const gates = new Gates({own: gate, membership, secret, dial});
-    return {store, keeper, links, membership, gate, gates};
+    return {store, keeper, watcher, spread, links, membership, gate, gates};
   }
 
   /** Registers the parts on the servers. */
--- a/src/wire/messages.ts
+++ b/src/wire/messages.ts
@@ -2,6 +2,7 @@
  * The typed messages between daemons. Each part owns the file with its own
  * kinds; this module puts them together. A kind has a request and a reply.
  */
+import type {ConfigurationMessages} from '../configuration/messages.js';
 import type {MemberMessages} from '../member/messages.js';
 
 /** One kind of message: what is asked, and what is answered. */
@@ -11,7 +12,7 @@
 }
 
 /** Every kind of message between daemons. */
-export type Messages = MemberMessages;
+export type Messages = MemberMessages & ConfigurationMessages;
 
 /** The name of a kind of message. */
 export type MessageKind = keyof Messages & string;
