--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -7,6 +7,7 @@
 import type {Duplex} from 'node:stream';
 import polka from 'polka';
 import {Administration} from '../admin/administration.js';
+import {readFreshRevision} from '../configuration/fresh_revision.js';
 import {ConfigurationKeeper} from '../configuration/keeper.js';
 import {Spread} from '../configuration/spread.js';
 import {StoreWatcher} from '../configuration/store_watcher.js';
@@ -15,6 +16,7 @@
 import {serveHop} from '../gate/hop_server.js';
 import {close, listen} from '../http/listener.js';
 import type {Logger} from '../log/logger.js';
+import {FleetAuthority} from '../member/fleet_authority.js';
 import {WebSocketLinks} from '../member/links.js';
 import {Gossip} from '../member/membership.js';
 import type {Metrics} from '../metrics/metrics.js';
@@ -47,6 +49,7 @@
   readonly spread: Spread;
   readonly links: WebSocketLinks;
   readonly membership: Gossip;
+  readonly authority: FleetAuthority;
   readonly gate: Gate;
   readonly gates: Gates;
 }
@@ -88,6 +91,7 @@
     parts.membership.start();
     parts.watcher.start();
     parts.spread.start();
+    parts.authority.start();
     parts.gate.start();
     this.#options.log.info(`Listening for callers on ${bound.callers}.`);
     return bound;
@@ -105,6 +109,7 @@
     await parts.gates.stop();
     parts.watcher.stop();
     parts.spread.stop();
+    parts.authority.stop();
     parts.membership.stop();
     parts.links.stop();
     const {administration, instances, peers} = this.#servers;
@@ -142,6 +147,13 @@
     const shared = {keeper, membership, log: configurationLog};
     const watcher = new StoreWatcher({...shared, store});
     const spread = new Spread({...shared, links});
+    const authority = new FleetAuthority({
+      store,
+      links,
+      membership,
+      log: log.for('generations'),
+      readRevision: () => readFreshRevision(store),
+    });
     const gate = new Gate({
       maxQueueMs: settings.limits.maxQueueMs,
       maxQueuePerService: settings.limits.maxQueuePerCustomer,
@@ -149,7 +161,17 @@
       onSlots: slots => membership.update({slots}),
     });
     const gates = new Gates({own: gate, membership, secret, dial});
-    return {store, keeper, watcher, spread, links, membership, gate, gates};
+    return {
+      store,
+      keeper,
+      watcher,
+      spread,
+      links,
+      membership,
+      authority,
+      gate,
+      gates,
+    };
   }
 
   /** Registers the parts on the servers. */
@@ -170,6 +192,7 @@
       credentials: settings.administration.credentials,
       keeper: parts.keeper,
       membership: parts.membership,
+      authority: parts.authority,
       isReady: () => parts.keeper.tables().revision > 0,
     });
     serveAnnouncements(instances, parts.gate.instances);
--- a/src/wire/messages.ts
+++ b/src/wire/messages.ts
@@ -4,6 +4,7 @@
  */
 import type {ConfigurationMessages} from '../configuration/messages.js';
 import type {MemberMessages} from '../member/messages.js';
+import type {WitnessMessages} from '../member/witness_messages.js';
 
 /** One kind of message: what is asked, and what is answered. */
 export interface Exchange<Request, Reply> {
@@ -12,7 +13,9 @@
 }
 
 /** Every kind of message between daemons. */
-export type Messages = MemberMessages & ConfigurationMessages;
+export type Messages = MemberMessages &
+  WitnessMessages &
+  ConfigurationMessages;
 
 /** The name of a kind of message. */
 export type MessageKind = keyof Messages & string;
