--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -9,6 +9,8 @@
 import {Administration} from '../admin/administration.js';
 import {readFreshRevision} from '../configuration/fresh_revision.js';
 import {ConfigurationKeeper} from '../configuration/keeper.js';
+import {Spread} from '../configuration/spread.js';
+import {StoreWatcher} from '../configuration/store_watcher.js';
 import {serveAnnouncements} from '../gate/announcements.js';
 import {Gate} from '../gate/gate.js';
 import {serveHop, serveReservations} from '../gate/hop_server.js';
@@ -43,6 +45,8 @@
 interface Parts {
   readonly store: HttpStore;
   readonly keeper: ConfigurationKeeper;
+  readonly watcher: StoreWatcher;
+  readonly spread: Spread;
   readonly links: WebSocketLinks;
   readonly membership: SwimMembership;
   readonly authority: FleetAuthority;
@@ -84,8 +88,9 @@
     const parts = this.#createParts(bound);
     this.#parts = parts;
     this.#connect(parts);
-    parts.keeper.start();
     parts.membership.start();
+    parts.watcher.start();
+    parts.spread.start();
     parts.authority.start();
     parts.gate.start();
     this.#options.log.info(`Listening for callers on ${bound.callers}.`);
@@ -102,7 +107,8 @@
     await close(this.#servers.callers);
     await parts.gate.stop();
     await parts.gates.stop();
-    parts.keeper.stop();
+    parts.watcher.stop();
+    parts.spread.stop();
     parts.authority.stop();
     parts.membership.stop();
     parts.links.stop();
@@ -129,7 +135,8 @@
     const {settings, log} = this.#options;
     const {dial, secret, seeds} = settings.peers;
     const store = new HttpStore(settings.store);
-    const keeper = new ConfigurationKeeper(store, log.for('configuration'));
+    const configurationLog = log.for('configuration');
+    const keeper = new ConfigurationKeeper(configurationLog);
     const links = new WebSocketLinks({secret, dial, log: log.for('links')});
     const membership = new SwimMembership({
       self: selfRecord(settings, bound),
@@ -137,6 +144,9 @@
       links,
       log: log.for('member'),
     });
+    const shared = {keeper, membership, log: configurationLog};
+    const watcher = new StoreWatcher({...shared, store});
+    const spread = new Spread({...shared, links});
     const authority = new FleetAuthority({
       store,
       links,
@@ -151,7 +161,17 @@
       onSlots: slots => membership.update({slots}),
     });
     const gates = new Gates({own: gate, membership, links, secret, dial});
-    return {store, keeper, links, membership, authority, gate, gates};
+    return {
+      store,
+      keeper,
+      watcher,
+      spread,
+      links,
+      membership,
+      authority,
+      gate,
+      gates,
+    };
   }
 
   /** Registers the parts on the servers. */
