--- a/features/support/fleet.ts
+++ b/features/support/fleet.ts
@@ -25,6 +25,7 @@
   readonly addresses: DaemonAddresses;
   readonly settingsFile: string;
   readonly bundle: string;
+  readonly nodeArgs: readonly string[];
 }
 
 /** One backend server of a test. */
@@ -44,6 +45,8 @@
   readonly settings?: Readonly<Record<string, unknown>>;
   /** A mutant's name, or undefined for the real program. */
   readonly mutant?: string;
+  /** Arguments of Node.js itself, as for a processor profile. */
+  readonly nodeArgs?: readonly string[];
 }
 
 /** What is started for an instance. */
@@ -91,20 +94,25 @@
     const bundle = plan.mutant
       ? path.join(dist, 'mutants', `${plan.mutant}.cjs`)
       : path.join(dist, 'chicorycourse.cjs');
-    const daemon = await this.#serve(plan.id, settingsFile, bundle);
+    const daemon = await this.#serve({
+      id: plan.id,
+      settingsFile,
+      bundle,
+      nodeArgs: plan.nodeArgs ?? [],
+    });
     this.daemons.set(plan.id, daemon);
     return daemon;
   }
 
   /** Starts a daemon that ended again, at the same addresses. */
   async restartDaemon(id: string): Promise<TestDaemon> {
-    const {settingsFile, addresses, bundle} = this.daemon(id);
+    const {settingsFile, addresses, bundle, nodeArgs} = this.daemon(id);
     const settings = {
       ...this.#readSettings(settingsFile),
       listen: addresses,
     };
     writeFileSync(settingsFile, JSON.stringify(settings));
-    const daemon = await this.#serve(id, settingsFile, bundle);
+    const daemon = await this.#serve({id, settingsFile, bundle, nodeArgs});
     this.daemons.set(id, daemon);
     return daemon;
   }
@@ -135,6 +143,25 @@
     return runCommand([path.join(dist, 'chicorycourse.cjs'), ...args]);
   }
 
+  /** Applies a sheet with the settings of a daemon; throws if refused. */
+  async applySheet(daemonId: string, text: string): Promise<string> {
+    const file = this.writeFile('sheet.csv', `\uFEFF${text}\r\n`);
+    return this.#runWith(daemonId, ['apply', file]);
+  }
+
+  /** Issues a key of a customer. */
+  async issueKey(daemonId: string, customer: string): Promise<string> {
+    const output = await this.#runWith(daemonId, ['key', 'issue', customer]);
+    return (JSON.parse(output) as {key: string}).key;
+  }
+
+  async #runWith(daemonId: string, args: readonly string[]): Promise<string> {
+    const {settingsFile} = this.daemon(daemonId);
+    const result = await this.run([...args, '--settings', settingsFile]);
+    if (result.code !== 0) throw new Error(result.stderr);
+    return result.stdout;
+  }
+
   /** Writes a file into the fleet's folder; resolves to its path. */
   writeFile(name: string, content: string | Buffer): string {
     const file = path.join(this.#folder, name);
@@ -184,19 +211,18 @@
   }
 
   async #serve(
-    id: string,
-    settingsFile: string,
-    bundle: string,
+    plan: Pick<TestDaemon, 'id' | 'settingsFile' | 'bundle' | 'nodeArgs'>,
   ): Promise<TestDaemon> {
     const proc = await TestProcess.start({
-      script: bundle,
-      args: ['serve', '--settings', settingsFile],
+      script: plan.bundle,
+      args: ['serve', '--settings', plan.settingsFile],
+      nodeArgs: plan.nodeArgs,
     });
     const {callers, administration, instances, peers} = JSON.parse(
       proc.firstLine,
     ) as DaemonAddresses;
     const addresses = {callers, administration, instances, peers};
-    return {id, process: proc, addresses, settingsFile, bundle};
+    return {...plan, process: proc, addresses};
   }
 
   #readSettings(file: string): Record<string, unknown> {
--- a/features/support/process.ts
+++ b/features/support/process.ts
@@ -7,6 +7,7 @@
   readonly script: string;
   readonly args: readonly string[];
   readonly env?: Readonly<Record<string, string>>;
+  readonly nodeArgs?: readonly string[];
 }
 
 const READY_TIMEOUT_MS = 20_000;
@@ -29,7 +30,8 @@
 
   /** Starts a script and waits for its first line of output. */
   static async start(options: ProcessOptions): Promise<TestProcess> {
-    const child = spawn(process.execPath, [options.script, ...options.args], {
+    const {nodeArgs = [], script, args} = options;
+    const child = spawn(process.execPath, [...nodeArgs, script, ...args], {
       stdio: ['ignore', 'pipe', 'pipe'],
       env: {...process.env, NODE_OPTIONS: '', ...options.env},
     });
