--- a/src/wire/messages.ts
+++ b/src/wire/messages.ts
@@ -2,6 +2,7 @@
  * The typed messages between daemons. Each part owns the file with its own
  * kinds; this module puts them together. A kind has a request and a reply.
  */
+import type {ConfigurationMessages} from '../configuration/messages.js';
 import type {GateMessages} from '../gate/messages.js';
 import type {ClockMessages} from '../member/clock_messages.js';
 import type {MemberMessages} from '../member/messages.js';
@@ -15,11 +16,14 @@
 }
 
 /** Every kind of message between daemons. */
-export type Messages = ClockMessages &
-  GateMessages &
-  MemberMessages &
-  RateMessages &
-  WitnessMessages;
+export interface Messages
+  extends
+    ClockMessages,
+    ConfigurationMessages,
+    GateMessages,
+    MemberMessages,
+    RateMessages,
+    WitnessMessages {}
 
 /** The name of a kind of message. */
 export type MessageKind = keyof Messages & string;
