--- /dev/null
+++ b/features/rates.feature
@@ -0,0 +1,139 @@
+Feature: Rates
+  Over the whole fleet a customer starts at most burst + rate·t requests in
+  every window of length t, counted at the instances; and it is not refused
+  what it may have.
+
+  Rule: Windows hold, and a customer within its rate is served
+
+    Background:
+      Given a store and 3 daemons in 3 failure domains behind links
+      And an instance "ledger-1" of "ledger-read" behind daemon "d1"
+      And an instance "ledger-2" of "ledger-read" behind daemon "d2"
+      And an instance "ledger-3" of "ledger-read" behind daemon "d3"
+      And the sheet:
+        """
+        kind;id;name;ratePerSecond;burst;floor;path;service
+        customer;can-tho;Công ty Cần Thơ;40;30;;;
+        customer;da-lat;Công ty Đà Lạt;40;30;;;
+        customer;hue;Công ty Huế;5;60;;;
+        service;ledger-read;;;;1;;
+        route;ledger;;;;;/ledger;ledger-read
+        """
+      And a key for "can-tho"
+      And a key for "da-lat"
+      And a key for "hue"
+      And "can-tho" is served through "d1 d2 d3"
+
+    Scenario: Bursts arrive unevenly, eight times the rate
+      When "can-tho" sends 320 requests a second through "d1 d1 d1 d2 d3", 16 at once
+      And 6 s pass
+      And all load ends
+      Then "can-tho" started at most 30 + 40 a second in every window
+      And at least 220 requests of "can-tho" were served
+
+    Scenario: A daemon is killed and starts again, with the store away
+      Given the store is away
+      When "can-tho" sends 120 requests a second through "d1 d2 d3"
+      And 2 s pass
+      And daemon "d2" is killed
+      And 1 s pass
+      And daemon "d2" is started again
+      And 5 s pass
+      And all load ends
+      Then "can-tho" started at most 30 + 40 a second in every window
+      And at least 200 requests of "can-tho" were served
+
+    Scenario: Holders are killed after the burst was spent, and start again
+      When "hue" sends 30 requests a second through "d1"
+      And 4 s pass
+      And daemon "d2" is killed
+      And daemon "d3" is killed
+      And daemon "d2" is started again
+      And daemon "d3" is started again
+      And 5 s pass
+      And all load ends
+      Then "hue" started at most 60 + 5 a second in every window
+      And at least 30 requests of "hue" were served
+
+    Scenario: A daemon is paused for longer than any expiry
+      When "can-tho" sends 120 requests a second through "d1 d2 d3"
+      And 2 s pass
+      And daemon "d2" is paused for 6 s
+      And 3 s pass
+      And all load ends
+      Then "can-tho" started at most 30 + 40 a second in every window
+      And at least 220 requests of "can-tho" were served
+
+    Scenario: Daemons are cut off from each other one way
+      When "can-tho" sends 120 requests a second through "d1 d2 d3"
+      And 2 s pass
+      And what "d1" sends to "d2" is lost
+      And what "d3" sends to "d1" is lost
+      And 6 s pass
+      And "d1" and "d2" are connected again
+      And "d1" and "d3" are connected again
+      And 3 s pass
+      And all load ends
+      Then "can-tho" started at most 30 + 40 a second in every window
+      And at least 250 requests of "can-tho" were served
+
+    Scenario: The generation changes in the midst
+      When "can-tho" sends 120 requests a second through "d1 d2"
+      And 1 s pass
+      And daemon "d3" is killed
+      And 16 s pass
+      And daemon "d3" is started again
+      And 16 s pass
+      And all load ends
+      Then "can-tho" started at most 30 + 40 a second in every window
+      And at least 900 requests of "can-tho" were served
+
+    Scenario: All requests of a customer at 90 % of its rate land on one VM
+      When "can-tho" sends 36 requests a second through "d1"
+      And 10 s pass
+      And all load ends
+      Then at most 0 % of the requests of "can-tho" were refused
+      And "can-tho" started at most 30 + 40 a second in every window
+
+    Scenario: The store is away and a VM dies
+      Given the store is away
+      When "can-tho" sends 36 requests a second through "d1"
+      And 2 s pass
+      And daemon "d3" is killed
+      And 12 s pass
+      And all load ends
+      Then at most 30 % of the requests of "can-tho" were refused
+      And "can-tho" started at most 30 + 40 a second in every window
+
+    Scenario: One customer at eight times its rate costs others nothing
+      When "can-tho" sends 320 requests a second through "d1 d2 d3"
+      And "da-lat" sends 36 requests a second through "d1"
+      And 8 s pass
+      And all load ends
+      Then at most 0 % of the requests of "da-lat" were refused
+      And "can-tho" started at most 30 + 40 a second in every window
+
+  Rule: The check finds a fleet that breaks the promise
+
+    Scenario: A holder that starts grants at once
+      Given daemons "d1 d2 d3" left out the rule "opens-at-once"
+      And an instance "ledger-1" of "ledger-read" behind daemon "d1"
+      And an instance "ledger-2" of "ledger-read" behind daemon "d1"
+      And the sheet:
+        """
+        kind;id;name;ratePerSecond;burst;floor;path;service
+        customer;hue;Công ty Huế;5;60;;;
+        service;ledger-read;;;;1;;
+        route;ledger;;;;;/ledger;ledger-read
+        """
+      And a key for "hue"
+      And "hue" is served through "d1 d2 d3"
+      When "hue" sends 30 requests a second through "d1"
+      And 4 s pass
+      And daemon "d2" is killed
+      And daemon "d3" is killed
+      And daemon "d2" is started again
+      And daemon "d3" is started again
+      And 5 s pass
+      And all load ends
+      Then "hue" started more than 60 + 5 a second in some window
--- /dev/null
+++ b/features/steps/rate_steps.ts
@@ -0,0 +1,178 @@
+/** Steps that load the fleet and look at what started at the instances. */
+import {Given, Then, When} from '@cucumber/cucumber';
+import assert from 'node:assert/strict';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {until} from '../support/fleet.js';
+import {Load, tally, worstWindow, type LoadAnswer} from '../support/load.js';
+import type {World} from '../support/world.js';
+
+interface Run {
+  readonly customer: string;
+  readonly startedMs: number;
+}
+
+/** Delivery of starts to the instances may bunch them by so much. */
+const JITTER_MS = 100;
+const SETTLE_MS = 20_000;
+
+/** The load of each customer; a scenario's own. */
+const loads = new WeakMap<World, Map<string, Load>>();
+
+function loadOf(world: World, customer: string): Load {
+  const load = loads.get(world)?.get(customer);
+  assert.ok(load, `no load of ${customer}`);
+  return load;
+}
+
+function answersOf(world: World, customer: string): readonly LoadAnswer[] {
+  const {answers} = loadOf(world, customer);
+  process.stdout.write(`\n${customer}: ${tally(answers)}\n`);
+  return answers;
+}
+
+function startLoad(
+  world: World,
+  customer: string,
+  perSecond: number,
+  daemons: string,
+  atOnce: number,
+): void {
+  const known = loads.get(world) ?? new Map<string, Load>();
+  loads.set(world, known);
+  const load = new Load({
+    targets: daemons
+      .split(' ')
+      .map(id => world.fleet.daemon(id).addresses.callers),
+    path: '/ledger/balances',
+    key: world.keys.get(customer) ?? '',
+    perSecond,
+    atOnce,
+  });
+  known.set(customer, load);
+}
+
+async function excessOf(world: World, customer: string, rate: number) {
+  const all = await Promise.all(
+    [...world.fleet.instances.values()].map(async ({address}) => {
+      const res = await fetch(`http://${address}/ran`);
+      return (await res.json()) as readonly Run[];
+    }),
+  );
+  const starts = all
+    .flat()
+    .filter(run => run.customer === customer)
+    .map(run => run.startedMs);
+  const excess = worstWindow(starts, rate);
+  const text = `${starts.length} starts, worst window ${excess.toFixed(1)}`;
+  process.stdout.write(`\n${customer}: ${text}\n`);
+  return excess;
+}
+
+Given('the store is away', async function (this: World) {
+  await this.fleet.setFaults(this.fleet.storeAddress, {outage: true});
+});
+
+Given('the store is back', async function (this: World) {
+  await this.fleet.setFaults(this.fleet.storeAddress, {});
+});
+
+Given(
+  '{string} is served through {string}',
+  async function (this: World, customer: string, daemons: string) {
+    const headers = {'x-api-key': this.keys.get(customer) ?? ''};
+    const served = async (daemon: string) => {
+      const answer = await this.request(daemon, '/ledger/balances', {headers});
+      return answer.status === 200;
+    };
+    await until(
+      `${customer} is served`,
+      async () => {
+        const all = await Promise.all(daemons.split(' ').map(served));
+        return all.every(Boolean);
+      },
+      SETTLE_MS,
+    );
+  },
+);
+
+Given(
+  'daemons {string} left out the rule {string}',
+  async function (this: World, daemons: string, mutant: string) {
+    await this.fleet.startStore();
+    for (const [index, id] of daemons.split(' ').entries()) {
+      const failureDomain = `domain-${index + 1}`;
+      await this.fleet.startDaemon({id, failureDomain, mutant});
+    }
+  },
+);
+
+When(
+  '{string} sends {int} requests a second through {string}',
+  function (this: World, customer: string, rate: number, daemons: string) {
+    startLoad(this, customer, rate, daemons, 1);
+  },
+);
+
+When(
+  '{string} sends {int} requests a second through {string}, {int} at once',
+  function (
+    this: World,
+    customer: string,
+    rate: number,
+    daemons: string,
+    atOnce: number,
+  ) {
+    startLoad(this, customer, rate, daemons, atOnce);
+  },
+);
+
+When('{int} s pass', async (seconds: number) => {
+  await sleep(seconds * 1000);
+});
+
+When('all load ends', async function (this: World) {
+  const all = [...(loads.get(this)?.values() ?? [])];
+  await Promise.all(all.map(load => load.stop()));
+});
+
+When(
+  'daemon {string} is started in {string}',
+  async function (this: World, id: string, failureDomain: string) {
+    await this.fleet.startDaemon({id, failureDomain});
+  },
+);
+
+Then(
+  '{string} started at most {int} + {int} a second in every window',
+  async function (this: World, customer: string, burst: number, rate: number) {
+    const excess = await excessOf(this, customer, rate);
+    assert.ok(excess <= burst + (rate * JITTER_MS) / 1000, String(excess));
+  },
+);
+
+Then(
+  '{string} started more than {int} + {int} a second in some window',
+  async function (this: World, customer: string, burst: number, rate: number) {
+    const excess = await excessOf(this, customer, rate);
+    assert.ok(excess > burst + (rate * JITTER_MS) / 1000, String(excess));
+  },
+);
+
+Then(
+  'at most {int} % of the requests of {string} were refused',
+  function (this: World, percent: number, customer: string) {
+    const answers = answersOf(this, customer);
+    const refused = answers.filter(answer => answer.status !== 200);
+    const share = (100 * refused.length) / answers.length;
+    assert.ok(share <= percent, `${share.toFixed(2)} %`);
+  },
+);
+
+Then(
+  'at least {int} requests of {string} were served',
+  function (this: World, count: number, customer: string) {
+    const answers = answersOf(this, customer);
+    const served = answers.filter(answer => answer.status === 200);
+    assert.ok(served.length >= count, String(served.length));
+  },
+);
--- a/src/member/generation_keeper.ts
+++ b/src/member/generation_keeper.ts
@@ -56,7 +56,7 @@
     this.#previous = follows ? last : undefined;
     this.#current = generation;
     this.#settledAtMs =
-      generation.previousWitnesses.length === 0 ? -VOUCH_LAPSE_MS : undefined;
+      generation.previousWitnesses.length === 0 ? -Infinity : undefined;
     const {number, members} = generation;
     this.#log.info(`Generation ${number} has ${members.length} members.`);
     this.#listeners.forEach(listener => listener(generation));
--- a/src/rates/bucket.ts
+++ b/src/rates/bucket.ts
@@ -8,15 +8,17 @@
 
 /** A token bucket that lends. */
 export class Bucket {
+  /** Nothing is gained before; monotonic clock, milliseconds. */
+  readonly gainsFromMs: number;
   #share: Share;
   #level = 0;
   #outstanding = 0;
   #atMs: number;
 
-  /** Gains nothing before `openAtMs`. */
-  constructor(share: Share, openAtMs: number) {
+  constructor(share: Share, gainsFromMs: number) {
     this.#share = share;
-    this.#atMs = openAtMs;
+    this.gainsFromMs = gainsFromMs;
+    this.#atMs = gainsFromMs;
   }
 
   get share(): Share {
--- a/src/rates/escrow_rules.ts
+++ b/src/rates/escrow_rules.ts
@@ -16,14 +16,6 @@
   return vouch !== undefined && vouch.generation >= generation - 1;
 }
 
-/**
- * A process that starts may follow one whose loans are still out, so it
- * grants nothing until these are void.
- */
-export function opensAtMs(processStartedAtMs: number): number {
-  return processStartedAtMs + LOAN_LAPSE_MS;
-}
-
 /** What a bucket may gain: loans that are out count against the burst. */
 export function roomFor(
   share: Share,
--- a/src/rates/lender.ts
+++ b/src/rates/lender.ts
@@ -9,12 +9,7 @@
   Vouches,
 } from '../member/generation.js';
 import {Bucket} from './bucket.js';
-import {
-  LOAN_LAPSE_MS,
-  mayGrant,
-  opensAtMs,
-  usableShare,
-} from './escrow_rules.js';
+import {mayGrant, usableShare} from './escrow_rules.js';
 import {Loans} from './loans.js';
 import type {DrawReply, DrawRequest, Settlement} from './messages.js';
 import {
@@ -23,8 +18,8 @@
   smallerShare,
   type Share,
 } from './micro_tokens.js';
-import type {CustomerRate} from './shares.js';
-import {holdersOf, shareOf} from './shares.js';
+import {gainsFromMs} from './opening.js';
+import {holdersOf, shareOf, type CustomerRate} from './shares.js';
 
 /** Options of {@link Lender}. */
 export interface LenderOptions {
@@ -68,7 +63,7 @@
 /** Lends of this daemon's shares. */
 export class Lender {
   readonly #options: LenderOptions;
-  readonly #openAtMs = opensAtMs(performance.now());
+  readonly #startedAtMs = performance.now();
   readonly #holdings = new Map<string, Holding>();
 
   constructor(options: LenderOptions) {
@@ -83,7 +78,7 @@
     this.#settle(holding, request.settlements, nowMs);
     const {bucket, loans} = holding;
     const {burstMicros, rateMicros} = bucket.share;
-    if (burstMicros === 0 || nowMs < this.#openAtMs) return NOTHING;
+    if (burstMicros === 0 || nowMs < bucket.gainsFromMs) return NOTHING;
     const most = Math.max(MICROS_PER_TOKEN, burstMicros / LOAN_PART);
     const wanted = Math.floor(Math.min(request.wantedMicros, most));
     const grantedMicros = loans.grant(request.loan, wanted, nowMs);
@@ -125,20 +120,19 @@
   }
 
   #create(id: string, terms: Terms, share: Share): Holding {
-    const bucket = new Bucket(share, this.#gainsFromMs());
+    const bucket = new Bucket(share, this.#gainsFrom());
     const holding = {bucket, loans: new Loans(bucket), terms};
     this.#holdings.set(id, holding);
     return holding;
   }
 
-  /**
-   * A bucket that nobody asked of yet has gained since this daemon could
-   * first grant all of the share.
-   */
-  #gainsFromMs(): number {
-    const nowMs = performance.now();
-    const movedMs = this.#options.generations.movedDutiesFromMs() ?? nowMs;
-    return Math.max(this.#openAtMs, Math.min(nowMs, movedMs + LOAN_LAPSE_MS));
+  #gainsFrom(): number {
+    const {generations} = this.#options;
+    return gainsFromMs({
+      nowMs: performance.now(),
+      processStartedAtMs: this.#startedAtMs,
+      movedDutiesFromMs: generations.movedDutiesFromMs(),
+    });
   }
 
   #usable(terms: Terms, nowMs: number): Share {
