--- a/features/support/process.ts
+++ b/features/support/process.ts
@@ -48,6 +48,11 @@
     return new TestProcess(child, firstLine, errors);
   }
 
+  /** The process id. */
+  get pid(): number {
+    return this.#child.pid ?? 0;
+  }
+
   get running(): boolean {
     return this.#child.exitCode === null && this.#child.signalCode === null;
   }
