--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -19,9 +19,10 @@
 import {FleetAuthority} from '../member/fleet_authority.js';
 import {WebSocketLinks} from '../member/links.js';
 import {SwimMembership} from '../member/membership.js';
+import {PeerClocks} from '../member/peer_clocks.js';
 import type {Metrics} from '../metrics/metrics.js';
 import {HttpStore} from '../platform/http_store.js';
-import {StaticLimiter} from '../rates/static_limiter.js';
+import {EscrowLimiter} from '../rates/escrow.js';
 import {Gates} from '../router/gates.js';
 import {Router} from '../router/router.js';
 import type {Settings} from '../settings/schema.js';
@@ -50,6 +51,7 @@
   readonly links: WebSocketLinks;
   readonly membership: SwimMembership;
   readonly authority: FleetAuthority;
+  readonly limiter: EscrowLimiter;
   readonly gate: Gate;
   readonly gates: Gates;
 }
@@ -92,6 +94,7 @@
     parts.watcher.start();
     parts.spread.start();
     parts.authority.start();
+    parts.limiter.start();
     parts.gate.start();
     this.#options.log.info(`Listening for callers on ${bound.callers}.`);
     return bound;
@@ -109,6 +112,7 @@
     await parts.gates.stop();
     parts.watcher.stop();
     parts.spread.stop();
+    parts.limiter.stop();
     parts.authority.stop();
     parts.membership.stop();
     parts.links.stop();
@@ -154,13 +158,29 @@
       log: log.for('generations'),
       readRevision: () => readFreshRevision(store),
     });
+    const limiter = new EscrowLimiter({
+      self: membership.self(),
+      links,
+      generations: authority.generations,
+      vouches: authority.vouches,
+      customer: id => keeper.tables().customer(id),
+      log: log.for('rates'),
+    });
     const gate = new Gate({
       maxQueueMs: settings.limits.maxQueueMs,
       maxQueuePerCustomer: settings.limits.maxQueuePerCustomer,
       log: log.for('gate'),
       onSlots: slots => membership.update({slots}),
     });
-    const gates = new Gates({own: gate, membership, links, secret, dial});
+    const clocks = new PeerClocks(links);
+    const gates = new Gates({
+      own: gate,
+      membership,
+      links,
+      clocks,
+      secret,
+      dial,
+    });
     return {
       store,
       keeper,
@@ -169,6 +189,7 @@
       links,
       membership,
       authority,
+      limiter,
       gate,
       gates,
     };
@@ -180,7 +201,7 @@
     const {callers, administration, instances, peers} = this.#servers;
     const router = new Router({
       tables: () => parts.keeper.tables(),
-      limiter: new StaticLimiter(() => parts.membership.members().length),
+      limiter: parts.limiter,
       gates: parts.gates,
       log: log.for('router'),
       metrics,
--- a/src/wire/messages.ts
+++ b/src/wire/messages.ts
@@ -4,8 +4,10 @@
  */
 import type {ConfigurationMessages} from '../configuration/messages.js';
 import type {GateMessages} from '../gate/messages.js';
+import type {ClockMessages} from '../member/clock_messages.js';
 import type {MemberMessages} from '../member/messages.js';
 import type {WitnessMessages} from '../member/witness_messages.js';
+import type {RateMessages} from '../rates/messages.js';
 
 /** One kind of message: what is asked, and what is answered. */
 export interface Exchange<Request, Reply> {
@@ -16,10 +18,12 @@
 /** Every kind of message between daemons. */
 export interface Messages
   extends
-    MemberMessages,
-    WitnessMessages,
+    ClockMessages,
     ConfigurationMessages,
-    GateMessages {}
+    GateMessages,
+    MemberMessages,
+    RateMessages,
+    WitnessMessages {}
 
 /** The name of a kind of message. */
 export type MessageKind = keyof Messages & string;
