Refuse what is ambiguous, claim idempotency keys, and leave gracefully

Cause: paths and framing that a backend server may read differently went through; a re-sent Idempotency-Key ran again; an idempotent request whose first attempt may have run was told 'not run' when the second gate was busy; a planned stop closed idle connections while requests were on their way, and instances learned of it only by the end of the process.

The router is split into target, receiving, attempts and keyed requests. Retries after an unknown outcome draw a rate token of their own. A daemon that leaves sends no new work to its instances, sends idle ones away, and lets callers' connections end by themselves.

Ruled out: asking the holders of older generations as well; a router that was restarted does not know them, so a holder itself has to know since when it is one.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -11,6 +11,11 @@
 import {serveAnnouncements} from '../gate/announcements.js';
 import {Gate} from '../gate/gate.js';
 import {serveHop, serveReservations} from '../gate/hop_server.js';
+import {Claims} from '../idempotency/claims.js';
+import {AssumedGenerations} from '../idempotency/assumed_generation.js';
+import {Holders} from '../idempotency/holders.js';
+import {Ledger} from '../idempotency/ledger.js';
+import {createCallersServer, drainCallers} from '../http/callers.js';
 import {close, listen} from '../http/listener.js';
 import type {Logger} from '../log/logger.js';
 import {WebSocketLinks} from '../member/links.js';
@@ -45,6 +50,8 @@
   readonly membership: Gossip;
   readonly gate: Gate;
   readonly gates: Gates;
+  readonly ledger: Ledger;
+  readonly claims: Claims;
 }
 
 interface Servers {
@@ -62,16 +69,22 @@
   readonly #options: DaemonOptions;
   readonly #servers: Servers;
   #parts: Parts | undefined;
+  #router: Router | undefined;
 
   constructor(options: DaemonOptions) {
     this.#options = options;
     const {maxHeaderBytes} = options.settings.limits;
-    const http = {maxHeaderSize: maxHeaderBytes, requireHostHeader: true};
+    const http = {maxHeaderSize: maxHeaderBytes};
     this.#servers = {
-      callers: createServer(http),
+      callers: createCallersServer(maxHeaderBytes),
       administration: createServer(http),
       instances: createServer(http),
-      peers: createServer({maxHeaderSize: maxHeaderBytes * 2}),
+      peers: createServer({
+        maxHeaderSize: maxHeaderBytes * 2,
+        requestTimeout: 0,
+        // Longer than peers keep idle connections, so that they close first.
+        keepAliveTimeout: 30_000,
+      }),
     };
   }
 
@@ -84,6 +97,7 @@
     parts.keeper.start();
     parts.membership.start();
     parts.gate.start();
+    parts.ledger.start();
     this.#options.log.info(`Listening for callers on ${bound.callers}.`);
     return bound;
   }
@@ -93,11 +107,14 @@
     const parts = this.#parts;
     if (!parts) return;
     this.#options.log.info('Leaving.');
+    parts.gate.leave();
+    this.#router?.leave();
     parts.membership.update({state: 'leaving'});
     await new Promise(resolve => setTimeout(resolve, LEAVE_PAUSE_MS));
-    await close(this.#servers.callers);
+    await drainCallers(this.#servers.callers);
     await parts.gate.stop();
     await parts.gates.stop();
+    parts.ledger.stop();
     parts.keeper.stop();
     parts.membership.stop();
     parts.links.stop();
@@ -139,21 +156,34 @@
       onSlots: slots => membership.update({slots}),
     });
     const gates = new Gates({own: gate, membership, links, secret, dial});
-    return {store, keeper, links, membership, gate, gates};
+    const retentionMs = settings.limits.idempotencyRetentionMs;
+    const selfId = settings.daemon.id;
+    const holders = new Holders({
+      selfId,
+      generations: new AssumedGenerations(membership),
+      retentionMs,
+    });
+    const ledger = new Ledger(retentionMs, name => holders.heldSinceMs(name));
+    const isCurrent = () => true;
+    const claims = new Claims({selfId, holders, ledger, links, isCurrent});
+    return {store, keeper, links, membership, gate, gates, ledger, claims};
   }
 
   /** Registers the parts on the servers. */
   #connect(parts: Parts): void {
     const {settings, log, metrics} = this.#options;
     const {callers, administration, instances, peers} = this.#servers;
-    const router = new Router({
+    this.#router = new Router({
       tables: () => parts.keeper.tables(),
       limiter: new StaticLimiter(() => parts.membership.members().length),
       gates: parts.gates,
+      claims: parts.claims,
       log: log.for('router'),
       metrics,
     });
-    const app = polka({onNoMatch: (req, res) => router.handle(req, res)});
+    const app = polka({
+      onNoMatch: (req, res) => this.#router?.handle(req, res),
+    });
     callers.on('request', app.handler);
     new Administration({
       server: administration,
--- a/src/errors/catalogue.ts
+++ b/src/errors/catalogue.ts
@@ -72,6 +72,12 @@
     hint: 'Check that the daemon runs and that its peer port is open.',
     exitCode: EXIT_CODES.unavailable,
   }),
+  ledgerFull: kind<{entries: number}>({
+    title: 'A daemon holds too many idempotency keys',
+    message: d => `${d.entries} keys are held`,
+    hint: 'Lower the retention time of idempotency keys, or add daemons.',
+    exitCode: EXIT_CODES.unavailable,
+  }),
   frameInvalid: kind<{peer: string; reason: string}>({
     title: 'A daemon sent a frame that cannot be read',
     message: d => `${d.peer}: ${d.reason}`,
--- a/src/gate/announcements.ts
+++ b/src/gate/announcements.ts
@@ -12,8 +12,9 @@
       const text = await readText(req);
       const result = announcementSchema.safeParse(parseJson(text));
       if (!result.success) return send(res, 400, result.error.message);
-      instances.announce(String(req.params['id']), result.data);
-      send(res, 204);
+      const isTaken = instances.announce(String(req.params['id']), result.data);
+      if (isTaken) send(res, 204);
+      else send(res, 503, 'this daemon is leaving, announce to another');
     })
     .delete('/v1/instances/:id', (req, res) => {
       instances.withdraw(String(req.params['id']));
--- a/src/gate/gate.ts
+++ b/src/gate/gate.ts
@@ -46,6 +46,11 @@
     this.instances.start();
   }
 
+  /** Sends no new work to instances, and lets them announce elsewhere. */
+  leave(): void {
+    this.instances.leave();
+  }
+
   /** Takes no new work, and waits until all work has ended. */
   async stop(): Promise<void> {
     this.#stopping = true;
--- a/src/gate/instances.ts
+++ b/src/gate/instances.ts
@@ -32,6 +32,9 @@
 /** How long an announcement holds without a renewal. */
 export const ANNOUNCEMENT_TTL_MS = 3000;
 
+/** How long a daemon that leaves keeps an instance that is still busy. */
+const KEEP_BUSY_MS = 3000;
+
 const CONNECT_TIMEOUT_MS = 500;
 const KEEP_ALIVE_MS = 4000;
 
@@ -40,6 +43,7 @@
   readonly #instances = new Map<string, Instance>();
   readonly #onChange: () => void;
   #timer: NodeJS.Timeout | undefined;
+  #leftAtMs = Infinity;
 
   constructor(onChange: () => void) {
     this.#onChange = onChange;
@@ -55,8 +59,31 @@
     await Promise.all(all.map(instance => instance.dispatcher.close()));
   }
 
-  /** Takes in or renews an instance. */
-  announce(id: string, announcement: Announcement): void {
+  /**
+   * From now on every instance counts as draining, and is sent away as soon
+   * as it has no work of this daemon's any more.
+   */
+  leave(): void {
+    this.#leftAtMs = performance.now();
+    this.all().forEach(({id, announcement}) => this.#put(id, announcement));
+  }
+
+  /** Takes in or renews an instance; false if it is to announce elsewhere. */
+  announce(id: string, announcement: Announcement): boolean {
+    const leftForMs = performance.now() - this.#leftAtMs;
+    const busy = this.#instances.get(id)?.busy ?? 0;
+    if (leftForMs >= 0 && (busy === 0 || leftForMs > KEEP_BUSY_MS)) {
+      this.withdraw(id);
+      return false;
+    }
+    this.#put(id, announcement);
+    return true;
+  }
+
+  #put(id: string, said: Announcement): void {
+    const isLeaving = this.#leftAtMs < Infinity;
+    const draining = said.draining || isLeaving;
+    const announcement = {...said, draining};
     const last = this.#instances.get(id);
     const same = last?.announcement.address === announcement.address;
     if (last && !same) void last.dispatcher.close();
--- /dev/null
+++ b/src/idempotency/claims.ts
@@ -0,0 +1,130 @@
+/**
+ * Claims of idempotency keys as the router makes them. Before a keyed request
+ * runs, its key is claimed at every holder, one after the other and in the
+ * same order everywhere, so that of two racing attempts the one that reaches
+ * the first holder first usually wins, and never both.
+ */
+import {createHash, randomUUID} from 'node:crypto';
+import type {Links} from '../member/links.js';
+import type {GenerationMember} from '../member/generation.js';
+import type {Holders} from './holders.js';
+import type {Ledger} from './ledger.js';
+import type {FirstRun, Settlement} from './messages.js';
+import {decideClaim, SILENT_RETRY_MS, type HolderAnswer} from './rules.js';
+
+/** What the router may do with a keyed request. */
+export type Claim =
+  | {
+      readonly verdict: 'run';
+      /** Tells the holders how the request ended; never waits, never fails. */
+      settle(settlement: Settlement): void;
+    }
+  | {readonly verdict: 'seen'; readonly first: FirstRun}
+  | {readonly verdict: 'unsure'; readonly retryAfterMs: number};
+
+/** Options of {@link Claims}. */
+export interface ClaimsOptions {
+  readonly selfId: string;
+  readonly holders: Holders;
+  readonly ledger: Ledger;
+  readonly links: Links;
+  /** False while a newer generation may exist that isn't known here. */
+  readonly isCurrent: () => boolean;
+}
+
+const CLAIM_TIMEOUT_MS = 500;
+const SETTLE_TIMEOUT_MS = 2000;
+
+/** Claims keys at their holders. */
+export class Claims {
+  readonly #options: ClaimsOptions;
+
+  constructor(options: ClaimsOptions) {
+    this.#options = options;
+    const {ledger, links} = options;
+    links.handle('idempotency.claim', ({name, attempt}) =>
+      ledger.claim(name, attempt),
+    );
+    links.handle('idempotency.settle', ({name, attempt, settlement}) => ({
+      known: ledger.settle(name, attempt, settlement),
+    }));
+  }
+
+  /** Claims a key of a customer; `scope` keeps customers apart. */
+  async claim(scope: string, key: string): Promise<Claim> {
+    const name = nameOf(scope, key);
+    const attempt = randomUUID();
+    const holders = this.#options.holders.of(name);
+    if (!this.#options.isCurrent()) {
+      return {verdict: 'unsure', retryAfterMs: SILENT_RETRY_MS};
+    }
+    const answers = await this.#ask(name, attempt, holders);
+    const settle = (settlement: Settlement) =>
+      holders
+        .slice(0, answers.length)
+        .forEach(holder => this.#settle(holder, name, attempt, settlement));
+    const verdict = decideClaim(answers, holders.length);
+    if (verdict.verdict === 'run') return {verdict: 'run', settle};
+    settle('released');
+    return verdict;
+  }
+
+  /** Asks one holder after the other; ends early if one refuses. */
+  async #ask(
+    name: string,
+    attempt: string,
+    holders: readonly GenerationMember[],
+  ): Promise<readonly HolderAnswer[]> {
+    const answers: HolderAnswer[] = [];
+    for (const holder of holders) {
+      const answer = await this.#askOne(holder, name, attempt);
+      answers.push(answer);
+      if (answer.answer !== 'fresh') return answers;
+    }
+    return answers;
+  }
+
+  async #askOne(
+    holder: GenerationMember,
+    name: string,
+    attempt: string,
+  ): Promise<HolderAnswer> {
+    const {selfId, ledger, links} = this.#options;
+    const body = {name, attempt};
+    try {
+      if (holder.id === selfId) return ledger.claim(name, attempt);
+      return await links.call(
+        holder.peersAddress,
+        'idempotency.claim',
+        body,
+        CLAIM_TIMEOUT_MS,
+      );
+    } catch {
+      return SILENT;
+    }
+  }
+
+  #settle(
+    holder: GenerationMember,
+    name: string,
+    attempt: string,
+    settlement: Settlement,
+  ): void {
+    const {selfId, ledger, links} = this.#options;
+    if (holder.id === selfId) {
+      ledger.settle(name, attempt, settlement);
+      return;
+    }
+    const body = {name, attempt, settlement};
+    // A lost release only refuses the key for the retention time.
+    links
+      .call(holder.peersAddress, 'idempotency.settle', body, SETTLE_TIMEOUT_MS)
+      .catch(() => undefined);
+  }
+}
+
+const SILENT: HolderAnswer = {answer: 'silent'};
+
+function nameOf(scope: string, key: string): string {
+  return createHash('sha256').update(`${scope}\n${key}`).digest('base64url');
+}
--- /dev/null
+++ b/src/idempotency/ledger.ts
@@ -0,0 +1,75 @@
+/**
+ * What one holder remembers of idempotency keys. An entry stays for the
+ * retention time from its claim on. Nothing is kept over a restart: until a
+ * process has been a holder for the retention time, it is forgetful.
+ */
+import {Failure} from '../errors/failure.js';
+import type {ClaimAnswer, FirstRun, Settlement} from './messages.js';
+
+/** Entries that a holder takes, at most. */
+const MAX_ENTRIES = 100_000;
+const SWEEP_SHARE = 10;
+
+interface Entry {
+  readonly attempt: string;
+  readonly state: FirstRun;
+  /** When it was claimed; monotonic clock, milliseconds. */
+  readonly atMs: number;
+}
+
+/** The entries of one holder. */
+export class Ledger {
+  readonly #retentionMs: number;
+  readonly #heldSinceMs: (name: string) => number;
+  /** In the order of their claims. */
+  readonly #entries = new Map<string, Entry>();
+  #timer: NodeJS.Timeout | undefined;
+
+  /** `heldSinceMs` tells since when attempts with a key are recorded here. */
+  constructor(retentionMs: number, heldSinceMs: (name: string) => number) {
+    this.#retentionMs = retentionMs;
+    this.#heldSinceMs = heldSinceMs;
+  }
+
+  start(): void {
+    const sweep = () => this.#sweep();
+    this.#timer = setInterval(sweep, this.#retentionMs / SWEEP_SHARE);
+  }
+
+  stop(): void {
+    clearInterval(this.#timer);
+  }
+
+  /** Records an attempt unless the key is known; throws `ledgerFull`. */
+  claim(name: string, attempt: string): ClaimAnswer {
+    const nowMs = performance.now();
+    const known = this.#entries.get(name);
+    if (known && nowMs - known.atMs < this.#retentionMs) {
+      return {answer: 'seen', first: known.state};
+    }
+    if (this.#entries.size >= MAX_ENTRIES) {
+      throw new Failure('ledgerFull', {entries: this.#entries.size});
+    }
+    this.#entries.delete(name);
+    this.#entries.set(name, {attempt, state: 'running', atMs: nowMs});
+    const heldMs = nowMs - this.#heldSinceMs(name);
+    const forgetfulMs = Math.max(0, Math.ceil(this.#retentionMs - heldMs));
+    return {answer: 'fresh', forgetfulMs};
+  }
+
+  /** Notes how an attempt ended; false if it isn't known. */
+  settle(name: string, attempt: string, settlement: Settlement): boolean {
+    const entry = this.#entries.get(name);
+    if (entry?.attempt !== attempt) return false;
+    if (settlement === 'released') this.#entries.delete(name);
+    else this.#entries.set(name, {...entry, state: settlement});
+    return true;
+  }
+
+  #sweep(): void {
+    const oldestMs = performance.now() - this.#retentionMs;
+    [...this.#entries]
+      .filter(([, entry]) => entry.atMs < oldestMs)
+      .forEach(([name]) => this.#entries.delete(name));
+  }
+}
--- a/src/member/membership.ts
+++ b/src/member/membership.ts
@@ -81,6 +81,8 @@
   update(change: Partial<Pick<MemberRecord, 'state' | 'slots'>>): void {
     const version = this.#self.version + 1;
     this.#self = {...this.#self, ...change, version};
+    // Others must not send new work for a whole interval more.
+    if (change.state !== undefined) void this.#syncAll();
   }
 
   /** Exchanges once with every known daemon. */
--- a/src/router/headers.ts
+++ b/src/router/headers.ts
@@ -3,6 +3,7 @@
  * stay here; the request id, the customer and the caller's address are added.
  */
 import type {IncomingMessage} from 'node:http';
+import {traceHeaders} from './trace.js';
 
 const HOP_BY_HOP: ReadonlySet<string> = new Set([
   'connection',
@@ -23,9 +24,13 @@
   'x-request-id',
   'x-customer',
   'x-forwarded-for',
+  'traceparent',
+  'tracestate',
 ]);
 
 const RESERVED_PREFIX = 'x-chicorycourse-';
+/** Shorter texts are no keys, and may stand anywhere by chance. */
+const MIN_KEY_LENGTH = 8;
 const BEARER = /^bearer\s+/i;
 
 /** The key that came with a request, if any. */
@@ -37,6 +42,18 @@
   return authorization.replace(BEARER, '').trim() || undefined;
 }
 
+/** True if a text contains the key, plainly or percent-encoded. */
+export function carriesKey(text: string, key: string | undefined): boolean {
+  if (key === undefined || key.length < MIN_KEY_LENGTH) return false;
+  return text.includes(key) || decoded(text).includes(key);
+}
+
+function decoded(text: string): string {
+  return text.replace(/%([0-9a-f]{2})/gi, (_, code: string) =>
+    String.fromCharCode(parseInt(code, 16)),
+  );
+}
+
 /** What is added to a forwarded request. */
 export interface ForwardedDetail {
   readonly requestId: string;
@@ -66,6 +83,7 @@
     detail.requestId,
     'x-forwarded-for',
     before === undefined ? from : `${String(before)}, ${from}`,
+    ...traceHeaders(req),
     'x-deadline-ms',
     String(Math.max(0, Math.round(detail.leftMs))),
     ...(detail.customer === undefined ? [] : ['x-customer', detail.customer]),
@@ -74,9 +92,15 @@
 
 /** Fields for the caller, without the hop-by-hop ones. */
 export function returnedHeaders(headers: readonly string[]): readonly string[] {
+  const connection = headers.findIndex((name, index) => {
+    return index % 2 === 0 && name.toLowerCase() === 'connection';
+  });
+  const field = connection < 0 ? undefined : headers[connection + 1];
+  const named = namedByConnection(field);
   return headers.filter((_, index) => {
     const name = (headers[index - (index % 2)] ?? '').toLowerCase();
-    return !HOP_BY_HOP.has(name) && !name.startsWith(RESERVED_PREFIX);
+    if (HOP_BY_HOP.has(name) || named.has(name)) return false;
+    return !name.startsWith(RESERVED_PREFIX);
   });
 }
 
@@ -89,7 +113,7 @@
   if (name.startsWith(RESERVED_PREFIX) || name === 'x-deadline-ms')
     return false;
   if (name === 'authorization' && BEARER.test(value)) return false;
-  return key === undefined || !value.includes(key);
+  return !carriesKey(name, key) && !carriesKey(value, key);
 }
 
 function namedByConnection(field: string | undefined): ReadonlySet<string> {
--- /dev/null
+++ b/src/router/keyed.ts
@@ -0,0 +1,41 @@
+/** Idempotency keys as callers send them (`Idempotency-Key`). */
+import type {IncomingMessage} from 'node:http';
+import type {Outcome, Work} from '../gate/work.js';
+import type {Settlement} from '../idempotency/messages.js';
+import type {Granted} from './access.js';
+
+/** A key, and whose it is. */
+export interface WantedClaim {
+  readonly scope: string;
+  readonly key: string;
+}
+
+const KEY = /^[\x21-\x7e][\x20-\x7e]{0,254}$/;
+
+/**
+ * The claim that a request needs: none without a key or if it may safely run
+ * twice. On a route that is open to all, the key belongs to the route.
+ */
+export function wantedClaim(
+  req: IncomingMessage,
+  work: Work,
+  access: Granted,
+): WantedClaim | 'invalid' | undefined {
+  const key = req.headers['idempotency-key'];
+  if (key === undefined || work.idempotent) return undefined;
+  if (typeof key !== 'string' || !KEY.test(key)) return 'invalid';
+  const {customer, route} = access;
+  const scope = customer ? `customer ${customer.id}` : `route ${route.id}`;
+  return {scope, key};
+}
+
+/** What the holders of the key are told. */
+export function settlementOf(outcome: Outcome): Settlement {
+  return SETTLEMENTS[outcome.kind];
+}
+
+const SETTLEMENTS: Readonly<Record<Outcome['kind'], Settlement>> = {
+  answered: 'finished',
+  unknown: 'unknown',
+  'not-run': 'released',
+};
--- a/src/router/refusals.ts
+++ b/src/router/refusals.ts
@@ -4,6 +4,7 @@
  * `unknown` means that it may have run.
  */
 import type {ServerResponse} from 'node:http';
+import type {FirstRun} from '../idempotency/messages.js';
 
 interface RefusalKind {
   readonly status: number;
@@ -32,6 +33,16 @@
     ran: 'no',
   },
   'body-broken': {status: 400, title: 'The body was cut short', ran: 'no'},
+  'key-reused': {
+    status: 409,
+    title: 'A request with this idempotency key came before',
+    ran: 'no',
+  },
+  'key-unsure': {
+    status: 503,
+    title: 'Whether this idempotency key came before cannot be known now',
+    ran: 'no',
+  },
   deadline: {status: 504, title: 'The deadline passed in the queue', ran: 'no'},
   stopping: {status: 503, title: 'This daemon is stopping', ran: 'no'},
   'not-ready': {status: 503, title: 'No configuration is known', ran: 'no'},
@@ -51,6 +62,8 @@
 export interface RefusalDetail {
   readonly requestId?: string;
   readonly detail?: string;
+  /** What is known of the request that an idempotency key first came with. */
+  readonly first?: FirstRun;
   /** When coming back helps, in milliseconds from now. */
   readonly retryAfterMs?: number;
 }
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -9,35 +9,31 @@
 import type {Customer, Route} from '../configuration/records.js';
 import type {Tables} from '../configuration/tables.js';
 import {reasonOf} from '../errors/failure.js';
-import type {RequestBody} from '../gate/body.js';
 import type {Answered, NotRun, Outcome, Unknown, Work} from '../gate/work.js';
+import type {Claims} from '../idempotency/claims.js';
 import type {Logger} from '../log/logger.js';
 import type {Metrics} from '../metrics/metrics.js';
 import type {RateLimiter, RateToken} from '../rates/limiter.js';
-import {decideAccess} from './access.js';
+import {decideAccess, type Granted} from './access.js';
+import {attempt} from './attempts.js';
 import type {Gates} from './gates.js';
-import {forwardedHeaders, keyOf, returnedHeaders} from './headers.js';
+import {carriesKey, keyOf, returnedHeaders} from './headers.js';
+import {settlementOf, wantedClaim} from './keyed.js';
 import {receiveBody} from './receive.js';
-import {refuse, type RefusalName} from './refusals.js';
+import {refuse, type RefusalDetail, type RefusalName} from './refusals.js';
+import {isServable, targetOf} from './target.js';
+import {makeWork} from './work_maker.js';
 
 /** Options of {@link Router}. */
 export interface RouterOptions {
   readonly tables: () => Tables;
   readonly limiter: RateLimiter;
   readonly gates: Gates;
+  readonly claims: Claims;
   readonly log: Logger;
   readonly metrics: Metrics;
 }
 
-const MAX_ATTEMPTS = 3;
-const IDEMPOTENT_METHODS: ReadonlySet<string> = new Set([
-  'GET',
-  'HEAD',
-  'OPTIONS',
-  'PUT',
-  'DELETE',
-]);
-
 /** What a caller is told after the last attempt. */
 const REFUSAL_OF: Readonly<Record<(NotRun | Unknown)['reason'], RefusalName>> =
   {
@@ -54,95 +50,146 @@
 
 const RETRY_AFTER_MS = 1000;
 
+/** One request while it is served. */
+interface Visit {
+  readonly req: IncomingMessage;
+  readonly res: ServerResponse;
+  readonly requestId: string;
+  readonly refuse: (name: RefusalName, detail?: RefusalDetail) => void;
+}
+
 /** The router of one daemon. */
 export class Router {
   readonly #options: RouterOptions;
+  #leaving = false;
 
   constructor(options: RouterOptions) {
     this.#options = options;
   }
 
+  /** From now on every answer ends its connection. */
+  leave(): void {
+    this.#leaving = true;
+  }
+
   /** Serves one request of a caller; never throws. */
   async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const requestId = requestIdOf(req);
+    const visit: Visit = {
+      req,
+      res,
+      requestId,
+      refuse: (name, detail) => refuse(res, name, {requestId, ...detail}),
+    };
+    if (this.#leaving) res.setHeader('connection', 'close');
     try {
-      await this.#serve(req, res, requestId);
+      await this.#serve(visit);
     } catch (err) {
       this.#options.log.error(`Request ${requestId}: ${reasonOf(err)}.`);
       if (res.headersSent) res.destroy();
-      else refuse(res, 'internal', {requestId});
+      else visit.refuse('internal');
     }
   }
 
-  async #serve(
-    req: IncomingMessage,
-    res: ServerResponse,
-    requestId: string,
-  ): Promise<void> {
+  async #serve(visit: Visit): Promise<void> {
+    const {req} = visit;
     const arrivedAtMs = performance.now();
-    const tables = this.#options.tables();
-    if (tables.revision === 0) return refuse(res, 'not-ready', {requestId});
-    const key = keyOf(req);
-    const access = decideAccess(tables, hostOf(req), pathOf(req), key);
-    if (!access.granted) return refuse(res, access.refusal, {requestId});
+    if (!isServable(req)) return visit.refuse('bad-request');
+    const access = this.#access(req);
+    if (!access.granted) return visit.refuse(access.refusal);
     const {route, customer} = access;
     const deadlineAtMs = arrivedAtMs + route.deadlineMs;
     const received = await receiveBody(req, deadlineAtMs);
-    if ('failure' in received) {
-      return refuse(res, received.failure, {requestId});
-    }
+    if ('failure' in received) return visit.refuse(received.failure);
+    // The key may have been withdrawn while a slow body came.
+    const still = received.body ? this.#access(req) : access;
+    if (!still.granted) return visit.refuse(still.refusal);
     const admission = customer && (await this.#options.limiter.admit(customer));
     if (admission && !admission.admitted) {
       const {reason, retryAfterMs} = admission;
       this.#count(route, customer, reason);
-      return refuse(res, reason, {requestId, retryAfterMs});
+      return visit.refuse(reason, {retryAfterMs});
     }
-    const work = makeWork(req, res, {
-      body: received.body,
-      requestId,
-      route,
-      customer,
-      key,
-      deadlineAtMs,
-      token: admission?.token,
-    });
-    const outcome = await this.#attempt(work);
-    if (outcome.kind === 'not-run') admission?.token.giveBack();
-    this.#count(route, customer, outcome.kind);
-    await this.#finish(res, outcome, requestId);
+    const key = keyOf(req);
+    const {requestId, res} = visit;
+    const {body} = received;
+    const token = admission?.token;
+    const detail = {requestId, route, customer, key, body, deadlineAtMs, token};
+    await this.#run(visit, makeWork(req, res, detail), access);
   }
 
-  /** Tries gates until one answers or the request must not go again. */
-  async #attempt(work: Work): Promise<Outcome> {
-    const tried = new Set<string>();
-    let last: Outcome = {kind: 'not-run', reason: 'no-instance'};
-    while (tried.size < MAX_ATTEMPTS) {
-      const candidate = this.#options.gates.next(work.service, tried);
-      if (!candidate) return last;
-      tried.add(candidate.memberId);
-      last = await candidate.door.run(work);
-      if (!mayGoAgain(last, work)) return last;
+  #access(req: IncomingMessage) {
+    const tables = this.#options.tables();
+    const refused = (refusal: RefusalName) => {
+      return {granted: false, refusal} as const;
+    };
+    if (tables.revision === 0) return refused('not-ready');
+    const target = targetOf(req);
+    const key = keyOf(req);
+    if (!target || carriesKey(req.url ?? '', key)) {
+      return refused('bad-request');
     }
-    return last;
+    return decideAccess(tables, target.host, target.path, key);
   }
 
-  async #finish(
-    res: ServerResponse,
-    outcome: Outcome,
-    requestId: string,
-  ): Promise<void> {
-    if (outcome.kind === 'answered') return this.#answer(res, outcome);
-    if (res.destroyed) return;
+  /** Claims the idempotency key if there is one, runs, and answers. */
+  async #run(visit: Visit, work: Work, access: Granted): Promise<void> {
+    const {route, customer} = access;
+    const wanted = wantedClaim(visit.req, work, access);
+    if (wanted === 'invalid') {
+      work.token?.giveBack();
+      return visit.refuse('bad-request');
+    }
+    const {claims} = this.#options;
+    const claim = wanted && (await claims.claim(wanted.scope, wanted.key));
+    if (claim && claim.verdict !== 'run') {
+      work.token?.giveBack();
+      this.#count(route, customer, `key-${claim.verdict}`);
+      if (claim.verdict === 'unsure') return visit.refuse('key-unsure', claim);
+      return visit.refuse('key-reused', {first: claim.first});
+    }
+    const outcome = await this.#attempt(work, customer).catch(
+      (err: unknown) => {
+        claim?.settle('unknown');
+        throw err;
+      },
+    );
+    if (outcome.kind === 'not-run') work.token?.giveBack();
+    claim?.settle(settlementOf(outcome));
+    this.#count(route, customer, outcome.kind);
+    await this.#finish(visit, outcome);
+  }
+
+  #attempt(work: Work, customer: Customer | undefined): Promise<Outcome> {
+    const {gates, limiter} = this.#options;
+    const draw = async (): Promise<RateToken | undefined> => {
+      const admission = customer && (await limiter.admit(customer));
+      return admission?.admitted ? admission.token : undefined;
+    };
+    const next = (tried: ReadonlySet<string>) =>
+      gates.next(work.service, tried);
+    return attempt(work, {next, draw});
+  }
+
+  async #finish(visit: Visit, outcome: Outcome): Promise<void> {
+    if (outcome.kind === 'answered') return this.#answer(visit, outcome);
+    if (visit.res.destroyed) return;
     const retryAfterMs =
       outcome.kind === 'not-run'
         ? (outcome.retryAfterMs ?? RETRY_AFTER_MS)
         : undefined;
-    refuse(res, REFUSAL_OF[outcome.reason], {requestId, retryAfterMs});
+    visit.refuse(REFUSAL_OF[outcome.reason], {retryAfterMs});
   }
 
-  async #answer(res: ServerResponse, answer: Answered): Promise<void> {
-    res.writeHead(answer.status, [...returnedHeaders(answer.headers)]);
-    await pipeline(answer.body, res).catch(() => res.destroy());
+  async #answer({res}: Visit, answer: Answered): Promise<void> {
+    try {
+      if (this.#leaving) res.setHeader('connection', 'close');
+      res.writeHead(answer.status, [...returnedHeaders(answer.headers)]);
+      await pipeline(answer.body, res);
+    } catch {
+      answer.body.destroy();
+      res.destroy();
+    }
   }
 
   #count(route: Route, customer: Customer | undefined, outcome: string): void {
@@ -154,68 +201,6 @@
   }
 }
 
-interface WorkDetail {
-  readonly body: RequestBody | undefined;
-  readonly requestId: string;
-  readonly route: Route;
-  readonly customer: Customer | undefined;
-  readonly key: string | undefined;
-  readonly deadlineAtMs: number;
-  readonly token: RateToken | undefined;
-}
-
-function makeWork(
-  req: IncomingMessage,
-  res: ServerResponse,
-  detail: WorkDetail,
-): Work {
-  const {requestId, route, customer, key, deadlineAtMs, token, body} = detail;
-  const gone = new AbortController();
-  res.on('close', () => {
-    if (!res.writableFinished) gone.abort();
-  });
-  const method = req.method ?? 'GET';
-  const leftMs = deadlineAtMs - performance.now();
-  return {
-    requestId,
-    service: route.service,
-    method,
-    path: req.url ?? '/',
-    headers: forwardedHeaders(req, {
-      requestId,
-      customer: customer?.id,
-      key,
-      leftMs,
-    }),
-    body,
-    customer: customer?.id,
-    idempotent: isIdempotent(route, method),
-    deadlineAtMs,
-    token,
-    signal: gone.signal,
-  };
-}
-
-function mayGoAgain(outcome: Outcome, work: Work): boolean {
-  if (outcome.kind === 'answered' || work.signal.aborted) return false;
-  if (work.body?.replayable === false) return false;
-  if (outcome.kind === 'unknown') return work.idempotent;
-  return performance.now() < work.deadlineAtMs;
-}
-
-function isIdempotent(route: Route, method: string): boolean {
-  if (route.idempotent === 'by-method') return IDEMPOTENT_METHODS.has(method);
-  return route.idempotent === 'yes';
-}
-
-function hostOf(req: IncomingMessage): string {
-  return (req.headers.host ?? '').replace(/:\d+$/, '').toLowerCase();
-}
-
-function pathOf(req: IncomingMessage): string {
-  return (req.url ?? '/').split('?')[0] ?? '/';
-}
-
 function requestIdOf(req: IncomingMessage): string {
   const given = req.headers['x-request-id'];
   const usable = typeof given === 'string' && /^[\w.:-]{1,128}$/.test(given);
--- /dev/null
+++ b/src/router/work_maker.ts
@@ -0,0 +1,66 @@
+/** Makes the work for the gates out of a caller's request. */
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Customer, Route} from '../configuration/records.js';
+import type {RequestBody} from '../gate/body.js';
+import type {Work} from '../gate/work.js';
+import type {RateToken} from '../rates/limiter.js';
+import {forwardedHeaders} from './headers.js';
+
+/** What the router found out about a request. */
+export interface WorkDetail {
+  readonly body: RequestBody | undefined;
+  readonly requestId: string;
+  readonly route: Route;
+  readonly customer: Customer | undefined;
+  readonly key: string | undefined;
+  readonly deadlineAtMs: number;
+  readonly token: RateToken | undefined;
+}
+
+const IDEMPOTENT_METHODS: ReadonlySet<string> = new Set([
+  'GET',
+  'HEAD',
+  'OPTIONS',
+  'PUT',
+  'DELETE',
+]);
+
+/** The work; it is cancelled when the caller goes away. */
+export function makeWork(
+  req: IncomingMessage,
+  res: ServerResponse,
+  detail: WorkDetail,
+): Work {
+  const {requestId, route, customer, key, deadlineAtMs, token, body} = detail;
+  const gone = new AbortController();
+  res.on('close', () => {
+    if (!res.writableFinished) gone.abort();
+  });
+  if (res.destroyed) gone.abort();
+  const method = req.method ?? 'GET';
+  const leftMs = deadlineAtMs - performance.now();
+  return {
+    requestId,
+    service: route.service,
+    method,
+    path: req.url ?? '/',
+    headers: forwardedHeaders(req, {
+      requestId,
+      customer: customer?.id,
+      key,
+      leftMs,
+    }),
+    body,
+    customer: customer?.id,
+    idempotent: isIdempotent(route, method),
+    deadlineAtMs,
+    token,
+    signal: gone.signal,
+  };
+}
+
+/** Whether a request on a route may safely run twice. */
+export function isIdempotent(route: Route, method: string): boolean {
+  if (route.idempotent === 'by-method') return IDEMPOTENT_METHODS.has(method);
+  return route.idempotent === 'yes';
+}
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -62,6 +62,8 @@
       maxHeaderBytes: z.int().min(1024).max(65_536).default(16_384),
       maxQueuePerCustomer: z.int().min(0).max(10_000).default(64),
       maxQueueMs: z.int().min(0).max(60_000).default(1000),
+      /** How long an idempotency key is remembered after its claim. */
+      idempotencyRetentionMs: z.int().min(100).max(86_400_000).default(600_000),
       stopTimeoutMs: z.int().min(0).max(600_000).default(60_000),
     })
     .prefault({}),
--- a/src/wire/messages.ts
+++ b/src/wire/messages.ts
@@ -3,6 +3,7 @@
  * kinds; this module puts them together. A kind has a request and a reply.
  */
 import type {GateMessages} from '../gate/messages.js';
+import type {IdempotencyMessages} from '../idempotency/messages.js';
 import type {MemberMessages} from '../member/messages.js';
 
 /** One kind of message: what is asked, and what is answered. */
@@ -12,7 +13,7 @@
 }
 
 /** Every kind of message between daemons. */
-export type Messages = MemberMessages & GateMessages;
+export type Messages = MemberMessages & GateMessages & IdempotencyMessages;
 
 /** The name of a kind of message. */
 export type MessageKind = keyof Messages & string;
