--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -7,19 +7,20 @@
 import type {Duplex} from 'node:stream';
 import polka from 'polka';
 import {Administration} from '../admin/administration.js';
+import {readFreshRevision} from '../configuration/fresh_revision.js';
 import {ConfigurationKeeper} from '../configuration/keeper.js';
 import {serveAnnouncements} from '../gate/announcements.js';
 import {Gate} from '../gate/gate.js';
 import {serveHop, serveReservations} from '../gate/hop_server.js';
 import {Claims} from '../idempotency/claims.js';
-import {AssumedGenerations} from '../idempotency/assumed_generation.js';
 import {Holders} from '../idempotency/holders.js';
 import {Ledger} from '../idempotency/ledger.js';
 import {createCallersServer, drainCallers} from '../http/callers.js';
 import {close, listen} from '../http/listener.js';
 import type {Logger} from '../log/logger.js';
+import {FleetAuthority} from '../member/fleet_authority.js';
 import {WebSocketLinks} from '../member/links.js';
-import {Gossip} from '../member/membership.js';
+import {SwimMembership} from '../member/membership.js';
 import type {Metrics} from '../metrics/metrics.js';
 import {HttpStore} from '../platform/http_store.js';
 import {StaticLimiter} from '../rates/static_limiter.js';
@@ -47,7 +48,8 @@
   readonly store: HttpStore;
   readonly keeper: ConfigurationKeeper;
   readonly links: WebSocketLinks;
-  readonly membership: Gossip;
+  readonly membership: SwimMembership;
+  readonly authority: FleetAuthority;
   readonly gate: Gate;
   readonly gates: Gates;
   readonly ledger: Ledger;
@@ -96,6 +98,7 @@
     this.#connect(parts);
     parts.keeper.start();
     parts.membership.start();
+    parts.authority.start();
     parts.gate.start();
     parts.ledger.start();
     this.#options.log.info(`Listening for callers on ${bound.callers}.`);
@@ -116,6 +119,7 @@
     await parts.gates.stop();
     parts.ledger.stop();
     parts.keeper.stop();
+    parts.authority.stop();
     parts.membership.stop();
     parts.links.stop();
     const {administration, instances, peers} = this.#servers;
@@ -143,12 +147,19 @@
     const store = new HttpStore(settings.store);
     const keeper = new ConfigurationKeeper(store, log.for('configuration'));
     const links = new WebSocketLinks({secret, dial, log: log.for('links')});
-    const membership = new Gossip({
+    const membership = new SwimMembership({
       self: selfRecord(settings, bound),
       seeds,
       links,
       log: log.for('member'),
     });
+    const authority = new FleetAuthority({
+      store,
+      links,
+      membership,
+      log: log.for('generations'),
+      readRevision: () => readFreshRevision(store),
+    });
     const gate = new Gate({
       maxQueueMs: settings.limits.maxQueueMs,
       maxQueuePerCustomer: settings.limits.maxQueuePerCustomer,
@@ -158,15 +169,31 @@
     const gates = new Gates({own: gate, membership, links, secret, dial});
     const retentionMs = settings.limits.idempotencyRetentionMs;
     const selfId = settings.daemon.id;
-    const holders = new Holders({
+    const {generations, vouches} = authority;
+    const holders = new Holders({selfId, generations, retentionMs});
+    generations.onChange(() => holders.refresh());
+    const ledger = new Ledger(retentionMs, name => holders.heldSinceMs(name));
+    const claims = new Claims({
       selfId,
-      generations: new AssumedGenerations(membership),
-      retentionMs,
+      holders,
+      ledger,
+      links,
+      isCurrent: () => {
+        const vouched = vouches.current()?.generation;
+        return vouched === generations.current()?.number;
+      },
     });
-    const ledger = new Ledger(retentionMs, name => holders.heldSinceMs(name));
-    const isCurrent = () => true;
-    const claims = new Claims({selfId, holders, ledger, links, isCurrent});
-    return {store, keeper, links, membership, gate, gates, ledger, claims};
+    return {
+      store,
+      keeper,
+      links,
+      membership,
+      authority,
+      gate,
+      gates,
+      ledger,
+      claims,
+    };
   }
 
   /** Registers the parts on the servers. */
@@ -190,6 +217,7 @@
       credentials: settings.administration.credentials,
       keeper: parts.keeper,
       membership: parts.membership,
+      authority: parts.authority,
       isReady: () => parts.keeper.tables().revision > 0,
     });
     serveAnnouncements(instances, parts.gate.instances);
--- a/src/idempotency/holders.ts
+++ b/src/idempotency/holders.ts
@@ -11,16 +11,14 @@
 } from '../member/generation.js';
 import {rankMembers} from '../member/rendezvous.js';
 
-/**
- * How long daemons may still claim by an older generation after a newer one
- * is known here.
- */
-const GENERATION_LAPSE_MS = 5000;
-
 interface Known {
-  readonly generation: Generation;
-  /** When it was first seen here; monotonic clock, milliseconds. */
-  readonly seenAtMs: number;
+  readonly number: number;
+  readonly members: readonly GenerationMember[];
+  /**
+   * When no daemon went by it any more; monotonic clock, milliseconds.
+   * Undefined while that isn't known, and for the newest.
+   */
+  readonly lapsedAtMs: number | undefined;
 }
 
 /** Options of {@link Holders}. */
@@ -33,7 +31,6 @@
 /** The holders by the newest generation, and the past of this daemon. */
 export class Holders {
   readonly #options: HoldersOptions;
-  readonly #startedAtMs = performance.now();
   /** The newest first; the older ones as far as the retention time needs. */
   #known: readonly Known[] = [];
 
@@ -44,8 +41,7 @@
   /** The holders of a key, the first to ask first; empty if none is known. */
   of(name: string): readonly GenerationMember[] {
     this.refresh();
-    const newest = this.#known[0]?.generation;
-    return newest ? chooseHolders(name, newest.members) : [];
+    return chooseHolders(name, this.#known[0]?.members ?? []);
   }
 
   /**
@@ -55,31 +51,38 @@
   heldSinceMs(name: string): number {
     this.refresh();
     const {selfId} = this.#options;
-    const firstOther = this.#known.findIndex(({generation}) => {
-      const holders = chooseHolders(name, generation.members);
+    const heldByOthers = this.#known.find(({members}) => {
+      const holders = chooseHolders(name, members);
       return holders.every(holder => holder.id !== selfId);
     });
-    if (firstOther < 0) return this.#startedAtMs;
-    const since = this.#known[firstOther - 1];
-    // By the newest generation this daemon is no holder at all.
-    if (!since) return performance.now();
-    return since.seenAtMs + GENERATION_LAPSE_MS;
+    if (!heldByOthers) return this.#known.length > 0 ? 0 : performance.now();
+    return heldByOthers.lapsedAtMs ?? performance.now();
   }
 
-  /** Notes a newer generation; called with each claim and now and then. */
+  /** Notes a newer generation; called whenever there is one. */
   refresh(): void {
-    const newest = this.#options.generations.current();
-    const last = this.#known[0]?.generation.number ?? -1;
-    if (!newest || newest.number <= last) return;
-    const nowMs = performance.now();
-    const keptMs = this.#options.retentionMs + GENERATION_LAPSE_MS;
-    const seenAtMs = nowMs;
-    const all = [{generation: newest, seenAtMs}, ...this.#known];
-    // An older one counts until the next one has been there long enough.
-    this.#known = all.filter((_, index) => {
-      const next = all[index - 1];
-      return !next || nowMs - next.seenAtMs < keptMs;
-    });
+    const {generations, retentionMs} = this.#options;
+    const newest = generations.current();
+    const last = this.#known[0]?.number ?? 0;
+    if (newest && newest.number > last) this.#add(newest, last);
+    const oldestMs = performance.now() - retentionMs;
+    const movedAtMs = generations.movedDutiesFromMs();
+    this.#known = this.#known
+      .map((known, index) =>
+        index === 0
+          ? known
+          : {...known, lapsedAtMs: known.lapsedAtMs ?? movedAtMs},
+      )
+      .filter(({lapsedAtMs}) => (lapsedAtMs ?? Infinity) > oldestMs);
+  }
+
+  /** What was before the start, or was missed, was held by others. */
+  #add({number, members}: Generation, last: number): void {
+    const lapsedAtMs = undefined;
+    const isNext = last > 0 && number === last + 1;
+    const missed = {number: number - 1, members: [], lapsedAtMs};
+    const before = isNext ? this.#known : [missed, ...this.#known];
+    this.#known = [{number, members, lapsedAtMs}, ...before];
   }
 }
 
--- a/src/wire/messages.ts
+++ b/src/wire/messages.ts
@@ -5,6 +5,7 @@
 import type {GateMessages} from '../gate/messages.js';
 import type {IdempotencyMessages} from '../idempotency/messages.js';
 import type {MemberMessages} from '../member/messages.js';
+import type {WitnessMessages} from '../member/witness_messages.js';
 
 /** One kind of message: what is asked, and what is answered. */
 export interface Exchange<Request, Reply> {
@@ -13,7 +14,10 @@
 }
 
 /** Every kind of message between daemons. */
-export type Messages = MemberMessages & GateMessages & IdempotencyMessages;
+export type Messages = MemberMessages &
+  WitnessMessages &
+  GateMessages &
+  IdempotencyMessages;
 
 /** The name of a kind of message. */
 export type MessageKind = keyof Messages & string;
