--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -14,6 +14,10 @@
 import {serveAnnouncements} from '../gate/announcements.js';
 import {Gate} from '../gate/gate.js';
 import {serveHop, serveReservations} from '../gate/hop_server.js';
+import {Claims} from '../idempotency/claims.js';
+import {Holders} from '../idempotency/holders.js';
+import {Ledger} from '../idempotency/ledger.js';
+import {createCallersServer, drainCallers} from '../http/callers.js';
 import {close, listen} from '../http/listener.js';
 import type {Logger} from '../log/logger.js';
 import {FleetAuthority} from '../member/fleet_authority.js';
@@ -54,6 +58,8 @@
   readonly limiter: EscrowLimiter;
   readonly gate: Gate;
   readonly gates: Gates;
+  readonly ledger: Ledger;
+  readonly claims: Claims;
 }
 
 interface Servers {
@@ -71,16 +77,22 @@
   readonly #options: DaemonOptions;
   readonly #servers: Servers;
   #parts: Parts | undefined;
+  #router: Router | undefined;
 
   constructor(options: DaemonOptions) {
     this.#options = options;
     const {maxHeaderBytes} = options.settings.limits;
-    const http = {maxHeaderSize: maxHeaderBytes, requireHostHeader: true};
+    const http = {maxHeaderSize: maxHeaderBytes};
     this.#servers = {
-      callers: createServer(http),
+      callers: createCallersServer(maxHeaderBytes),
       administration: createServer(http),
       instances: createServer(http),
-      peers: createServer({maxHeaderSize: maxHeaderBytes * 2}),
+      peers: createServer({
+        maxHeaderSize: maxHeaderBytes * 2,
+        requestTimeout: 0,
+        // Longer than peers keep idle connections, so that they close first.
+        keepAliveTimeout: 30_000,
+      }),
     };
   }
 
@@ -96,6 +108,7 @@
     parts.authority.start();
     parts.limiter.start();
     parts.gate.start();
+    parts.ledger.start();
     this.#options.log.info(`Listening for callers on ${bound.callers}.`);
     return bound;
   }
@@ -105,14 +118,17 @@
     const parts = this.#parts;
     if (!parts) return;
     this.#options.log.info('Leaving.');
+    parts.gate.leave();
+    this.#router?.leave();
     parts.membership.update({state: 'leaving'});
     await new Promise(resolve => setTimeout(resolve, LEAVE_PAUSE_MS));
-    await close(this.#servers.callers);
+    await drainCallers(this.#servers.callers);
     await parts.gate.stop();
     await parts.gates.stop();
     parts.watcher.stop();
     parts.spread.stop();
     parts.limiter.stop();
+    parts.ledger.stop();
     parts.authority.stop();
     parts.membership.stop();
     parts.links.stop();
@@ -181,6 +197,22 @@
       secret,
       dial,
     });
+    const retentionMs = settings.limits.idempotencyRetentionMs;
+    const selfId = settings.daemon.id;
+    const {generations, vouches} = authority;
+    const holders = new Holders({selfId, generations, retentionMs});
+    generations.onChange(() => holders.refresh());
+    const ledger = new Ledger(retentionMs, name => holders.heldSinceMs(name));
+    const claims = new Claims({
+      selfId,
+      holders,
+      ledger,
+      links,
+      isCurrent: () => {
+        const vouched = vouches.current()?.generation;
+        return vouched === generations.current()?.number;
+      },
+    });
     return {
       store,
       keeper,
@@ -192,6 +224,8 @@
       limiter,
       gate,
       gates,
+      ledger,
+      claims,
     };
   }
 
@@ -199,14 +233,17 @@
   #connect(parts: Parts): void {
     const {settings, log, metrics} = this.#options;
     const {callers, administration, instances, peers} = this.#servers;
-    const router = new Router({
+    this.#router = new Router({
       tables: () => parts.keeper.tables(),
       limiter: parts.limiter,
       gates: parts.gates,
+      claims: parts.claims,
       log: log.for('router'),
       metrics,
     });
-    const app = polka({onNoMatch: (req, res) => router.handle(req, res)});
+    const app = polka({
+      onNoMatch: (req, res) => this.#router?.handle(req, res),
+    });
     callers.on('request', app.handler);
     new Administration({
       server: administration,
--- a/src/wire/messages.ts
+++ b/src/wire/messages.ts
@@ -5,6 +5,7 @@
 import type {ConfigurationMessages} from '../configuration/messages.js';
 import type {GateMessages} from '../gate/messages.js';
 import type {ClockMessages} from '../member/clock_messages.js';
+import type {IdempotencyMessages} from '../idempotency/messages.js';
 import type {MemberMessages} from '../member/messages.js';
 import type {WitnessMessages} from '../member/witness_messages.js';
 import type {RateMessages} from '../rates/messages.js';
@@ -21,6 +22,7 @@
     ClockMessages,
     ConfigurationMessages,
     GateMessages,
+    IdempotencyMessages,
     MemberMessages,
     RateMessages,
     WitnessMessages {}
