Add the administration API, the commands on it, and fresh keys

Cause: operators' commands wrote to the store by themselves. Nothing told them of races, nothing recorded who changed what, and a change whose answer was lost could not be repeated safely. A daemon that was cut off served requests by keys that may have been withdrawn long before.

Every daemon now serves the API: records with ETag and If-Match, keys, the sheet with its plan, the audit, status and a planned stop. A Change-Id makes a repeated request end in its first outcome. The commands use the API and repeat by themselves after a lost answer. A key may be made by the client, which then sends only its digest, so that a lost answer loses no key.

Requests by key are refused as not run (keys-stale) while no majority of the witnesses vouches, or while this daemon is behind what they vouch for by more than 2 s; decided when a request comes and again when it starts. An accepted change is answered with 200 only once a majority of the witnesses took the revision in, else with 202.

The sheet takes UTF-8 and UTF-16, three delimiters, both decimal marks and grouped thousands; it names each fault by line and column. A number that may mean two things is a fault.

Ruled out: reading the head by a plain read before a change. A lagging reader could call a change done that is not; a swap that can't win reads it fresh.

--- a/features/steps/fleet_steps.ts
+++ b/features/steps/fleet_steps.ts
@@ -41,16 +41,12 @@
 
 Given('the sheet:', async function (this: World, text: string) {
   const file = this.fleet.writeFile('sheet.csv', `\uFEFF${text}\r\n`);
-  const {settingsFile} = this.fleet.daemon('d1');
-  const args = ['apply', file, '--settings', settingsFile];
-  const result = await this.fleet.run(args);
+  const result = await this.fleet.operate('d1', ['apply', file]);
   assert.equal(result.code, 0, result.stderr);
 });
 
 Given('a key for {string}', async function (this: World, customer: string) {
-  const {settingsFile} = this.fleet.daemon('d1');
-  const args = ['key', 'issue', customer, '--settings', settingsFile];
-  const result = await this.fleet.run(args);
+  const result = await this.fleet.operate('d1', ['key', 'issue', customer]);
   assert.equal(result.code, 0, result.stderr);
   const issued = JSON.parse(result.stdout) as {key: string};
   this.keys.set(customer, issued.key);
--- a/features/support/fleet.ts
+++ b/features/support/fleet.ts
@@ -164,6 +164,18 @@
     return runCommand([path.join(dist, 'chicorycourse.cjs'), ...args]);
   }
 
+  /** Runs a command of an operator through one daemon. */
+  async operate(
+    id: string,
+    args: readonly string[],
+    token = OPERATOR_TOKEN,
+  ): Promise<CommandResult> {
+    const {administration} = this.daemon(id).addresses;
+    const tokenFile = this.writeFile(`token-${token}`, token);
+    const access = ['--admin', administration, '--token-file', tokenFile];
+    return this.run([...args, ...access]);
+  }
+
   /** Writes a file into the fleet's folder; resolves to its path. */
   writeFile(name: string, content: string | Buffer): string {
     const file = path.join(this.#folder, name);
--- a/src/commands/check.ts
+++ b/src/commands/check.ts
@@ -2,16 +2,25 @@
 import {readFileSync} from 'node:fs';
 import {command, positional, string} from 'cmd-ts';
 import {parseSheet} from '../configuration/sheet.js';
+import {Failure, reasonOf} from '../errors/failure.js';
 import {loadSettings} from '../settings/load.js';
 
 /** The command itself. */
 export const check = command({
   name: 'check',
-  description: 'Check a settings file (.json) or a sheet (.csv).',
+  description: 'Check a settings file (.json) or a sheet; changes nothing.',
   args: {file: positional({type: string, displayName: 'FILE'})},
-  handler: ({file}) => {
+  handler: async ({file}) => {
     if (file.endsWith('.json')) loadSettings(file);
-    else parseSheet(readFileSync(file), file);
+    else await parseSheet(readSheet(file));
     process.stdout.write(`${file}: no faults\n`);
   },
 });
+
+function readSheet(file: string): Buffer {
+  try {
+    return readFileSync(file);
+  } catch (err) {
+    throw new Failure('usage', {reason: reasonOf(err)}, err);
+  }
+}
--- a/src/commands/serve.ts
+++ b/src/commands/serve.ts
@@ -21,24 +21,31 @@
     const settings = loadSettings(args.settings);
     const log = createLogger(settings.log);
     const metrics = createMetrics(settings.statsd, settings.daemon.id);
-    const daemon = new Daemon({settings, log, metrics});
-    const bound = await daemon.start();
-    process.stdout.write(`${JSON.stringify({ready: true, ...bound})}\n`);
-    stopOnSignal(daemon, settings.limits.stopTimeoutMs, message =>
+    const daemon: Daemon = new Daemon({
+      settings,
+      log,
+      metrics,
+      onDrain: () => stop(),
+    });
+    const stop = makeStop(daemon, settings.limits.stopTimeoutMs, message =>
       log.warn(message),
     );
+    const bound = await daemon.start();
+    process.stdout.write(`${JSON.stringify({ready: true, ...bound})}\n`);
+    process.on('SIGTERM', stop);
+    process.on('SIGINT', stop);
   },
 });
 
-/** The first signal stops gracefully, the second one or the limit at once. */
-function stopOnSignal(
+/** The first call stops gracefully, the second one or the limit at once. */
+function makeStop(
   daemon: Daemon,
   timeoutMs: number,
   warn: (message: string) => void,
-): void {
+): () => void {
   let stopping = false;
   const end = (code: number) => process.exit(code);
-  const onSignal = () => {
+  return () => {
     if (stopping) return end(1);
     stopping = true;
     setTimeout(() => {
@@ -53,6 +60,4 @@
       },
     );
   };
-  process.on('SIGTERM', onSignal);
-  process.on('SIGINT', onSignal);
 }
--- /dev/null
+++ b/src/configuration/freshness.ts
@@ -0,0 +1,55 @@
+/**
+ * Whether this daemon's keys may be relied upon. A majority of the witnesses
+ * vouches for about a second or two that no newer revision was accepted; a
+ * daemon without such a vouch, or behind it for long, can't know of withdrawn
+ * keys and must not let requests run by key.
+ */
+import type {Vouches} from '../member/generation.js';
+import {areKeysFresh} from './freshness_rule.js';
+
+/** Options of {@link KeyFreshness}. */
+export interface KeyFreshnessOptions {
+  readonly vouches: Pick<Vouches, 'current'>;
+  /** The revision in force here. */
+  readonly revision: () => number;
+  /** Called while this daemon is behind what is vouched for. */
+  readonly onBehind: () => void;
+}
+
+const CHECK_INTERVAL_MS = 250;
+
+/** Judges at every moment whether the keys are fresh. */
+export class KeyFreshness {
+  readonly #options: KeyFreshnessOptions;
+  #timer: NodeJS.Timeout | undefined;
+  /** Monotonic; undefined while this daemon isn't behind. */
+  #behindSinceMs: number | undefined;
+
+  constructor(options: KeyFreshnessOptions) {
+    this.#options = options;
+  }
+
+  start(): void {
+    this.#timer = setInterval(() => this.#check(), CHECK_INTERVAL_MS);
+  }
+
+  stop(): void {
+    clearInterval(this.#timer);
+  }
+
+  /** Decides at the moment of the call, by the monotonic clock. */
+  isFresh(): boolean {
+    const {vouches, revision} = this.#options;
+    const nowMs = performance.now();
+    const vouched = vouches.current()?.revision;
+    const isBehind = vouched !== undefined && vouched > revision();
+    this.#behindSinceMs = isBehind ? (this.#behindSinceMs ?? nowMs) : undefined;
+    const behindForMs = nowMs - (this.#behindSinceMs ?? nowMs);
+    return areKeysFresh(vouched !== undefined, behindForMs);
+  }
+
+  #check(): void {
+    this.isFresh();
+    if (this.#behindSinceMs !== undefined) this.#options.onBehind();
+  }
+}
--- a/src/configuration/sheet.ts
+++ b/src/configuration/sheet.ts
@@ -1,117 +1,238 @@
 /**
- * The sheet that planners export each morning: CSV with a header line, `;`
- * or `,` between fields, decimal comma or point, one record a row. It
- * declares customers, services and routes; keys are managed apart from it.
+ * The sheet that planners export each morning: CSV with a header line, one
+ * record a row. It declares all customers, services and routes; keys are
+ * managed apart from it. Every fault is named with its line and column.
  */
-import {parse} from 'csv-parse/sync';
-import {Failure, reasonOf} from '../errors/failure.js';
-import {recordSchema, type ConfigurationRecord} from './records.js';
+import {setImmediate as yieldToOthers} from 'node:timers/promises';
+import {parse, type CsvError} from 'csv-parse';
+import {Failure} from '../errors/failure.js';
 import {
-  allRecords,
-  recordKey,
-  type ConfigurationState,
-  type Edit,
-} from './state.js';
+  recordSchema,
+  type ConfigurationRecord,
+  type RecordKind,
+} from './records.js';
+import {findBroken} from './references.js';
+import {EMPTY_STATE, recordKey} from './state.js';
+import {
+  decodeSheet,
+  delimiterOf,
+  parseSheetNumber,
+  type Delimiter,
+} from './sheet_text.js';
 
-type Row = Readonly<Record<string, string>>;
-type Convert = (text: string) => unknown;
+type Convert = (text: string, delimiter: Delimiter) => unknown;
 
-const decimal: Convert = text => Number(text.replace(',', '.'));
-const list: Convert = text => text.split(/\s+/).filter(item => item !== '');
+/** The text stays if it is no number: the schema names the fault. */
+const number: Convert = (text, delimiter) =>
+  parseSheetNumber(text, delimiter) ?? text;
+const list: Convert = text => text.split(/[\s,|]+/).filter(id => id !== '');
+const word: Convert = text => text.toLowerCase();
 const same: Convert = text => text;
 
 /** How the text of a column becomes the value of a field. */
 const COLUMNS: Readonly<Record<string, Convert>> = {
-  kind: same,
+  kind: word,
   id: same,
   name: same,
-  ratePerSecond: decimal,
-  burst: decimal,
-  floor: decimal,
-  objectiveSuccess: decimal,
-  objectiveLatencyMs: decimal,
-  host: same,
+  ratePerSecond: number,
+  burst: number,
+  floor: number,
+  objectiveSuccess: number,
+  objectiveLatencyMs: number,
+  host: word,
   path: same,
   service: same,
-  access: same,
+  access: word,
   customers: list,
-  idempotent: same,
-  deadlineMs: decimal,
+  idempotent: word,
+  deadlineMs: number,
 };
 
-interface ParsedRow {
-  readonly record: Row;
-  readonly info: {readonly lines: number};
+const COLUMN_OF_NAME: ReadonlyMap<string, string> = new Map(
+  Object.keys(COLUMNS).map(column => [column.toLowerCase(), column]),
+);
+const KINDS: readonly RecordKind[] = ['customer', 'service', 'route'];
+const MAX_FAULTS = 200;
+const ROWS_AT_ONCE = 200;
+
+interface Row {
+  /** Line on which the row begins. */
+  readonly line: number;
+  readonly cells: readonly string[];
+}
+
+/** The column of each position; undefined for one without a heading. */
+type Header = readonly (string | undefined)[];
+
+interface ReadRecord {
+  readonly row: Row;
+  readonly record: ConfigurationRecord;
 }
 
-/** The records of a sheet; throws a `Failure` that lists every fault. */
-export function parseSheet(
+/** The records of a sheet; throws `sheetInvalid` that lists the faults. */
+export async function parseSheet(
   bytes: Buffer,
-  file: string,
-): readonly ConfigurationRecord[] {
-  const rows = parseRows(bytes, file);
-  const results = rows.map(row => recordSchema.safeParse(fieldsOf(row.record)));
-  const faults = results.flatMap((result, index) =>
-    result.success
-      ? []
-      : result.error.issues.map(issue => {
-          const line = rows[index]?.info.lines ?? 0;
-          return `line ${line}, ${issue.path.join('.')}: ${issue.message}`;
-        }),
-  );
-  if (faults.length > 0) {
-    throw new Failure('recordInvalid', {
-      record: file,
-      reason: faults.join('\n'),
-    });
+): Promise<readonly ConfigurationRecord[]> {
+  const decoded = decodeSheet(bytes);
+  if ('badLine' in decoded) {
+    return fail([`line ${decoded.badLine}: this is not UTF-8 text`]);
+  }
+  const delimiter = delimiterOf(decoded.text);
+  const [headerRow, ...rows] = await readRows(decoded.text, delimiter);
+  if (!headerRow) return fail(['line 1: the sheet is empty']);
+  const header = readHeader(headerRow);
+  const faults: string[] = [];
+  const read: ReadRecord[] = [];
+  for (const [index, row] of rows.entries()) {
+    const result = readRecord(row, header, delimiter);
+    if ('faults' in result) faults.push(...result.faults);
+    else read.push(result);
+    if (index % ROWS_AT_ONCE === 0) await yieldToOthers();
   }
-  return results.flatMap(result => (result.success ? [result.data] : []));
+  faults.push(...duplicatesIn(read, header), ...brokenIn(read, header));
+  if (faults.length > 0) return fail(faults);
+  return read.map(({record}) => record);
 }
 
-/** The edit that brings a state to what a sheet declares. */
-export function mergeSheet(
-  state: ConfigurationState,
-  sheet: readonly ConfigurationRecord[],
-): Edit {
-  const declared = new Set(sheet.map(r => recordKey(r.kind, r.id)));
-  const removed = allRecords(state)
-    .filter(record =>
-      record.kind === 'key'
-        ? !declared.has(recordKey('customer', record.customer))
-        : !declared.has(recordKey(record.kind, record.id)),
-    )
-    .map(record => recordKey(record.kind, record.id));
-  return {put: sheet, removed};
+function fail(faults: readonly string[]): never {
+  const more = faults.length - MAX_FAULTS;
+  const shown = faults.slice(0, MAX_FAULTS);
+  throw new Failure('sheetInvalid', {
+    faults: more > 0 ? [...shown, `and ${more} more`] : shown,
+  });
 }
 
-function parseRows(bytes: Buffer, file: string): readonly ParsedRow[] {
+async function readRows(
+  text: string,
+  delimiter: Delimiter,
+): Promise<readonly Row[]> {
+  const parser = parse(text, {
+    delimiter,
+    info: true,
+    raw: true,
+    relax_column_count: true,
+    skip_empty_lines: true,
+    trim: true,
+  });
+  const rows: Row[] = [];
   try {
-    return parse(bytes, {
-      bom: true,
-      columns: true,
-      delimiter: delimiterOf(bytes),
-      info: true,
-      skip_empty_lines: true,
-      trim: true,
-    }) as unknown as readonly ParsedRow[];
+    for await (const item of parser) rows.push(rowOf(item as RawRow));
   } catch (err) {
-    throw new Failure(
-      'recordInvalid',
-      {record: file, reason: reasonOf(err)},
-      err,
-    );
+    const {lines, column, message} = err as CsvError & {
+      readonly lines?: number;
+      readonly column?: number | string;
+    };
+    const place = `line ${lines ?? 0}, column ${Number(column ?? 0) + 1}`;
+    return fail([`${place}: ${message}`]);
+  }
+  return rows.filter(row => row.cells.some(cell => cell !== ''));
+}
+
+interface RawRow {
+  readonly record: readonly string[];
+  readonly raw: string;
+  readonly info: {readonly lines: number};
+}
+
+/** csv-parse counts lines at the end of a row, with its line breaks. */
+function rowOf({record, raw, info}: RawRow): Row {
+  const breaks = raw.replace(/^\n+|\n$/g, '').split('\n').length - 1;
+  return {line: info.lines - breaks, cells: record};
+}
+
+function readHeader(row: Row): Header {
+  const header = row.cells.map(cell => COLUMN_OF_NAME.get(nameOf(cell)));
+  const faults = row.cells.flatMap((cell, index) => {
+    const place = `line ${row.line}, column ${index + 1}`;
+    const column = header[index];
+    if (cell === '') return [];
+    if (column === undefined) return [`${place}: unknown column ${cell}`];
+    const isFirst = header.indexOf(column) === index;
+    return isFirst ? [] : [`${place}: ${column} stands twice`];
+  });
+  const missing = ['kind', 'id']
+    .filter(column => !header.includes(column))
+    .map(column => `line ${row.line}, column 1: no column ${column}`);
+  if (faults.length + missing.length > 0) fail([...faults, ...missing]);
+  return header;
+}
+
+function nameOf(cell: string): string {
+  return cell.toLowerCase().replace(/[\s_-]/g, '');
+}
+
+function readRecord(
+  row: Row,
+  header: Header,
+  delimiter: Delimiter,
+): ReadRecord | {readonly faults: readonly string[]} {
+  const surplus = row.cells.findIndex(
+    (cell, index) => cell !== '' && header[index] === undefined,
+  );
+  if (surplus >= 0) {
+    const place = `line ${row.line}, column ${surplus + 1}`;
+    return {faults: [`${place}: a value without a column heading`]};
   }
+  // Empty cells are left out, so that defaults hold.
+  const fields = header.flatMap((column, index) => {
+    const text = row.cells[index] ?? '';
+    if (column === undefined || text === '') return [];
+    return [[column, COLUMNS[column]?.(text, delimiter)] as const];
+  });
+  const value = Object.fromEntries(fields);
+  if (!KINDS.includes(value['kind'] as RecordKind)) {
+    const place = placeOf(row, header, 'kind');
+    return {faults: [`${place}: must be one of ${KINDS.join(', ')}`]};
+  }
+  const result = recordSchema.safeParse(value);
+  if (result.success) return {row, record: result.data};
+  return {
+    faults: result.error.issues.flatMap(issue =>
+      issue.code === 'unrecognized_keys'
+        ? issue.keys.map(
+            column =>
+              `${placeOf(row, header, column)}: ` +
+              `does not belong to a ${String(value['kind'])}`,
+          )
+        : [`${placeOf(row, header, issue.path[0])}: ${issue.message}`],
+    ),
+  };
+}
+
+function placeOf(row: Row, header: Header, column: unknown): string {
+  const index = header.findIndex(name => name === column);
+  const name = String(column);
+  if (index < 0) return `line ${row.line}, no column ${name}`;
+  return `line ${row.line}, column ${index + 1} (${name})`;
 }
 
-function delimiterOf(bytes: Buffer): string {
-  const header = bytes.toString('utf8').split(/\r?\n/, 1)[0] ?? '';
-  return header.includes(';') ? ';' : ',';
+function duplicatesIn(
+  read: readonly ReadRecord[],
+  header: Header,
+): readonly string[] {
+  const lines = new Map<string, number>();
+  return read.flatMap(({row, record}) => {
+    const key = recordKey(record.kind, record.id);
+    const first = lines.get(key);
+    if (first === undefined) {
+      lines.set(key, row.line);
+      return [];
+    }
+    return [`${placeOf(row, header, 'id')}: ${key} stands on line ${first}`];
+  });
 }
 
-/** Fields that are empty are left out, so that defaults hold. */
-function fieldsOf(row: Row): unknown {
-  const fields = Object.entries(row).filter(([, text]) => text !== '');
-  return Object.fromEntries(
-    fields.map(([column, text]) => [column, (COLUMNS[column] ?? same)(text)]),
+function brokenIn(
+  read: readonly ReadRecord[],
+  header: Header,
+): readonly string[] {
+  const put = read.map(({record}) => record);
+  const rows = new Map(
+    read.map(({row, record}) => [recordKey(record.kind, record.id), row]),
   );
+  return findBroken(EMPTY_STATE, {put, removed: []}).flatMap(broken => {
+    const row = rows.get(broken.from);
+    if (!row) return [];
+    return [`${placeOf(row, header, broken.field)}: no ${broken.to} is there`];
+  });
 }
--- a/src/configuration/store_watcher.ts
+++ b/src/configuration/store_watcher.ts
@@ -6,6 +6,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {reasonOf} from '../errors/failure.js';
 import type {Logger} from '../log/logger.js';
+import type {Vouches} from '../member/generation.js';
 import type {Membership} from '../member/membership.js';
 import {rankMembers} from '../member/rendezvous.js';
 import type {Store} from '../platform/store.js';
@@ -18,6 +19,7 @@
   readonly store: Store;
   readonly keeper: ConfigurationKeeper;
   readonly membership: Membership;
+  readonly vouches: Pick<Vouches, 'raise'>;
   readonly log: Logger;
 }
 
@@ -85,8 +87,11 @@
 
   /** Heads that are not newer are not worth loading. */
   async #take(head: Head): Promise<void> {
-    const {store, keeper} = this.#options;
-    if (head.revision <= keeper.revision()) return;
+    const {store, keeper, vouches} = this.#options;
+    const {revision} = head;
+    if (revision <= keeper.revision()) return;
+    // The writer may have died before it told the witnesses.
+    void vouches.raise({revision}).catch(() => false);
     const read = readShardFrom(store);
     keeper.offer(await loadState(keeper.state(), head, read));
   }
--- a/src/configuration/writer.ts
+++ b/src/configuration/writer.ts
@@ -7,16 +7,16 @@
 import {randomBytes} from 'node:crypto';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {Failure, isFailure} from '../errors/failure.js';
+import {readFresh} from '../platform/fresh_read.js';
 import type {Store} from '../platform/store.js';
 import {
   HEAD_KEY,
   loadState,
-  readHead,
   readShardFrom,
   shardKey,
   type StoredHead,
 } from './archive.js';
-import {parseHead, type Change, type Head} from './changes.js';
+import {EMPTY_HEAD, parseHead, type Change, type Head} from './changes.js';
 import {nextHead, type Planned} from './next_head.js';
 import {
   editShards,
@@ -61,7 +61,6 @@
 export class ChangeWriter {
   readonly #store: Store;
   readonly #latest: () => ConfigurationState;
-  #newest: StoredHead | undefined;
 
   /** `latest` gives a state to start from, so that little must be read. */
   constructor(store: Store, latest: () => ConfigurationState) {
@@ -97,17 +96,11 @@
     throw new Failure('writeConflict', {record: request.action, reason});
   }
 
+  /** Never stale, unlike a plain read. */
   async #readHead(): Promise<StoredHead> {
-    const read = await readHead(this.#store);
-    return this.#remember(read);
-  }
-
-  /** A reader of the store may lag: the newest head that was seen counts. */
-  #remember(stored: StoredHead): StoredHead {
-    const newest = this.#newest;
-    if (newest && newest.version >= stored.version) return newest;
-    this.#newest = stored;
-    return stored;
+    const stored = await readFresh(this.#store, HEAD_KEY);
+    if (!stored) return {head: EMPTY_HEAD, version: 0};
+    return {head: parseHead(stored.value), version: stored.version};
   }
 
   async #load(head: Head): Promise<ConfigurationState> {
@@ -144,14 +137,10 @@
       const {changeId} = change;
       throw new Failure('changeUnknown', {changeId, reason: err.message}, err);
     });
-    if (result.swapped) {
-      this.#remember({head, version: result.version});
-      return {won: true};
-    }
+    if (result.swapped) return {won: true};
     const current = result.current;
     if (!current) return {won: false, current: await this.#readHead()};
     const now = {head: parseHead(current.value), version: current.version};
-    this.#remember(now);
     return judge(now, change);
   }
 
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -9,8 +9,11 @@
 import {Administration} from '../admin/administration.js';
 import {readFreshRevision} from '../configuration/fresh_revision.js';
 import {ConfigurationKeeper} from '../configuration/keeper.js';
+import {Acceptance} from '../configuration/acceptance.js';
+import {KeyFreshness} from '../configuration/freshness.js';
 import {Spread} from '../configuration/spread.js';
 import {StoreWatcher} from '../configuration/store_watcher.js';
+import {ChangeWriter} from '../configuration/writer.js';
 import {serveAnnouncements} from '../gate/announcements.js';
 import {Gate} from '../gate/gate.js';
 import {serveHop} from '../gate/hop_server.js';
@@ -39,6 +42,8 @@
   readonly settings: Settings;
   readonly log: Logger;
   readonly metrics: Metrics;
+  /** Called when an operator asks for a planned stop. */
+  readonly onDrain: () => void;
 }
 
 /** The parts of a running daemon. */
@@ -47,6 +52,7 @@
   readonly keeper: ConfigurationKeeper;
   readonly watcher: StoreWatcher;
   readonly spread: Spread;
+  readonly freshness: KeyFreshness;
   readonly links: WebSocketLinks;
   readonly membership: Gossip;
   readonly authority: FleetAuthority;
@@ -91,6 +97,7 @@
     parts.membership.start();
     parts.watcher.start();
     parts.spread.start();
+    parts.freshness.start();
     parts.authority.start();
     parts.gate.start();
     this.#options.log.info(`Listening for callers on ${bound.callers}.`);
@@ -109,6 +116,7 @@
     await parts.gates.stop();
     parts.watcher.stop();
     parts.spread.stop();
+    parts.freshness.stop();
     parts.authority.stop();
     parts.membership.stop();
     parts.links.stop();
@@ -144,9 +152,6 @@
       links,
       log: log.for('member'),
     });
-    const shared = {keeper, membership, log: configurationLog};
-    const watcher = new StoreWatcher({...shared, store});
-    const spread = new Spread({...shared, links});
     const authority = new FleetAuthority({
       store,
       links,
@@ -154,6 +159,15 @@
       log: log.for('generations'),
       readRevision: () => readFreshRevision(store),
     });
+    const {vouches} = authority;
+    const shared = {keeper, membership, log: configurationLog};
+    const watcher = new StoreWatcher({...shared, store, vouches});
+    const spread = new Spread({...shared, links});
+    const freshness = new KeyFreshness({
+      vouches,
+      revision: () => keeper.revision(),
+      onBehind: () => spread.compareNow(),
+    });
     const gate = new Gate({
       maxQueueMs: settings.limits.maxQueueMs,
       maxQueuePerService: settings.limits.maxQueuePerCustomer,
@@ -166,6 +180,7 @@
       keeper,
       watcher,
       spread,
+      freshness,
       links,
       membership,
       authority,
@@ -174,12 +189,45 @@
     };
   }
 
+  /** Registers the administration API. */
+  #administer(parts: Parts): void {
+    const {settings, log, onDrain} = this.#options;
+    const {keeper, watcher, spread, freshness, membership, store} = parts;
+    const {generations, vouches} = parts.authority;
+    const writer = new ChangeWriter(store, () => keeper.state());
+    const acceptance = new Acceptance({
+      writer,
+      keeper,
+      spread,
+      vouches,
+      log: log.for('configuration'),
+    });
+    new Administration({
+      server: this.#servers.administration,
+      credentials: settings.administration.credentials,
+      keeper,
+      acceptance,
+      membership,
+      store,
+      log: log.for('administration'),
+      isReady: () => keeper.revision() > 0,
+      status: {
+        generation: () => generations.current()?.number ?? 0,
+        vouched: () => vouches.current() !== undefined,
+        keysFresh: () => freshness.isFresh(),
+        watchesStore: () => watcher.isWatcher(),
+      },
+      onDrain,
+    });
+  }
+
   /** Registers the parts on the servers. */
   #connect(parts: Parts): void {
     const {settings, log, metrics} = this.#options;
-    const {callers, administration, instances, peers} = this.#servers;
+    const {callers, instances, peers} = this.#servers;
     const router = new Router({
       tables: () => parts.keeper.tables(),
+      areKeysFresh: () => parts.freshness.isFresh(),
       limiter: new StaticLimiter(() => parts.membership.members().length),
       gates: parts.gates,
       log: log.for('router'),
@@ -187,14 +235,7 @@
     });
     const app = polka({onNoMatch: (req, res) => router.handle(req, res)});
     callers.on('request', app.handler);
-    new Administration({
-      server: administration,
-      credentials: settings.administration.credentials,
-      keeper: parts.keeper,
-      membership: parts.membership,
-      authority: parts.authority,
-      isReady: () => parts.keeper.tables().revision > 0,
-    });
+    this.#administer(parts);
     serveAnnouncements(instances, parts.gate.instances);
     const {secret} = settings.peers;
     peers.on('request', (req, res) => {
--- a/src/errors/catalogue.ts
+++ b/src/errors/catalogue.ts
@@ -120,12 +120,36 @@
     hint: 'It was replaced while it was read; it is read again.',
     exitCode: EXIT_CODES.unavailable,
   }),
-  administrationRefused: kind<{status: number; title: string; detail: string}>({
-    title: 'The daemon refused',
-    message: d => `${d.title}: ${d.detail}`,
-    hint: 'The status and the detail say what to do.',
+  unauthorized: kind<Readonly<Record<string, never>>>({
+    title: 'A credential is needed',
+    message: () => 'no valid bearer token came with the request',
+    hint: 'Give the token of a credential in the settings of the daemon.',
     exitCode: EXIT_CODES.refused,
   }),
+  forbidden: kind<{name: string; needed: string}>({
+    title: 'The credential may not do this',
+    message: d => `${d.name} lacks the role ${d.needed}`,
+    hint: 'Use a credential with that role.',
+    exitCode: EXIT_CODES.refused,
+  }),
+  bodyTooLarge: kind<{maxBytes: number}>({
+    title: 'The body of the request is too large',
+    message: d => `more than ${d.maxBytes} bytes`,
+    hint: 'Send less at once; a sheet may be larger than one record.',
+    exitCode: EXIT_CODES.invalidInput,
+  }),
+  administrationUnreachable: kind<{address: string; reason: string}>({
+    title: 'The administration port of the daemon does not answer',
+    message: d => `${d.address}: ${d.reason}`,
+    hint: 'Check --admin, or ask another daemon: each one serves the API.',
+    exitCode: EXIT_CODES.unavailable,
+  }),
+  usage: kind<{reason: string}>({
+    title: 'The command needs something more',
+    message: d => d.reason,
+    hint: 'See --help of the command.',
+    exitCode: EXIT_CODES.usage,
+  }),
   peerUnreachable: kind<{peer: string; reason: string}>({
     title: 'A daemon cannot be reached',
     message: d => `${d.peer}: ${d.reason}`,
--- a/src/errors/failure.ts
+++ b/src/errors/failure.ts
@@ -52,3 +52,23 @@
   const code = 'code' in err ? String(err.code) : '';
   return err.message || code || err.name;
 }
+
+/** A failure that a daemon answered with, as its caller prints it. */
+export class RemoteFailure extends Error {
+  readonly title: string;
+  readonly hint: string;
+  readonly exitCode: number;
+
+  constructor(problem: {
+    readonly title: string;
+    readonly detail: string;
+    readonly hint: string;
+    readonly exitCode: number;
+  }) {
+    super(problem.detail);
+    this.name = 'RemoteFailure';
+    this.title = problem.title;
+    this.hint = problem.hint;
+    this.exitCode = problem.exitCode;
+  }
+}
--- a/src/main.ts
+++ b/src/main.ts
@@ -2,21 +2,34 @@
 import {binary, run, subcommands} from 'cmd-ts';
 import {apply} from './commands/apply.js';
 import {check} from './commands/check.js';
+import {audit, drain, status} from './commands/fleet.js';
 import {key} from './commands/key.js';
+import {customer, route, service} from './commands/records.js';
 import {serve} from './commands/serve.js';
 import {EXIT_CODES} from './errors/catalogue.js';
-import {Failure, reasonOf} from './errors/failure.js';
+import {Failure, reasonOf, RemoteFailure} from './errors/failure.js';
 import {VERSION} from './version.js';
 
 const app = subcommands({
   name: 'chicorycourse',
   description: 'A proxy fleet for backend servers that fail grayly.',
   version: VERSION,
-  cmds: {serve, check, apply, key},
+  cmds: {
+    serve,
+    check,
+    apply,
+    customer,
+    route,
+    service,
+    key,
+    status,
+    audit,
+    drain,
+  },
 });
 
 function printFailure(err: unknown): void {
-  if (!(err instanceof Failure)) {
+  if (!(err instanceof Failure) && !(err instanceof RemoteFailure)) {
     process.stderr.write(`error: ${reasonOf(err)}\n`);
     process.exit(EXIT_CODES.internal);
   }
--- a/src/router/access.ts
+++ b/src/router/access.ts
@@ -23,12 +23,21 @@
   return createHash('sha256').update(key).digest('hex');
 }
 
-/** Decides by the tables of the moment. */
+/** What is decided on. */
+export interface AccessRequest {
+  readonly host: string;
+  readonly path: string;
+  readonly key: string | undefined;
+}
+
+/**
+ * Decides by the tables of the moment. `areKeysFresh` tells whether a key
+ * that is valid in the tables can be relied upon.
+ */
 export function decideAccess(
   tables: Tables,
-  host: string,
-  path: string,
-  key: string | undefined,
+  {host, path, key}: AccessRequest,
+  areKeysFresh: () => boolean,
 ): Granted | Denied {
   const routes = tables.routes(host, path);
   const best = routes[0];
@@ -37,6 +46,7 @@
   const open = candidates.find(route => route.access === 'open');
   if (open) return {granted: true, route: open, customer: undefined};
   if (key === undefined) return {granted: false, refusal: 'key-missing'};
+  if (!areKeysFresh()) return {granted: false, refusal: 'keys-stale'};
   const record = tables.key(digestOf(key), Date.now());
   const customer = record && tables.customer(record.customer);
   if (!customer) return {granted: false, refusal: 'key-unknown'};
--- a/src/router/refusals.ts
+++ b/src/router/refusals.ts
@@ -16,6 +16,11 @@
   'bad-request': {status: 400, title: 'The request is malformed', ran: 'no'},
   'key-missing': {status: 401, title: 'A key is needed here', ran: 'no'},
   'key-unknown': {status: 401, title: 'The key is not valid', ran: 'no'},
+  'keys-stale': {
+    status: 503,
+    title: 'It cannot be known now whether the key is still valid',
+    ran: 'no',
+  },
   'not-allowed': {status: 403, title: 'No route for this customer', ran: 'no'},
   'no-route': {status: 404, title: 'No route leads there', ran: 'no'},
   'over-rate': {status: 429, title: 'Over the rate of the customer', ran: 'no'},
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -13,7 +13,12 @@
 import type {Logger} from '../log/logger.js';
 import type {Metrics} from '../metrics/metrics.js';
 import type {RateLimiter, RateToken} from '../rates/limiter.js';
-import {decideAccess} from './access.js';
+import {
+  decideAccess,
+  type AccessRequest,
+  type Denied,
+  type Granted,
+} from './access.js';
 import type {Gates} from './gates.js';
 import {forwardedHeaders, keyOf, returnedHeaders} from './headers.js';
 import {refuse, type RefusalName} from './refusals.js';
@@ -21,6 +26,8 @@
 /** Options of {@link Router}. */
 export interface RouterOptions {
   readonly tables: () => Tables;
+  /** Whether keys can be relied upon at this moment. */
+  readonly areKeysFresh: () => boolean;
   readonly limiter: RateLimiter;
   readonly gates: Gates;
   readonly log: Logger;
@@ -81,8 +88,9 @@
     const tables = this.#options.tables();
     if (tables.revision === 0) return refuse(res, 'not-ready', {requestId});
     const key = keyOf(req);
-    const access = decideAccess(tables, hostOf(req), pathOf(req), key);
-    if (!access.granted) return refuse(res, access.refusal, {requestId});
+    const asked = {host: hostOf(req), path: pathOf(req), key};
+    const access = this.#decide(asked);
+    if (!access.granted) return this.#deny(res, access, requestId);
     const {route, customer} = access;
     const admission = customer && (await this.#options.limiter.admit(customer));
     if (admission && !admission.admitted) {
@@ -97,14 +105,37 @@
       customer,
       key,
       deadlineAtMs,
-      token: admission?.token,
+      token: admission && this.#guard(admission.token, asked),
     });
     const outcome = await this.#attempt(work);
     if (outcome.kind === 'not-run') admission?.token.giveBack();
     this.#count(route, customer, outcome.kind);
+    // The key may have been withdrawn while the request waited.
+    const now = outcome.kind === 'not-run' ? this.#decide(asked) : access;
+    if (!now.granted) return this.#deny(res, now, requestId);
     await this.#finish(res, outcome, requestId);
   }
 
+  #decide(asked: AccessRequest): Granted | Denied {
+    const {tables, areKeysFresh} = this.#options;
+    return decideAccess(tables(), asked, areKeysFresh);
+  }
+
+  #deny(res: ServerResponse, {refusal}: Denied, requestId: string): void {
+    const isStale = refusal === 'keys-stale';
+    const retryAfterMs = isStale ? RETRY_AFTER_MS : undefined;
+    refuse(res, refusal, {requestId, retryAfterMs});
+  }
+
+  /** A token that is void once the request may not run any more. */
+  #guard(token: RateToken, asked: AccessRequest): RateToken {
+    return {
+      expiresAtMs: token.expiresAtMs,
+      spend: () => this.#decide(asked).granted && token.spend(),
+      giveBack: () => token.giveBack(),
+    };
+  }
+
   /** Tries gates until one answers or the request must not go again. */
   async #attempt(work: Work): Promise<Outcome> {
     const tried = new Set<string>();
--- a/src/wire/messages.ts
+++ b/src/wire/messages.ts
@@ -13,9 +13,7 @@
 }
 
 /** Every kind of message between daemons. */
-export type Messages = MemberMessages &
-  WitnessMessages &
-  ConfigurationMessages;
+export type Messages = MemberMessages & WitnessMessages & ConfigurationMessages;
 
 /** The name of a kind of message. */
 export type MessageKind = keyof Messages & string;
