--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -16,12 +16,12 @@
 import {ChangeWriter} from '../configuration/writer.js';
 import {serveAnnouncements} from '../gate/announcements.js';
 import {Gate} from '../gate/gate.js';
-import {serveHop} from '../gate/hop_server.js';
+import {serveHop, serveReservations} from '../gate/hop_server.js';
 import {close, listen} from '../http/listener.js';
 import type {Logger} from '../log/logger.js';
 import {FleetAuthority} from '../member/fleet_authority.js';
 import {WebSocketLinks} from '../member/links.js';
-import {Gossip} from '../member/membership.js';
+import {SwimMembership} from '../member/membership.js';
 import type {Metrics} from '../metrics/metrics.js';
 import {HttpStore} from '../platform/http_store.js';
 import {StaticLimiter} from '../rates/static_limiter.js';
@@ -54,7 +54,7 @@
   readonly spread: Spread;
   readonly freshness: KeyFreshness;
   readonly links: WebSocketLinks;
-  readonly membership: Gossip;
+  readonly membership: SwimMembership;
   readonly authority: FleetAuthority;
   readonly gate: Gate;
   readonly gates: Gates;
@@ -146,7 +146,7 @@
     const configurationLog = log.for('configuration');
     const keeper = new ConfigurationKeeper(configurationLog);
     const links = new WebSocketLinks({secret, dial, log: log.for('links')});
-    const membership = new Gossip({
+    const membership = new SwimMembership({
       self: selfRecord(settings, bound),
       seeds,
       links,
@@ -170,11 +170,11 @@
     });
     const gate = new Gate({
       maxQueueMs: settings.limits.maxQueueMs,
-      maxQueuePerService: settings.limits.maxQueuePerCustomer,
+      maxQueuePerCustomer: settings.limits.maxQueuePerCustomer,
       log: log.for('gate'),
       onSlots: slots => membership.update({slots}),
     });
-    const gates = new Gates({own: gate, membership, secret, dial});
+    const gates = new Gates({own: gate, membership, links, secret, dial});
     return {
       store,
       keeper,
@@ -237,6 +237,7 @@
     callers.on('request', app.handler);
     this.#administer(parts);
     serveAnnouncements(instances, parts.gate.instances);
+    serveReservations(parts.links, parts.gate);
     const {secret} = settings.peers;
     peers.on('request', (req, res) => {
       serveHop(parts.gate, secret, req, res).catch(() => res.destroy());
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -9,6 +9,7 @@
 import type {Customer, Route} from '../configuration/records.js';
 import type {Tables} from '../configuration/tables.js';
 import {reasonOf} from '../errors/failure.js';
+import type {RequestBody} from '../gate/body.js';
 import type {Answered, NotRun, Outcome, Unknown, Work} from '../gate/work.js';
 import type {Logger} from '../log/logger.js';
 import type {Metrics} from '../metrics/metrics.js';
@@ -21,6 +22,7 @@
 } from './access.js';
 import type {Gates} from './gates.js';
 import {forwardedHeaders, keyOf, returnedHeaders} from './headers.js';
+import {receiveBody} from './receive.js';
 import {refuse, type RefusalName} from './refusals.js';
 
 /** Options of {@link Router}. */
@@ -92,14 +94,19 @@
     const access = this.#decide(asked);
     if (!access.granted) return this.#deny(res, access, requestId);
     const {route, customer} = access;
+    const deadlineAtMs = arrivedAtMs + route.deadlineMs;
+    const received = await receiveBody(req, deadlineAtMs);
+    if ('failure' in received) {
+      return refuse(res, received.failure, {requestId});
+    }
     const admission = customer && (await this.#options.limiter.admit(customer));
     if (admission && !admission.admitted) {
       const {reason, retryAfterMs} = admission;
       this.#count(route, customer, reason);
       return refuse(res, reason, {requestId, retryAfterMs});
     }
-    const deadlineAtMs = arrivedAtMs + route.deadlineMs;
     const work = makeWork(req, res, {
+      body: received.body,
       requestId,
       route,
       customer,
@@ -179,6 +186,7 @@
 }
 
 interface WorkDetail {
+  readonly body: RequestBody | undefined;
   readonly requestId: string;
   readonly route: Route;
   readonly customer: Customer | undefined;
@@ -192,7 +200,7 @@
   res: ServerResponse,
   detail: WorkDetail,
 ): Work {
-  const {requestId, route, customer, key, deadlineAtMs, token} = detail;
+  const {requestId, route, customer, key, deadlineAtMs, token, body} = detail;
   const gone = new AbortController();
   res.on('close', () => {
     if (!res.writableFinished) gone.abort();
@@ -210,7 +218,7 @@
       key,
       leftMs,
     }),
-    body: hasBody(req) ? req : undefined,
+    body,
     customer: customer?.id,
     idempotent: isIdempotent(route, method),
     deadlineAtMs,
@@ -221,7 +229,7 @@
 
 function mayGoAgain(outcome: Outcome, work: Work): boolean {
   if (outcome.kind === 'answered' || work.signal.aborted) return false;
-  if (work.body?.readableDidRead) return false;
+  if (work.body?.replayable === false) return false;
   if (outcome.kind === 'unknown') return work.idempotent;
   return performance.now() < work.deadlineAtMs;
 }
@@ -231,12 +239,6 @@
   return route.idempotent === 'yes';
 }
 
-function hasBody(req: IncomingMessage): boolean {
-  const length = req.headers['content-length'];
-  if (req.headers['transfer-encoding'] !== undefined) return true;
-  return length !== undefined && length !== '0';
-}
-
 function hostOf(req: IncomingMessage): string {
   return (req.headers.host ?? '').replace(/:\d+$/, '').toLowerCase();
 }
--- a/src/wire/messages.ts
+++ b/src/wire/messages.ts
@@ -3,6 +3,7 @@
  * kinds; this module puts them together. A kind has a request and a reply.
  */
 import type {ConfigurationMessages} from '../configuration/messages.js';
+import type {GateMessages} from '../gate/messages.js';
 import type {MemberMessages} from '../member/messages.js';
 import type {WitnessMessages} from '../member/witness_messages.js';
 
@@ -13,7 +14,12 @@
 }
 
 /** Every kind of message between daemons. */
-export type Messages = MemberMessages & WitnessMessages & ConfigurationMessages;
+export interface Messages
+  extends
+    MemberMessages,
+    WitnessMessages,
+    ConfigurationMessages,
+    GateMessages {}
 
 /** The name of a kind of message. */
 export type MessageKind = keyof Messages & string;
