Prove that configuration spreads, never reverts, and has one winner a race

Cause: nothing showed what happens when operators race, when the store loses answers or serves old reads, and when daemons restart next to stale peers. A restarted daemon would have put an old revision in force that it found first.

A daemon now puts nothing in force until the revision it loaded is vouched for. All comparisons of revisions go through one rule, and its mutant, which takes any other revision, is seen to revert under stale reads.

The stand-in of the store can go away right after it took a given key, which brings about a change whose outcome stays unknown; merely lost answers don't, since the writer repeats the swap.

--- /dev/null
+++ b/features/mutants/revisions_may_fall/src/configuration/forward.ts
@@ -0,0 +1,4 @@
+/** Mutant: any other revision replaces the one in force. */
+export function mayReplace(inForce: number, next: number): boolean {
+  return next !== inForce;
+}
--- a/features/steps/fleet_steps.ts
+++ b/features/steps/fleet_steps.ts
@@ -48,25 +48,18 @@
 Given('a key for {string}', async function (this: World, customer: string) {
   const result = await this.fleet.operate('d1', ['key', 'issue', customer]);
   assert.equal(result.code, 0, result.stderr);
-  const issued = JSON.parse(result.stdout) as {key: string};
+  const issued = JSON.parse(result.stdout) as {
+    readonly id: string;
+    readonly key: string;
+    readonly revision: number;
+  };
   this.keys.set(customer, issued.key);
+  this.keyIds.set(customer, issued.id);
   await until(
     'the key works everywhere',
     async () => {
-      const headers = {'x-api-key': issued.key};
-      const answers = await Promise.all(
-        [...this.fleet.daemons.keys()].map(d =>
-          this.request(d, '/no-such-path', {headers}),
-        ),
-      );
-      const revisions = await Promise.all(
-        [...this.fleet.daemons.keys()].map(d => this.fleet.status(d)),
-      );
-      const newest = Math.max(...revisions.map(r => r.revision));
-      return (
-        answers.every(answer => answer.status === 404) &&
-        revisions.every(r => r.revision === newest)
-      );
+      const all = await this.statuses();
+      return all.every(s => s.revision >= issued.revision && s.keysFresh);
     },
     SETTLE_MS,
   );
--- a/features/steps/network_steps.ts
+++ b/features/steps/network_steps.ts
@@ -2,20 +2,37 @@
 import {Given, When} from '@cucumber/cucumber';
 import type {World} from '../support/world.js';
 
+/** Starts `count` of the daemons that the links are made for. */
+async function startBehindLinks(
+  {fleet}: World,
+  count: number,
+  linked: number,
+  domains: number,
+): Promise<void> {
+  await fleet.startStore();
+  const ids = Array.from({length: linked}, (_, index) => `d${index + 1}`);
+  await fleet.startNetwork(ids);
+  await Promise.all(
+    ids.slice(0, count).map((id, index) =>
+      fleet.startDaemon({
+        id,
+        failureDomain: `domain-${(index % domains) + 1}`,
+      }),
+    ),
+  );
+}
+
 Given(
   'a store and {int} daemons in {int} failure domains behind links',
   async function (this: World, count: number, domains: number) {
-    await this.fleet.startStore();
-    const ids = Array.from({length: count}, (_, index) => `d${index + 1}`);
-    await this.fleet.startNetwork(ids);
-    await Promise.all(
-      ids.map((id, index) =>
-        this.fleet.startDaemon({
-          id,
-          failureDomain: `domain-${(index % domains) + 1}`,
-        }),
-      ),
-    );
+    await startBehindLinks(this, count, count, domains);
+  },
+);
+
+Given(
+  'a store and {int} of {int} daemons in {int} failure domains behind links',
+  async function (this: World, count: number, linked: number, domains: number) {
+    await startBehindLinks(this, count, linked, domains);
   },
 );
 
--- a/features/support/fleet.ts
+++ b/features/support/fleet.ts
@@ -331,6 +331,8 @@
     readonly slots: Readonly<Record<string, number>>;
   }[];
   readonly revision: number;
+  /** Whether requests by key are served. */
+  readonly keysFresh: boolean;
 }
 
 /** What a command printed and how it ended. */
--- a/features/support/world.ts
+++ b/features/support/world.ts
@@ -4,7 +4,7 @@
   setDefaultTimeout,
   setWorldConstructor,
 } from '@cucumber/cucumber';
-import {Fleet} from './fleet.js';
+import {Fleet, type DaemonStatus} from './fleet.js';
 
 const STEP_TIMEOUT_MS = 60_000;
 
@@ -20,8 +20,16 @@
   readonly fleet = new Fleet();
   /** Keys by customer. */
   readonly keys = new Map<string, string>();
+  /** Ids of the keys, by customer. */
+  readonly keyIds = new Map<string, string>();
   answers: readonly CallerAnswer[] = [];
 
+  /** What every daemon reports of itself. */
+  statuses(): Promise<readonly DaemonStatus[]> {
+    const ids = [...this.fleet.daemons.keys()];
+    return Promise.all(ids.map(id => this.fleet.status(id)));
+  }
+
   /** Sends one request to a daemon's callers' port. */
   async request(
     daemonId: string,
--- a/src/admin/administration.ts
+++ b/src/admin/administration.ts
@@ -143,7 +143,7 @@
     sendJson(res, 200, {
       self: membership.self(),
       members: membership.members(),
-      revision: keeper.revision(),
+      revision: keeper.tables().revision,
       ...Object.fromEntries(parts),
     });
   }
--- a/src/configuration/freshness.ts
+++ b/src/configuration/freshness.ts
@@ -5,13 +5,13 @@
  * keys and must not let requests run by key.
  */
 import type {Vouches} from '../member/generation.js';
+import type {ConfigurationKeeper} from './keeper.js';
 import {areKeysFresh} from './freshness_rule.js';
 
 /** Options of {@link KeyFreshness}. */
 export interface KeyFreshnessOptions {
   readonly vouches: Pick<Vouches, 'current'>;
-  /** The revision in force here. */
-  readonly revision: () => number;
+  readonly keeper: Pick<ConfigurationKeeper, 'revision' | 'confirm'>;
   /** Called while this daemon is behind what is vouched for. */
   readonly onBehind: () => void;
 }
@@ -39,17 +39,20 @@
 
   /** Decides at the moment of the call, by the monotonic clock. */
   isFresh(): boolean {
-    const {vouches, revision} = this.#options;
+    const {vouches, keeper} = this.#options;
     const nowMs = performance.now();
     const vouched = vouches.current()?.revision;
-    const isBehind = vouched !== undefined && vouched > revision();
+    const isBehind = vouched !== undefined && vouched > keeper.revision();
     this.#behindSinceMs = isBehind ? (this.#behindSinceMs ?? nowMs) : undefined;
     const behindForMs = nowMs - (this.#behindSinceMs ?? nowMs);
     return areKeysFresh(vouched !== undefined, behindForMs);
   }
 
   #check(): void {
+    const {vouches, keeper} = this.#options;
     this.isFresh();
+    const vouch = vouches.current();
+    if (vouch) keeper.confirm(vouch.revision);
     if (this.#behindSinceMs !== undefined) this.#options.onBehind();
   }
 }
--- a/src/configuration/keeper.ts
+++ b/src/configuration/keeper.ts
@@ -10,41 +10,67 @@
 /** Told of each revision that comes into force. */
 export type RevisionListener = (revision: number) => void;
 
-/** The configuration in force on this daemon. */
+/**
+ * The configuration of this daemon. A process that has just started may only
+ * find an old revision, while a newer one was in force here before: nothing
+ * comes into force until the loaded revision is vouched for.
+ */
 export class ConfigurationKeeper {
   readonly #log: Logger;
   readonly #listeners: RevisionListener[] = [];
   #state: ConfigurationState = EMPTY_STATE;
   #tables: Tables = EMPTY_TABLES;
+  #isConfirmed = false;
 
   constructor(log: Logger) {
     this.#log = log;
   }
 
+  /** What is in force; revision 0 until the first one is. */
   tables(): Tables {
     return this.#tables;
   }
 
+  /** The newest state that was loaded. */
   state(): ConfigurationState {
     return this.#state;
   }
 
+  /** Revision of the newest state that was loaded. */
   revision(): number {
     return this.#state.revision;
   }
 
-  /** Calls `listener` after each revision that comes into force. */
+  /** Calls `listener` after each revision that was loaded. */
   onRevision(listener: RevisionListener): void {
     this.#listeners.push(listener);
   }
 
-  /** Puts a state in force if it is newer than the one in force. */
+  /** Whether a state of this revision would be taken. */
+  wants(revision: number): boolean {
+    return mayReplace(this.#state.revision, revision);
+  }
+
+  /** Takes a state if it is newer than the one that was loaded. */
   offer(state: ConfigurationState): boolean {
-    if (!mayReplace(this.#state.revision, state.revision)) return false;
+    if (!this.wants(state.revision)) return false;
     this.#state = state;
-    this.#tables = new MapTables(state.revision, allRecords(state));
-    this.#log.info(`Revision ${state.revision} is in force.`);
+    if (this.#isConfirmed) this.#enforce();
     this.#listeners.forEach(listener => listener(state.revision));
     return true;
   }
+
+  /** Tells which revision is vouched for, so that it may come into force. */
+  confirm(vouchedRevision: number): void {
+    if (this.#isConfirmed || this.#state.revision < vouchedRevision) return;
+    this.#isConfirmed = true;
+    this.#enforce();
+  }
+
+  #enforce(): void {
+    const {revision} = this.#state;
+    if (revision === 0) return;
+    this.#tables = new MapTables(revision, allRecords(this.#state));
+    this.#log.info(`Revision ${revision} is in force.`);
+  }
 }
--- a/src/configuration/spread.ts
+++ b/src/configuration/spread.ts
@@ -37,7 +37,7 @@
     this.#options = options;
     const {links, keeper} = options;
     links.handle('configuration.compare', body => {
-      if (body.revision > keeper.revision()) void this.#compare(body.address);
+      if (keeper.wants(body.revision)) void this.#compare(body.address);
       return compareWith(keeper.state(), body.revision);
     });
     links.handle('configuration.shard', ({index, stamp}) => {
@@ -80,7 +80,7 @@
         {revision: keeper.revision(), address: own},
         COMPARE_TIMEOUT_MS,
       );
-      if (reply.revision > keeper.revision()) await this.#fetch(address, reply);
+      if (keeper.wants(reply.revision)) await this.#fetch(address, reply);
     } catch (err) {
       log.debug(`No comparison with ${address}: ${reasonOf(err)}.`);
     }
--- a/src/configuration/store_watcher.ts
+++ b/src/configuration/store_watcher.ts
@@ -89,7 +89,7 @@
   async #take(head: Head): Promise<void> {
     const {store, keeper, vouches} = this.#options;
     const {revision} = head;
-    if (revision <= keeper.revision()) return;
+    if (!keeper.wants(revision)) return;
     // The writer may have died before it told the witnesses.
     void vouches.raise({revision}).catch(() => false);
     const read = readShardFrom(store);
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -165,7 +165,7 @@
     const spread = new Spread({...shared, links});
     const freshness = new KeyFreshness({
       vouches,
-      revision: () => keeper.revision(),
+      keeper,
       onBehind: () => spread.compareNow(),
     });
     const gate = new Gate({
@@ -210,7 +210,7 @@
       membership,
       store,
       log: log.for('administration'),
-      isReady: () => keeper.revision() > 0,
+      isReady: () => keeper.tables().revision > 0,
       status: {
         generation: () => generations.current()?.number ?? 0,
         vouched: () => vouches.current() !== undefined,
--- a/standins/kv.ts
+++ b/standins/kv.ts
@@ -3,7 +3,8 @@
  * HTTP and JSON. Its faults are switched at run time by `PUT /faults`:
  * `outage` closes every call unanswered, `delayMs` slows calls down,
  * `loseAnswers` takes writes and drops the answer, `staleReads` serves reads
- * from the state at the moment when it was switched on. `GET /counts` tells
+ * from the state at the moment when it was switched on, `outageAfter` takes a
+ * write of that key and goes away. `GET /counts` tells
  * how many calls of each kind came.
  */
 import {randomUUID} from 'node:crypto';
@@ -27,6 +28,8 @@
   /** How many of the next writes take effect and lose their answer. */
   readonly loseAnswers?: number;
   readonly staleReads?: boolean;
+  /** The next write of this key takes effect and begins an outage. */
+  readonly outageAfter?: string;
 }
 
 interface Change {
@@ -201,6 +204,10 @@
   return true;
 }
 
+function endAfter(key: string): void {
+  if (faults.outageAfter === key) faults = {outage: true};
+}
+
 async function serveStore(req: IncomingMessage, res: ServerResponse, url: URL) {
   const method = req.method ?? 'GET';
   if (faults.outage) return req.socket.destroy();
@@ -216,6 +223,7 @@
   const body = await readBody(req);
   if (faults.delayMs) await sleep(faults.delayMs);
   const answer = await entry[2](url, body);
+  if (method === 'PUT' && answer.status === 200) endAfter(keyOf(url));
   if (faults.outage || loses(method)) return req.socket.destroy();
   return send(res, answer);
 }
