--- a/features/support/fleet.ts
+++ b/features/support/fleet.ts
@@ -172,7 +172,19 @@
     return runCommand([path.join(dist, 'chicorycourse.cjs'), ...args]);
   }
 
-  /** Applies a sheet with the settings of a daemon; throws if refused. */
+  /** Runs a command of an operator through one daemon. */
+  async operate(
+    id: string,
+    args: readonly string[],
+    token = OPERATOR_TOKEN,
+  ): Promise<CommandResult> {
+    const {administration} = this.daemon(id).addresses;
+    const tokenFile = this.writeFile(`token-${token}`, token);
+    const access = ['--admin', administration, '--token-file', tokenFile];
+    return this.run([...args, ...access]);
+  }
+
+  /** Applies a sheet through a daemon; throws if refused. */
   async applySheet(daemonId: string, text: string): Promise<string> {
     const file = this.writeFile('sheet.csv', `\uFEFF${text}\r\n`);
     return this.#runWith(daemonId, ['apply', file]);
@@ -185,8 +197,7 @@
   }
 
   async #runWith(daemonId: string, args: readonly string[]): Promise<string> {
-    const {settingsFile} = this.daemon(daemonId);
-    const result = await this.run([...args, '--settings', settingsFile]);
+    const result = await this.operate(daemonId, args);
     if (result.code !== 0) throw new Error(result.stderr);
     return result.stdout;
   }
@@ -320,6 +331,8 @@
     readonly slots: Readonly<Record<string, number>>;
   }[];
   readonly revision: number;
+  /** Whether requests by key are served. */
+  readonly keysFresh: boolean;
 }
 
 /** What a command printed and how it ended. */
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -9,8 +9,11 @@
 import {Administration} from '../admin/administration.js';
 import {readFreshRevision} from '../configuration/fresh_revision.js';
 import {ConfigurationKeeper} from '../configuration/keeper.js';
+import {Acceptance} from '../configuration/acceptance.js';
+import {KeyFreshness} from '../configuration/freshness.js';
 import {Spread} from '../configuration/spread.js';
 import {StoreWatcher} from '../configuration/store_watcher.js';
+import {ChangeWriter} from '../configuration/writer.js';
 import {serveAnnouncements} from '../gate/announcements.js';
 import {Gate} from '../gate/gate.js';
 import {serveHop, serveReservations} from '../gate/hop_server.js';
@@ -44,6 +47,8 @@
   readonly settings: Settings;
   readonly log: Logger;
   readonly metrics: Metrics;
+  /** Called when an operator asks for a planned stop. */
+  readonly onDrain: () => void;
 }
 
 /** The parts of a running daemon. */
@@ -52,6 +57,7 @@
   readonly keeper: ConfigurationKeeper;
   readonly watcher: StoreWatcher;
   readonly spread: Spread;
+  readonly freshness: KeyFreshness;
   readonly links: WebSocketLinks;
   readonly membership: SwimMembership;
   readonly authority: FleetAuthority;
@@ -105,6 +111,7 @@
     parts.membership.start();
     parts.watcher.start();
     parts.spread.start();
+    parts.freshness.start();
     parts.authority.start();
     parts.limiter.start();
     parts.gate.start();
@@ -129,6 +136,7 @@
     parts.spread.stop();
     parts.limiter.stop();
     parts.ledger.stop();
+    parts.freshness.stop();
     parts.authority.stop();
     parts.membership.stop();
     parts.links.stop();
@@ -164,9 +172,6 @@
       links,
       log: log.for('member'),
     });
-    const shared = {keeper, membership, log: configurationLog};
-    const watcher = new StoreWatcher({...shared, store});
-    const spread = new Spread({...shared, links});
     const authority = new FleetAuthority({
       store,
       links,
@@ -174,14 +179,23 @@
       log: log.for('generations'),
       readRevision: () => readFreshRevision(store),
     });
+    const {generations, vouches} = authority;
     const limiter = new EscrowLimiter({
       self: membership.self(),
       links,
-      generations: authority.generations,
-      vouches: authority.vouches,
+      generations,
+      vouches,
       customer: id => keeper.tables().customer(id),
       log: log.for('rates'),
     });
+    const shared = {keeper, membership, log: configurationLog};
+    const watcher = new StoreWatcher({...shared, store, vouches});
+    const spread = new Spread({...shared, links});
+    const freshness = new KeyFreshness({
+      vouches,
+      keeper,
+      onBehind: () => spread.compareNow(),
+    });
     const gate = new Gate({
       maxQueueMs: settings.limits.maxQueueMs,
       maxQueuePerCustomer: settings.limits.maxQueuePerCustomer,
@@ -199,7 +213,6 @@
     });
     const retentionMs = settings.limits.idempotencyRetentionMs;
     const selfId = settings.daemon.id;
-    const {generations, vouches} = authority;
     const holders = new Holders({selfId, generations, retentionMs});
     generations.onChange(() => holders.refresh());
     const ledger = new Ledger(retentionMs, name => holders.heldSinceMs(name));
@@ -218,6 +231,7 @@
       keeper,
       watcher,
       spread,
+      freshness,
       links,
       membership,
       authority,
@@ -229,12 +243,45 @@
     };
   }
 
+  /** Registers the administration API. */
+  #administer(parts: Parts): void {
+    const {settings, log, onDrain} = this.#options;
+    const {keeper, watcher, spread, freshness, membership, store} = parts;
+    const {generations, vouches} = parts.authority;
+    const writer = new ChangeWriter(store, () => keeper.state());
+    const acceptance = new Acceptance({
+      writer,
+      keeper,
+      spread,
+      vouches,
+      log: log.for('configuration'),
+    });
+    new Administration({
+      server: this.#servers.administration,
+      credentials: settings.administration.credentials,
+      keeper,
+      acceptance,
+      membership,
+      store,
+      log: log.for('administration'),
+      isReady: () => keeper.tables().revision > 0,
+      status: {
+        generation: () => generations.current()?.number ?? 0,
+        vouched: () => vouches.current() !== undefined,
+        keysFresh: () => freshness.isFresh(),
+        watchesStore: () => watcher.isWatcher(),
+      },
+      onDrain,
+    });
+  }
+
   /** Registers the parts on the servers. */
   #connect(parts: Parts): void {
     const {settings, log, metrics} = this.#options;
-    const {callers, administration, instances, peers} = this.#servers;
+    const {callers, instances, peers} = this.#servers;
     this.#router = new Router({
       tables: () => parts.keeper.tables(),
+      areKeysFresh: () => parts.freshness.isFresh(),
       limiter: parts.limiter,
       gates: parts.gates,
       claims: parts.claims,
@@ -245,14 +292,7 @@
       onNoMatch: (req, res) => this.#router?.handle(req, res),
     });
     callers.on('request', app.handler);
-    new Administration({
-      server: administration,
-      credentials: settings.administration.credentials,
-      keeper: parts.keeper,
-      membership: parts.membership,
-      authority: parts.authority,
-      isReady: () => parts.keeper.tables().revision > 0,
-    });
+    this.#administer(parts);
     serveAnnouncements(instances, parts.gate.instances);
     serveReservations(parts.links, parts.gate);
     const {secret} = settings.peers;
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -14,9 +14,10 @@
 import type {Logger} from '../log/logger.js';
 import type {Metrics} from '../metrics/metrics.js';
 import type {RateLimiter, RateToken} from '../rates/limiter.js';
-import {decideAccess, type Granted} from './access.js';
+import {decideAccess, type Denied, type Granted} from './access.js';
 import {attempt} from './attempts.js';
 import type {Gates} from './gates.js';
+import {GuardedToken} from './guarded_token.js';
 import {carriesKey, keyOf, returnedHeaders} from './headers.js';
 import {settlementOf, wantedClaim} from './keyed.js';
 import {receiveBody} from './receive.js';
@@ -27,6 +28,8 @@
 /** Options of {@link Router}. */
 export interface RouterOptions {
   readonly tables: () => Tables;
+  /** Whether keys can be relied upon at this moment. */
+  readonly areKeysFresh: () => boolean;
   readonly limiter: RateLimiter;
   readonly gates: Gates;
   readonly claims: Claims;
@@ -96,14 +99,14 @@
     const arrivedAtMs = performance.now();
     if (!isServable(req)) return visit.refuse('bad-request');
     const access = this.#access(req);
-    if (!access.granted) return visit.refuse(access.refusal);
+    if (!access.granted) return this.#deny(visit, access);
     const {route, customer} = access;
     const deadlineAtMs = arrivedAtMs + route.deadlineMs;
     const received = await receiveBody(req, deadlineAtMs);
     if ('failure' in received) return visit.refuse(received.failure);
     // The key may have been withdrawn while a slow body came.
     const still = received.body ? this.#access(req) : access;
-    if (!still.granted) return visit.refuse(still.refusal);
+    if (!still.granted) return this.#deny(visit, still);
     const admission = customer && (await this.#options.limiter.admit(customer));
     if (admission && !admission.admitted) {
       const {reason, retryAfterMs} = admission;
@@ -113,12 +116,12 @@
     const key = keyOf(req);
     const {requestId, res} = visit;
     const {body} = received;
-    const token = admission?.token;
+    const token = admission && this.#guard(admission.token, req);
     const detail = {requestId, route, customer, key, body, deadlineAtMs, token};
     await this.#run(visit, makeWork(req, res, detail), access);
   }
 
-  #access(req: IncomingMessage) {
+  #access(req: IncomingMessage): Granted | Denied {
     const tables = this.#options.tables();
     const refused = (refusal: RefusalName) => {
       return {granted: false, refusal} as const;
@@ -129,7 +132,17 @@
     if (!target || carriesKey(req.url ?? '', key)) {
       return refused('bad-request');
     }
-    return decideAccess(tables, target.host, target.path, key);
+    const {host, path} = target;
+    return decideAccess(tables, {host, path, key}, this.#options.areKeysFresh);
+  }
+
+  #guard(token: RateToken, req: IncomingMessage): RateToken {
+    return new GuardedToken(token, () => this.#access(req).granted);
+  }
+
+  #deny(visit: Visit, {refusal}: Denied): void {
+    const isStale = refusal === 'keys-stale';
+    visit.refuse(refusal, isStale ? {retryAfterMs: RETRY_AFTER_MS} : undefined);
   }
 
   /** Claims the idempotency key if there is one, runs, and answers. */
@@ -157,6 +170,9 @@
     if (outcome.kind === 'not-run') work.token?.giveBack();
     claim?.settle(settlementOf(outcome));
     this.#count(route, customer, outcome.kind);
+    // The key may have been withdrawn while the request waited.
+    const now = outcome.kind === 'not-run' ? this.#access(visit.req) : access;
+    if (!now.granted) return this.#deny(visit, now);
     await this.#finish(visit, outcome);
   }
 
