Grade instances by evidence, and eject only with a permit

Each gate judges its own instances: real work by sequential tests against the service's siblings, probes and load reports second.

--- a/spec/explore.ts
+++ b/spec/explore.ts
@@ -37,9 +37,19 @@
     (state, event) => spec.step(state, event),
     spec.start,
   );
+  let isUnsafe = false;
   const options = {
-    events: spec.events,
+    // The library queues every event, so that impossible ones cost time.
+    events: (snapshot: {context: State}) =>
+      spec.events.filter(
+        event => spec.step(snapshot.context, event) !== snapshot.context,
+      ),
     limit: STATE_LIMIT,
+    // One unsafe state is enough; what follows it is of no interest.
+    stopWhen: (snapshot: {context: State}) => {
+      isUnsafe ||= spec.violation(snapshot.context) !== undefined;
+      return isUnsafe;
+    },
     serializeState: (snapshot: {context: State}) =>
       JSON.stringify(snapshot.context),
   };
--- a/spec/specifications.feature
+++ b/spec/specifications.feature
@@ -14,3 +14,20 @@
       | rule        |
       | onlyForward |
       | compare     |
+
+  Scenario: Ejection keeps the floor
+    When "ejection floor" is explored
+    Then no state is unsafe
+
+  Scenario Outline: The floor needs each of its rules
+    When "ejection floor" is explored without the rule "<rule>"
+    Then an unsafe state is found
+
+    Examples:
+      | rule           |
+      | permitNeeded   |
+      | countFromAsk   |
+      | countPermits   |
+      | vouchNeeded    |
+      | waitAfterMove  |
+      | waitAfterStart |
--- a/spec/steps/specification_steps.ts
+++ b/spec/steps/specification_steps.ts
@@ -2,6 +2,7 @@
 import {Then, When} from '@cucumber/cucumber';
 import assert from 'node:assert/strict';
 import {configurationOrder} from '../configuration_order.js';
+import {ejectionFloor} from '../ejection_floor.js';
 import {explore, type Exploration} from '../explore.js';
 
 interface SpecificationWorld {
@@ -19,6 +20,17 @@
         compare: without !== 'compare',
       }),
     ),
+  'ejection floor': without =>
+    explore(
+      ejectionFloor({
+        permitNeeded: without !== 'permitNeeded',
+        countFromAsk: without !== 'countFromAsk',
+        countPermits: without !== 'countPermits',
+        vouchNeeded: without !== 'vouchNeeded',
+        waitAfterMove: without !== 'waitAfterMove',
+        waitAfterStart: without !== 'waitAfterStart',
+      }),
+    ),
 };
 
 function run(name: string, without?: string): Exploration {
--- a/src/admin/administration.ts
+++ b/src/admin/administration.ts
@@ -6,6 +6,7 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import polka from 'polka';
 import type {ConfigurationKeeper} from '../configuration/keeper.js';
+import type {Health} from '../health/health.js';
 import type {FleetAuthority} from '../member/fleet_authority.js';
 import type {Membership} from '../member/membership.js';
 import type {Settings} from '../settings/schema.js';
@@ -17,6 +18,7 @@
   readonly keeper: ConfigurationKeeper;
   readonly membership: Membership;
   readonly authority: FleetAuthority;
+  readonly health: Health;
   readonly isReady: () => boolean;
 }
 
@@ -42,13 +44,14 @@
 
   #status(req: IncomingMessage, res: ServerResponse): void {
     if (!this.#authenticate(req)) return sendProblem(res, 401, 'Unauthorized');
-    const {keeper, membership, authority} = this.#options;
+    const {keeper, membership, authority, health} = this.#options;
     sendJson(res, 200, {
       self: membership.self(),
       members: membership.members(),
       revision: keeper.tables().revision,
       generation: authority.generations.current()?.number ?? 0,
       vouched: authority.vouches.current() !== undefined,
+      health: health.status(),
     });
   }
 
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -14,6 +14,7 @@
 import {serveAnnouncements} from '../gate/announcements.js';
 import {Gate} from '../gate/gate.js';
 import {serveHop, serveReservations} from '../gate/hop_server.js';
+import {Health} from '../health/health.js';
 import {close, listen} from '../http/listener.js';
 import type {Logger} from '../log/logger.js';
 import {FleetAuthority} from '../member/fleet_authority.js';
@@ -50,6 +51,7 @@
   readonly links: WebSocketLinks;
   readonly membership: SwimMembership;
   readonly authority: FleetAuthority;
+  readonly health: Health;
   readonly gate: Gate;
   readonly gates: Gates;
 }
@@ -93,6 +95,7 @@
     parts.spread.start();
     parts.authority.start();
     parts.gate.start();
+    parts.health.start();
     this.#options.log.info(`Listening for callers on ${bound.callers}.`);
     return bound;
   }
@@ -106,6 +109,7 @@
     await new Promise(resolve => setTimeout(resolve, LEAVE_PAUSE_MS));
     await close(this.#servers.callers);
     await parts.gate.stop();
+    await parts.health.stop();
     await parts.gates.stop();
     parts.watcher.stop();
     parts.spread.stop();
@@ -154,11 +158,24 @@
       log: log.for('generations'),
       readRevision: () => readFreshRevision(store),
     });
+    const health: Health = new Health({
+      instances: () => gate.instances.all(),
+      links,
+      membership,
+      generations: authority.generations,
+      vouches: authority.vouches,
+      floorOf: service => keeper.tables().service(service)?.floor,
+      onChange: () => gate.resize(),
+      metrics: this.#options.metrics,
+      log: log.for('health'),
+    });
     const gate = new Gate({
       maxQueueMs: settings.limits.maxQueueMs,
       maxQueuePerCustomer: settings.limits.maxQueuePerCustomer,
       log: log.for('gate'),
-      onSlots: slots => membership.update({slots}),
+      health,
+      onSlots: ({full, spare}) =>
+        membership.update({slots: full, spareSlots: spare}),
     });
     const gates = new Gates({own: gate, membership, links, secret, dial});
     return {
@@ -169,6 +186,7 @@
       links,
       membership,
       authority,
+      health,
       gate,
       gates,
     };
@@ -193,6 +211,7 @@
       keeper: parts.keeper,
       membership: parts.membership,
       authority: parts.authority,
+      health: parts.health,
       isReady: () => parts.keeper.tables().revision > 0,
     });
     serveAnnouncements(instances, parts.gate.instances);
--- a/src/gate/gate.ts
+++ b/src/gate/gate.ts
@@ -3,25 +3,42 @@
  * themselves to this daemon, and knows whether a request was started. Work
  * waits for a slot in one queue for each service.
  */
+import {candidacyOf} from '../health/health.js';
+import {
+  classOfMethod,
+  kindOfAnswer,
+  type HealthView,
+  type SampleKind,
+} from '../health/view.js';
 import type {Logger} from '../log/logger.js';
 import {exchange, ExchangeError} from './exchange.js';
 import {Instances, mayReceiveWork, type Instance} from './instances.js';
 import type {ReserveReply} from './messages.js';
+import {observedBody} from './observed_body.js';
 import {Reservations} from './reservations.js';
-import {Slots, type Slot, type SlotLimits, type SlotRequest} from './slots.js';
+import {
+  Slots,
+  type Slot,
+  type SlotCounts,
+  type SlotLimits,
+  type SlotRequest,
+} from './slots.js';
 import {
   notRun,
   type GateDoor,
+  type NotRun,
   type NotRunReason,
   type Outcome,
+  type Unknown,
   type Work,
 } from './work.js';
 
 /** Options of {@link Gate}. */
 export interface GateOptions extends SlotLimits {
   readonly log: Logger;
+  readonly health: HealthView;
   /** Called when slots in service have changed. */
-  readonly onSlots: (slots: Readonly<Record<string, number>>) => void;
+  readonly onSlots: (slots: SlotCounts) => void;
 }
 
 /** Instances that one piece of work is tried on, at most. */
@@ -30,16 +47,25 @@
 /** The gate of one daemon. */
 export class Gate implements GateDoor {
   readonly instances: Instances;
+  readonly #options: GateOptions;
   readonly #slots: Slots;
+  #toldCounts = '';
   readonly #reservations = new Reservations();
   #stopping = false;
 
   constructor(options: GateOptions) {
-    this.instances = new Instances(() => {
-      this.#slots.resize();
-      options.onSlots(this.instances.slots());
-    });
-    this.#slots = new Slots(this.instances, options);
+    this.#options = options;
+    this.instances = new Instances(() => this.resize());
+    this.#slots = new Slots(this.instances, options.health, options);
+  }
+
+  /** Fits queues to what instances may have now, and tells the others. */
+  resize(): void {
+    this.#slots.resize();
+    const counts = this.#slots.counts();
+    const text = JSON.stringify(counts);
+    if (text !== this.#toldCounts) this.#options.onSlots(counts);
+    this.#toldCounts = text;
   }
 
   start(): void {
@@ -55,12 +81,14 @@
 
   /** Free slots minus waiting work of a service; above zero means room. */
   room(service: string): number {
-    const instances = this.instances.inService(service);
-    const free = instances.reduce(
-      (sum, i) => sum + i.announcement.slots - i.busy,
-      0,
-    );
-    return free - this.#slots.waiting(service);
+    return this.#slots.free(service) - this.#slots.waiting(service);
+  }
+
+  /** True if an instance that isn't full should get a trial request. */
+  isTrialDue(service: string): boolean {
+    return this.instances
+      .inService(service)
+      .some(({id}) => this.#options.health.isTrialDue(id));
   }
 
   async run(work: Work): Promise<Outcome> {
@@ -113,31 +141,69 @@
     const deadline = new AbortController();
     const timer = setTimeout(() => deadline.abort(), leftMs);
     let refusal: NotRunReason | undefined;
+    const observation = this.#options.health.observe(
+      candidacyOf(instance),
+      classOfMethod(work.method),
+    );
     try {
       const answer = await exchange(instance.dispatcher, {
         method: work.method,
         path: work.path,
         headers: work.headers,
-        body: work.body,
+        body: work.body && observedBody(work.body, observation),
         signal: AbortSignal.any([work.signal, deadline.signal]),
         mayStart: () => {
           refusal = startRefusalOf(work, instance);
+          if (!work.body || work.body.whole) observation.sent();
           return refusal === undefined;
         },
       });
+      const {status, headers} = answer;
+      observation.ended(kindOfAnswer(status, headers, candidacyOf(instance)));
       return {kind: 'answered', instance: instance.id, ...answer};
     } catch (err) {
       if (!(err instanceof ExchangeError)) throw err;
-      if (!err.started) return notRun(refusal ?? 'connect-failed');
-      if (work.signal.aborted) return {kind: 'unknown', reason: 'cancelled'};
-      const reason = deadline.signal.aborted ? 'timeout' : 'connection-lost';
-      return {kind: 'unknown', reason};
+      const outcome = outcomeOf(err, {
+        refusal,
+        isCancelled: work.signal.aborted,
+        isOverdue: deadline.signal.aborted,
+      });
+      observation.ended(SAMPLE_OF[outcome.reason] ?? 'cancelled');
+      return outcome;
     } finally {
       clearTimeout(timer);
     }
   }
 }
 
+/** What is known about an exchange that ended without an answer. */
+interface Ending {
+  readonly refusal: NotRunReason | undefined;
+  readonly isCancelled: boolean;
+  readonly isOverdue: boolean;
+}
+
+function outcomeOf(err: ExchangeError, ending: Ending): NotRun | Unknown {
+  const {refusal, isCancelled, isOverdue} = ending;
+  if (!err.started) return notRun(refusal ?? unstartedOf(ending));
+  if (isCancelled) return {kind: 'unknown', reason: 'cancelled'};
+  return {kind: 'unknown', reason: isOverdue ? 'timeout' : 'connection-lost'};
+}
+
+function unstartedOf({isCancelled, isOverdue}: Ending): NotRunReason {
+  if (isCancelled) return 'cancelled';
+  return isOverdue ? 'deadline' : 'connect-failed';
+}
+
+/** What an exchange without an answer says about the instance. */
+const SAMPLE_OF: Readonly<
+  Partial<Record<NotRunReason | Unknown['reason'], SampleKind>>
+> = {
+  'connect-failed': 'failure',
+  'connection-lost': 'failure',
+  timeout: 'timeout',
+};
+
 /** Why work must not start at an instance now; spends the rate token. */
 function startRefusalOf(
   work: Work,
--- a/src/gate/instances.ts
+++ b/src/gate/instances.ts
@@ -89,16 +89,6 @@
     return [...this.#instances.values()];
   }
 
-  /** Slots in service, by service. */
-  slots(): Readonly<Record<string, number>> {
-    return this.all()
-      .filter(mayReceiveWork)
-      .reduce<Record<string, number>>((sums, {announcement}) => {
-        const sum = sums[announcement.service] ?? 0;
-        return {...sums, [announcement.service]: sum + announcement.slots};
-      }, {});
-  }
-
   /** Changes the number of requests that hold a slot. */
   occupy(id: string, by: 1 | -1): void {
     const instance = this.#instances.get(id);
--- a/src/gate/slots.ts
+++ b/src/gate/slots.ts
@@ -4,8 +4,10 @@
  * it is cancelled, overdue or too old, not when a slot becomes free.
  */
 import PQueue from 'p-queue';
+import {candidacyOf} from '../health/health.js';
+import type {Grade, HealthView} from '../health/view.js';
 import {FairQueue, Place, type FairOptions} from './fair_queue.js';
-import type {Instance, Instances} from './instances.js';
+import {mayReceiveWork, type Instance, type Instances} from './instances.js';
 import {notRun, type NotRun} from './work.js';
 
 /** A slot of an instance; it is held until it is released. */
@@ -21,8 +23,24 @@
   /** Monotonic clock, milliseconds. */
   readonly deadlineAtMs: number;
   readonly signal: AbortSignal;
+  /** It may be sent again if it fails, and so may go to a sick instance. */
+  readonly mayBeTrial?: boolean;
 }
 
+/** Slots of one gate, by service. */
+export interface SlotCounts {
+  /** Of instances with full trust. */
+  readonly full: Readonly<Record<string, number>>;
+  /** Of instances that are chosen only when the others are busy. */
+  readonly spare: Readonly<Record<string, number>>;
+}
+
+const GRADE_ORDER: Readonly<Record<Grade, number>> = {
+  full: 1,
+  reduced: 2,
+  ejected: 3,
+};
+
 /** Bounds of the queues. */
 export interface SlotLimits {
   readonly maxQueueMs: number;
@@ -40,12 +58,14 @@
 /** The slots and queues of one gate. */
 export class Slots {
   readonly #instances: Instances;
+  readonly #health: HealthView;
   readonly #limits: SlotLimits;
   readonly #queues = new Map<string, ServiceQueue>();
   readonly #held = new Set<Held>();
 
-  constructor(instances: Instances, limits: SlotLimits) {
+  constructor(instances: Instances, health: HealthView, limits: SlotLimits) {
     this.#instances = instances;
+    this.#health = health;
     this.#limits = limits;
   }
 
@@ -54,6 +74,28 @@
     return this.#queues.get(service)?.size ?? 0;
   }
 
+  /** Free slots of instances with full trust. */
+  free(service: string): number {
+    return this.#instances
+      .inService(service)
+      .filter(({id}) => this.#health.grade(id) === 'full')
+      .reduce((sum, i) => sum + Math.max(0, this.#limitOf(i) - i.busy), 0);
+  }
+
+  /** Slots that instances may have by their grades. */
+  counts(): SlotCounts {
+    const countOf = (grade: Grade) =>
+      this.#instances
+        .all()
+        .filter(mayReceiveWork)
+        .filter(({id}) => this.#health.grade(id) === grade)
+        .reduce<Record<string, number>>((sums, {announcement}) => {
+          const sum = sums[announcement.service] ?? 0;
+          return {...sums, [announcement.service]: sum + announcement.slots};
+        }, {});
+    return {full: countOf('full'), spare: countOf('reduced')};
+  }
+
   /** Resolves when nothing waits and every slot is released. */
   async idle(): Promise<void> {
     const queues = [...this.#queues.values()];
@@ -92,7 +134,7 @@
         Math.min(leftMs, this.#limits.maxQueueMs),
       );
       signal.addEventListener('abort', onAbort, {once: true});
-      const run = () => this.#hold(service, avoid, settle);
+      const run = () => this.#hold(request, avoid, settle);
       void queue.add(run, {customer, place});
     });
   }
@@ -104,11 +146,12 @@
 
   /** Resolves when the slot is released. */
   #hold(
-    service: string,
+    request: SlotRequest,
     avoid: ReadonlySet<string>,
     settle: (result: Slot | NotRun) => void,
   ): Promise<void> {
-    const instance = this.#choose(service, avoid);
+    const {service} = request;
+    const instance = this.#choose(request, avoid);
     if (!instance) {
       const there = this.#instances.inService(service).length > 0;
       settle(notRun(there ? 'busy' : 'no-instance'));
@@ -128,13 +171,26 @@
     });
   }
 
-  /** The instance with the most free slots. */
-  #choose(service: string, avoid: ReadonlySet<string>): Instance | undefined {
-    const free = (i: Instance) => i.announcement.slots - i.busy;
+  /** The best grade first, in it the instance with the most free slots. */
+  #choose(
+    request: SlotRequest,
+    avoid: ReadonlySet<string>,
+  ): Instance | undefined {
+    const isTrial = request.mayBeTrial ?? false;
+    const orderOf = (i: Instance) =>
+      isTrial && this.#health.isTrialDue(i.id)
+        ? 0
+        : GRADE_ORDER[this.#health.grade(i.id)];
+    const freeOf = (i: Instance) =>
+      i.announcement.slots - i.busy - this.#health.foreignLoad(candidacyOf(i));
     return this.#instances
-      .inService(service)
-      .filter(instance => free(instance) > 0 && !avoid.has(instance.id))
-      .toSorted((a, b) => free(b) - free(a))[0];
+      .inService(request.service)
+      .filter(i => !avoid.has(i.id) && i.busy < this.#limitOf(i, isTrial))
+      .toSorted((a, b) => orderOf(a) - orderOf(b) || freeOf(b) - freeOf(a))[0];
+  }
+
+  #limitOf(instance: Instance, isTrial = false): number {
+    return this.#health.limit(candidacyOf(instance), isTrial);
   }
 
   #queueOf(service: string): ServiceQueue {
@@ -152,7 +208,7 @@
    */
   #fit(queue: ServiceQueue, service: string): void {
     const instances = this.#instances.inService(service);
-    const slots = instances.reduce((sum, i) => sum + i.announcement.slots, 0);
+    const slots = instances.reduce((sum, i) => sum + this.#limitOf(i), 0);
     const ids = new Set(instances.map(instance => instance.id));
     const elsewhere = [...this.#held].filter(
       held => held.service === service && !ids.has(held.instance),
--- /dev/null
+++ b/src/health/evidence.ts
@@ -0,0 +1,188 @@
+/**
+ * Evidence about one instance. Real work counts first: failures, and latency
+ * against siblings. Probes count only while there is no real work that
+ * speaks for itself. Whether the evidence is against this instance or shared
+ * by its siblings is for `suspect` to tell.
+ */
+import {ChangeDetector} from './change_detector.js';
+import type {Baseline, Suspicion} from './messages.js';
+import {RecentSamples} from './recent_samples.js';
+import type {MethodClass, Observation, SampleKind} from './view.js';
+
+/** Siblings' statistics, and whether they are fresh. */
+export type BaselineSource = () => Baseline | undefined;
+
+interface InFlight {
+  readonly methodClass: MethodClass;
+  sentAtMs: number | undefined;
+  stalled: boolean;
+}
+
+/** Score at which an instance is suspected. */
+export const SUSPECT_SCORE = 5;
+/** Score at which it is sick enough to be ejected. */
+export const SICK_SCORE = 8;
+
+const SLOW_FACTOR = 3;
+const SLOW_EXTRA_MS = 15;
+const STALL_FACTOR = 10;
+const STALL_MIN_MS = 300;
+/** Time in which siblings that are slow as well become known. */
+const SLOW_CONFIRM_MS = 400;
+const SLOW_SICK_MS = 2000;
+
+/** Evidence about one instance. */
+export class InstanceEvidence {
+  readonly #baseline: BaselineSource;
+  readonly #failing = new ChangeDetector({expected: 0.03, risen: 0.25});
+  readonly #slow = new ChangeDetector({expected: 0.1, risen: 0.6});
+  readonly #inFlight = new Set<InFlight>();
+  readonly samples = new RecentSamples();
+  #slowSinceMs: number | undefined;
+  #lastRealMs = 0;
+  #goodInRow = 0;
+
+  constructor(baseline: BaselineSource) {
+    this.#baseline = baseline;
+  }
+
+  /** Good exchanges, or good probes without any, since the last bad one. */
+  get goodInRow(): number {
+    return this.#goodInRow;
+  }
+
+  /** When real work last said something; monotonic, milliseconds. */
+  get lastRealMs(): number {
+    return this.#lastRealMs;
+  }
+
+  observe(methodClass: MethodClass): Observation {
+    const flight: InFlight = {methodClass, sentAtMs: undefined, stalled: false};
+    this.#inFlight.add(flight);
+    return {
+      sent: () => (flight.sentAtMs = performance.now()),
+      ended: kind => {
+        if (this.#inFlight.delete(flight)) this.#end(flight, kind);
+      },
+    };
+  }
+
+  /** Looks for exchanges that take too long; true if a new one was found. */
+  findStalls(): boolean {
+    const nowMs = performance.now();
+    const stalls = [...this.#inFlight].filter(flight => {
+      const limitMs = this.#stallLimitMs(flight.methodClass);
+      const sentAtMs = flight.sentAtMs ?? nowMs;
+      return !flight.stalled && nowMs - sentAtMs > limitMs;
+    });
+    stalls.forEach(flight => {
+      flight.stalled = true;
+      this.#lastRealMs = nowMs;
+      this.#goodInRow = 0;
+      // A stall is late by far more than a slow answer is.
+      this.#addSlow(true);
+      this.#addSlow(true);
+    });
+    return stalls.length > 0;
+  }
+
+  /** Drops what is in flight: this process was paused meanwhile. */
+  forgetInFlight(): void {
+    this.#inFlight.clear();
+  }
+
+  /** A probe ended. It counts only if real work was silent since `sinceMs`. */
+  probed(good: boolean, sinceMs: number): void {
+    if (this.#lastRealMs > sinceMs) return;
+    if (good) this.#goodInRow += 1;
+    // A probe alone makes an instance suspect at most, never sick.
+    if (good || this.#failing.score < SUSPECT_SCORE) {
+      this.#failing.add(!good, 0);
+    }
+  }
+
+  /** What the instance is suspected of, seen beside its siblings. */
+  suspect(): Suspicion {
+    const baseline = this.#baseline();
+    if (this.#failing.score >= SUSPECT_SCORE) {
+      const shared = baseline && isShared(baseline.failing, baseline);
+      return shared ? 'none' : 'failing';
+    }
+    const ageMs = this.#slowAgeMs();
+    if (ageMs < SLOW_CONFIRM_MS || !baseline) return 'none';
+    return isShared(baseline.slow, baseline) ? 'none' : 'slow';
+  }
+
+  /** What is told to siblings: not yet compared with theirs. */
+  rawSuspicion(): Suspicion {
+    if (this.#failing.score >= SUSPECT_SCORE) return 'failing';
+    return this.#slow.score >= SUSPECT_SCORE ? 'slow' : 'none';
+  }
+
+  /** True if the suspicion is strong enough for an ejection. */
+  isSick(): boolean {
+    const suspicion = this.suspect();
+    if (suspicion === 'failing') return this.#failing.score >= SICK_SCORE;
+    return suspicion === 'slow' && this.#slowAgeMs() >= SLOW_SICK_MS;
+  }
+
+  /** The last good exchanges outweigh what was before them. */
+  absolve(): void {
+    this.#failing.lower(0);
+    this.#slow.lower(0);
+    this.#slowSinceMs = undefined;
+  }
+
+  restartRow(): void {
+    this.#goodInRow = 0;
+  }
+
+  #end(flight: InFlight, kind: SampleKind): void {
+    if (kind === 'shed' || kind === 'cancelled') return;
+    const nowMs = performance.now();
+    const {methodClass, sentAtMs} = flight;
+    const latencyMs = sentAtMs === undefined ? undefined : nowMs - sentAtMs;
+    // A deadline that siblings would have missed too says nothing.
+    const limitMs = this.#stallLimitMs(methodClass);
+    if (kind === 'timeout' && (latencyMs ?? 0) < limitMs) return;
+    const failed = kind !== 'success';
+    const slow = !failed && this.#isSlow(methodClass, latencyMs ?? 0);
+    this.#lastRealMs = nowMs;
+    this.samples.add({atMs: nowMs, methodClass, latencyMs, failed, slow});
+    this.#failing.add(failed, this.#baseline()?.failureShare ?? 0);
+    if (!failed && !flight.stalled) this.#addSlow(slow);
+    this.#goodInRow = failed || slow ? 0 : this.#goodInRow + 1;
+  }
+
+  #addSlow(slow: boolean): void {
+    const baseline = this.#baseline();
+    if (!baseline) return;
+    this.#slow.add(slow, baseline.slowShare);
+    const suspected = this.#slow.score >= SUSPECT_SCORE;
+    if (!suspected) this.#slowSinceMs = undefined;
+    else this.#slowSinceMs ??= performance.now();
+  }
+
+  #slowAgeMs(): number {
+    if (this.#slowSinceMs === undefined) return -1;
+    return performance.now() - this.#slowSinceMs;
+  }
+
+  #isSlow(methodClass: MethodClass, latencyMs: number): boolean {
+    const medianMs = this.#baseline()?.medianMs[methodClass];
+    if (medianMs === undefined) return false;
+    const limitMs = Math.max(medianMs * SLOW_FACTOR, medianMs + SLOW_EXTRA_MS);
+    return latencyMs > limitMs;
+  }
+
+  #stallLimitMs(methodClass: MethodClass): number {
+    const medianMs = this.#baseline()?.medianMs[methodClass];
+    if (medianMs === undefined) return Number.POSITIVE_INFINITY;
+    return Math.max(STALL_MIN_MS, medianMs * STALL_FACTOR);
+  }
+}
+
+/** Half of the siblings can't all be outliers: that is load, or a fault. */
+function isShared(suspected: number, baseline: Baseline): boolean {
+  return suspected * 2 > baseline.instances;
+}
--- /dev/null
+++ b/src/health/recent_samples.ts
@@ -0,0 +1,54 @@
+/** The last few seconds of ended exchanges with one instance. */
+import type {MethodClass} from './view.js';
+
+/** One exchange that ended. */
+export interface RecentSample {
+  readonly atMs: number;
+  readonly methodClass: MethodClass;
+  /** From the request's last byte to the answer's headers, if it was sent. */
+  readonly latencyMs: number | undefined;
+  readonly failed: boolean;
+  readonly slow: boolean;
+}
+
+const RECENT_MS = 2000;
+const MAX_SAMPLES = 128;
+const MIN_FOR_MEDIAN = 3;
+
+/** Samples of the recent past, the newest last. */
+export class RecentSamples {
+  #samples: RecentSample[] = [];
+
+  add(sample: RecentSample): void {
+    this.#samples.push(sample);
+    if (this.#samples.length > MAX_SAMPLES) this.#samples.shift();
+  }
+
+  /** Samples that are recent now. */
+  recent(): readonly RecentSample[] {
+    const from = performance.now() - RECENT_MS;
+    return this.#samples.filter(sample => sample.atMs >= from);
+  }
+
+  /** Share of recent samples that `isBad` picks; 0 if there are none. */
+  share(isBad: (sample: RecentSample) => boolean): number {
+    const recent = this.recent();
+    return recent.filter(isBad).length / Math.max(1, recent.length);
+  }
+
+  /** Median latency of a class, or undefined if there are too few. */
+  medianMs(methodClass: MethodClass): number | undefined {
+    const latencies = this.recent()
+      .filter(sample => sample.methodClass === methodClass && !sample.failed)
+      .map(sample => sample.latencyMs)
+      .filter(latencyMs => latencyMs !== undefined);
+    if (latencies.length < MIN_FOR_MEDIAN) return undefined;
+    return lowerMedian(latencies);
+  }
+}
+
+/** The middle value; of two middle values the lower one. */
+export function lowerMedian(values: readonly number[]): number | undefined {
+  const sorted = values.toSorted((a, b) => a - b);
+  return sorted[Math.floor((sorted.length - 1) / 2)];
+}
--- a/src/member/membership.ts
+++ b/src/member/membership.ts
@@ -8,7 +8,7 @@
 import type {Logger} from '../log/logger.js';
 import {FailureDetector} from './failure_detector.js';
 import type {Links} from './links.js';
-import type {MemberRecord} from './messages.js';
+import type {MemberChange, MemberRecord} from './messages.js';
 import {NewsQueue} from './news_queue.js';
 import {rankMembers} from './rendezvous.js';
 import {View} from './view.js';
@@ -21,7 +21,7 @@
   members(): readonly MemberRecord[];
   member(id: string): MemberRecord | undefined;
   /** Changes this daemon's own record; all others learn of it. */
-  update(change: Partial<Pick<MemberRecord, 'state' | 'slots'>>): void;
+  update(change: MemberChange): void;
 }
 
 /** Options of {@link SwimMembership}. */
@@ -102,7 +102,7 @@
     return known?.status === 'dead' ? undefined : known?.record;
   }
 
-  update(change: Partial<Pick<MemberRecord, 'state' | 'slots'>>): void {
+  update(change: MemberChange): void {
     this.#news.add([this.#view.updateSelf(change)]);
     this.#spreadNews();
   }
--- a/src/member/messages.ts
+++ b/src/member/messages.ts
@@ -17,8 +17,15 @@
   readonly state: 'alive' | 'leaving';
   /** Slots in service behind its gate, by service. */
   readonly slots: Readonly<Record<string, number>>;
+  /** Slots of instances that are used only when others are busy. */
+  readonly spareSlots?: Readonly<Record<string, number>>;
 }
 
+/** What a daemon may change in its own record. */
+export type MemberChange = Partial<
+  Pick<MemberRecord, 'state' | 'slots' | 'spareSlots'>
+>;
+
 /** What the fleet believes of a member. */
 export type MemberStatus = 'alive' | 'suspect' | 'dead';
 
--- a/src/wire/messages.ts
+++ b/src/wire/messages.ts
@@ -4,6 +4,7 @@
  */
 import type {ConfigurationMessages} from '../configuration/messages.js';
 import type {GateMessages} from '../gate/messages.js';
+import type {HealthMessages} from '../health/messages.js';
 import type {MemberMessages} from '../member/messages.js';
 import type {WitnessMessages} from '../member/witness_messages.js';
 
@@ -19,7 +20,8 @@
     MemberMessages,
     WitnessMessages,
     ConfigurationMessages,
-    GateMessages {}
+    GateMessages,
+    HealthMessages {}
 
 /** The name of a kind of message. */
 export type MessageKind = keyof Messages & string;
