--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -21,6 +21,7 @@
 import {Holders} from '../idempotency/holders.js';
 import {Ledger} from '../idempotency/ledger.js';
 import {createCallersServer, drainCallers} from '../http/callers.js';
+import {Health} from '../health/health.js';
 import {close, listen} from '../http/listener.js';
 import type {Logger} from '../log/logger.js';
 import {FleetAuthority} from '../member/fleet_authority.js';
@@ -62,6 +63,7 @@
   readonly membership: SwimMembership;
   readonly authority: FleetAuthority;
   readonly limiter: EscrowLimiter;
+  readonly health: Health;
   readonly gate: Gate;
   readonly gates: Gates;
   readonly ledger: Ledger;
@@ -116,6 +118,7 @@
     parts.limiter.start();
     parts.gate.start();
     parts.ledger.start();
+    parts.health.start();
     this.#options.log.info(`Listening for callers on ${bound.callers}.`);
     return bound;
   }
@@ -131,6 +134,7 @@
     await new Promise(resolve => setTimeout(resolve, LEAVE_PAUSE_MS));
     await drainCallers(this.#servers.callers);
     await parts.gate.stop();
+    await parts.health.stop();
     await parts.gates.stop();
     parts.watcher.stop();
     parts.spread.stop();
@@ -196,11 +200,24 @@
       keeper,
       onBehind: () => spread.compareNow(),
     });
+    const health: Health = new Health({
+      instances: () => gate.instances.all(),
+      links,
+      membership,
+      generations: generations,
+      vouches,
+      floorOf: service => keeper.tables().service(service)?.floor,
+      onChange: () => gate.resize(),
+      metrics: this.#options.metrics,
+      log: log.for('health'),
+    });
     const gate = new Gate({
       maxQueueMs: settings.limits.maxQueueMs,
       maxQueuePerCustomer: settings.limits.maxQueuePerCustomer,
       log: log.for('gate'),
-      onSlots: slots => membership.update({slots}),
+      health,
+      onSlots: ({full, spare}) =>
+        membership.update({slots: full, spareSlots: spare}),
     });
     const clocks = new PeerClocks(links);
     const gates = new Gates({
@@ -236,6 +253,7 @@
       membership,
       authority,
       limiter,
+      health,
       gate,
       gates,
       ledger,
@@ -266,6 +284,7 @@
       log: log.for('administration'),
       isReady: () => keeper.tables().revision > 0,
       status: {
+        health: () => parts.health.status(),
         generation: () => generations.current()?.number ?? 0,
         vouched: () => vouches.current() !== undefined,
         keysFresh: () => freshness.isFresh(),
--- a/src/wire/messages.ts
+++ b/src/wire/messages.ts
@@ -6,6 +6,7 @@
 import type {GateMessages} from '../gate/messages.js';
 import type {ClockMessages} from '../member/clock_messages.js';
 import type {IdempotencyMessages} from '../idempotency/messages.js';
+import type {HealthMessages} from '../health/messages.js';
 import type {MemberMessages} from '../member/messages.js';
 import type {WitnessMessages} from '../member/witness_messages.js';
 import type {RateMessages} from '../rates/messages.js';
@@ -22,6 +23,7 @@
     ClockMessages,
     ConfigurationMessages,
     GateMessages,
+    HealthMessages,
     IdempotencyMessages,
     MemberMessages,
     RateMessages,
