--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -9,11 +9,19 @@
 import {Administration} from '../admin/administration.js';
 import {readFreshRevision} from '../configuration/fresh_revision.js';
 import {ConfigurationKeeper} from '../configuration/keeper.js';
+import {Acceptance} from '../configuration/acceptance.js';
+import {KeyFreshness} from '../configuration/freshness.js';
 import {Spread} from '../configuration/spread.js';
 import {StoreWatcher} from '../configuration/store_watcher.js';
+import {ChangeWriter} from '../configuration/writer.js';
 import {serveAnnouncements} from '../gate/announcements.js';
 import {Gate} from '../gate/gate.js';
 import {serveHop, serveReservations} from '../gate/hop_server.js';
+import {Claims} from '../idempotency/claims.js';
+import {Holders} from '../idempotency/holders.js';
+import {Ledger} from '../idempotency/ledger.js';
+import {createCallersServer, drainCallers} from '../http/callers.js';
+import {Health} from '../health/health.js';
 import {close, listen} from '../http/listener.js';
 import type {Logger} from '../log/logger.js';
 import {FleetAuthority} from '../member/fleet_authority.js';
@@ -40,6 +48,8 @@
   readonly settings: Settings;
   readonly log: Logger;
   readonly metrics: Metrics;
+  /** Called when an operator asks for a planned stop. */
+  readonly onDrain: () => void;
 }
 
 /** The parts of a running daemon. */
@@ -48,12 +58,16 @@
   readonly keeper: ConfigurationKeeper;
   readonly watcher: StoreWatcher;
   readonly spread: Spread;
+  readonly freshness: KeyFreshness;
   readonly links: WebSocketLinks;
   readonly membership: SwimMembership;
   readonly authority: FleetAuthority;
   readonly limiter: EscrowLimiter;
+  readonly health: Health;
   readonly gate: Gate;
   readonly gates: Gates;
+  readonly ledger: Ledger;
+  readonly claims: Claims;
 }
 
 interface Servers {
@@ -71,16 +85,22 @@
   readonly #options: DaemonOptions;
   readonly #servers: Servers;
   #parts: Parts | undefined;
+  #router: Router | undefined;
 
   constructor(options: DaemonOptions) {
     this.#options = options;
     const {maxHeaderBytes} = options.settings.limits;
-    const http = {maxHeaderSize: maxHeaderBytes, requireHostHeader: true};
+    const http = {maxHeaderSize: maxHeaderBytes};
     this.#servers = {
-      callers: createServer(http),
+      callers: createCallersServer(maxHeaderBytes),
       administration: createServer(http),
       instances: createServer(http),
-      peers: createServer({maxHeaderSize: maxHeaderBytes * 2}),
+      peers: createServer({
+        maxHeaderSize: maxHeaderBytes * 2,
+        requestTimeout: 0,
+        // Longer than peers keep idle connections, so that they close first.
+        keepAliveTimeout: 30_000,
+      }),
     };
   }
 
@@ -93,9 +113,12 @@
     parts.membership.start();
     parts.watcher.start();
     parts.spread.start();
+    parts.freshness.start();
     parts.authority.start();
     parts.limiter.start();
     parts.gate.start();
+    parts.ledger.start();
+    parts.health.start();
     this.#options.log.info(`Listening for callers on ${bound.callers}.`);
     return bound;
   }
@@ -105,14 +128,19 @@
     const parts = this.#parts;
     if (!parts) return;
     this.#options.log.info('Leaving.');
+    parts.gate.leave();
+    this.#router?.leave();
     parts.membership.update({state: 'leaving'});
     await new Promise(resolve => setTimeout(resolve, LEAVE_PAUSE_MS));
-    await close(this.#servers.callers);
+    await drainCallers(this.#servers.callers);
     await parts.gate.stop();
+    await parts.health.stop();
     await parts.gates.stop();
     parts.watcher.stop();
     parts.spread.stop();
     parts.limiter.stop();
+    parts.ledger.stop();
+    parts.freshness.stop();
     parts.authority.stop();
     parts.membership.stop();
     parts.links.stop();
@@ -148,9 +176,6 @@
       links,
       log: log.for('member'),
     });
-    const shared = {keeper, membership, log: configurationLog};
-    const watcher = new StoreWatcher({...shared, store});
-    const spread = new Spread({...shared, links});
     const authority = new FleetAuthority({
       store,
       links,
@@ -158,19 +183,41 @@
       log: log.for('generations'),
       readRevision: () => readFreshRevision(store),
     });
+    const {generations, vouches} = authority;
     const limiter = new EscrowLimiter({
       self: membership.self(),
       links,
-      generations: authority.generations,
-      vouches: authority.vouches,
+      generations,
+      vouches,
       customer: id => keeper.tables().customer(id),
       log: log.for('rates'),
     });
+    const shared = {keeper, membership, log: configurationLog};
+    const watcher = new StoreWatcher({...shared, store, vouches});
+    const spread = new Spread({...shared, links});
+    const freshness = new KeyFreshness({
+      vouches,
+      keeper,
+      onBehind: () => spread.compareNow(),
+    });
+    const health: Health = new Health({
+      instances: () => gate.instances.all(),
+      links,
+      membership,
+      generations: generations,
+      vouches,
+      floorOf: service => keeper.tables().service(service)?.floor,
+      onChange: () => gate.resize(),
+      metrics: this.#options.metrics,
+      log: log.for('health'),
+    });
     const gate = new Gate({
       maxQueueMs: settings.limits.maxQueueMs,
       maxQueuePerCustomer: settings.limits.maxQueuePerCustomer,
       log: log.for('gate'),
-      onSlots: slots => membership.update({slots}),
+      health,
+      onSlots: ({full, spare}) =>
+        membership.update({slots: full, spareSlots: spare}),
     });
     const clocks = new PeerClocks(links);
     const gates = new Gates({
@@ -181,41 +228,90 @@
       secret,
       dial,
     });
+    const retentionMs = settings.limits.idempotencyRetentionMs;
+    const selfId = settings.daemon.id;
+    const holders = new Holders({selfId, generations, retentionMs});
+    generations.onChange(() => holders.refresh());
+    const ledger = new Ledger(retentionMs, name => holders.heldSinceMs(name));
+    const claims = new Claims({
+      selfId,
+      holders,
+      ledger,
+      links,
+      isCurrent: () => {
+        const vouched = vouches.current()?.generation;
+        return vouched === generations.current()?.number;
+      },
+    });
     return {
       store,
       keeper,
       watcher,
       spread,
+      freshness,
       links,
       membership,
       authority,
       limiter,
+      health,
       gate,
       gates,
+      ledger,
+      claims,
     };
   }
 
+  /** Registers the administration API. */
+  #administer(parts: Parts): void {
+    const {settings, log, onDrain} = this.#options;
+    const {keeper, watcher, spread, freshness, membership, store} = parts;
+    const {generations, vouches} = parts.authority;
+    const writer = new ChangeWriter(store, () => keeper.state());
+    const acceptance = new Acceptance({
+      writer,
+      keeper,
+      spread,
+      vouches,
+      log: log.for('configuration'),
+    });
+    new Administration({
+      server: this.#servers.administration,
+      credentials: settings.administration.credentials,
+      keeper,
+      acceptance,
+      membership,
+      store,
+      log: log.for('administration'),
+      isReady: () => keeper.tables().revision > 0,
+      status: {
+        health: () => parts.health.status(),
+        generation: () => generations.current()?.number ?? 0,
+        vouched: () => vouches.current() !== undefined,
+        keysFresh: () => freshness.isFresh(),
+        watchesStore: () => watcher.isWatcher(),
+      },
+      onDrain,
+    });
+  }
+
   /** Registers the parts on the servers. */
   #connect(parts: Parts): void {
     const {settings, log, metrics} = this.#options;
-    const {callers, administration, instances, peers} = this.#servers;
-    const router = new Router({
+    const {callers, instances, peers} = this.#servers;
+    this.#router = new Router({
       tables: () => parts.keeper.tables(),
+      areKeysFresh: () => parts.freshness.isFresh(),
       limiter: parts.limiter,
       gates: parts.gates,
+      claims: parts.claims,
       log: log.for('router'),
       metrics,
     });
-    const app = polka({onNoMatch: (req, res) => router.handle(req, res)});
-    callers.on('request', app.handler);
-    new Administration({
-      server: administration,
-      credentials: settings.administration.credentials,
-      keeper: parts.keeper,
-      membership: parts.membership,
-      authority: parts.authority,
-      isReady: () => parts.keeper.tables().revision > 0,
+    const app = polka({
+      onNoMatch: (req, res) => this.#router?.handle(req, res),
     });
+    callers.on('request', app.handler);
+    this.#administer(parts);
     serveAnnouncements(instances, parts.gate.instances);
     serveReservations(parts.links, parts.gate);
     const {secret} = settings.peers;
