--- a/standins/backend.ts
+++ b/standins/backend.ts
@@ -138,8 +138,10 @@
     res.end('{}');
   },
   '/seen': (req, res) => {
-    const text = new URL(req.url ?? '', 'http://x').searchParams.get('text');
-    const seen = Buffer.concat(received).includes(text ?? '');
+    // In hexadecimal, or the question itself would be found.
+    const hex = new URL(req.url ?? '', 'http://x').searchParams.get('hex');
+    const text = Buffer.from(hex ?? '', 'hex');
+    const seen = Buffer.concat(received).includes(text);
     res.end(JSON.stringify({seen}));
   },
   '/health': (_req, res) => {
