--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -17,14 +17,20 @@
 import {serveAnnouncements} from '../gate/announcements.js';
 import {Gate} from '../gate/gate.js';
 import {serveHop, serveReservations} from '../gate/hop_server.js';
+import {Claims} from '../idempotency/claims.js';
+import {Holders} from '../idempotency/holders.js';
+import {Ledger} from '../idempotency/ledger.js';
+import {createCallersServer, drainCallers} from '../http/callers.js';
+import {Health} from '../health/health.js';
 import {close, listen} from '../http/listener.js';
 import type {Logger} from '../log/logger.js';
 import {FleetAuthority} from '../member/fleet_authority.js';
 import {WebSocketLinks} from '../member/links.js';
 import {SwimMembership} from '../member/membership.js';
+import {PeerClocks} from '../member/peer_clocks.js';
 import type {Metrics} from '../metrics/metrics.js';
 import {HttpStore} from '../platform/http_store.js';
-import {StaticLimiter} from '../rates/static_limiter.js';
+import {EscrowLimiter} from '../rates/escrow.js';
 import {Gates} from '../router/gates.js';
 import {Router} from '../router/router.js';
 import type {Settings} from '../settings/schema.js';
@@ -56,8 +62,12 @@
   readonly links: WebSocketLinks;
   readonly membership: SwimMembership;
   readonly authority: FleetAuthority;
+  readonly limiter: EscrowLimiter;
+  readonly health: Health;
   readonly gate: Gate;
   readonly gates: Gates;
+  readonly ledger: Ledger;
+  readonly claims: Claims;
 }
 
 interface Servers {
@@ -75,16 +85,22 @@
   readonly #options: DaemonOptions;
   readonly #servers: Servers;
   #parts: Parts | undefined;
+  #router: Router | undefined;
 
   constructor(options: DaemonOptions) {
     this.#options = options;
     const {maxHeaderBytes} = options.settings.limits;
-    const http = {maxHeaderSize: maxHeaderBytes, requireHostHeader: true};
+    const http = {maxHeaderSize: maxHeaderBytes};
     this.#servers = {
-      callers: createServer(http),
+      callers: createCallersServer(maxHeaderBytes),
       administration: createServer(http),
       instances: createServer(http),
-      peers: createServer({maxHeaderSize: maxHeaderBytes * 2}),
+      peers: createServer({
+        maxHeaderSize: maxHeaderBytes * 2,
+        requestTimeout: 0,
+        // Longer than peers keep idle connections, so that they close first.
+        keepAliveTimeout: 30_000,
+      }),
     };
   }
 
@@ -99,7 +115,10 @@
     parts.spread.start();
     parts.freshness.start();
     parts.authority.start();
+    parts.limiter.start();
     parts.gate.start();
+    parts.ledger.start();
+    parts.health.start();
     this.#options.log.info(`Listening for callers on ${bound.callers}.`);
     return bound;
   }
@@ -109,13 +128,18 @@
     const parts = this.#parts;
     if (!parts) return;
     this.#options.log.info('Leaving.');
+    parts.gate.leave();
+    this.#router?.leave();
     parts.membership.update({state: 'leaving'});
     await new Promise(resolve => setTimeout(resolve, LEAVE_PAUSE_MS));
-    await close(this.#servers.callers);
+    await drainCallers(this.#servers.callers);
     await parts.gate.stop();
+    await parts.health.stop();
     await parts.gates.stop();
     parts.watcher.stop();
     parts.spread.stop();
+    parts.limiter.stop();
+    parts.ledger.stop();
     parts.freshness.stop();
     parts.authority.stop();
     parts.membership.stop();
@@ -159,7 +183,15 @@
       log: log.for('generations'),
       readRevision: () => readFreshRevision(store),
     });
-    const {vouches} = authority;
+    const {generations, vouches} = authority;
+    const limiter = new EscrowLimiter({
+      self: membership.self(),
+      links,
+      generations,
+      vouches,
+      customer: id => keeper.tables().customer(id),
+      log: log.for('rates'),
+    });
     const shared = {keeper, membership, log: configurationLog};
     const watcher = new StoreWatcher({...shared, store, vouches});
     const spread = new Spread({...shared, links});
@@ -168,13 +200,49 @@
       keeper,
       onBehind: () => spread.compareNow(),
     });
+    const health: Health = new Health({
+      instances: () => gate.instances.all(),
+      links,
+      membership,
+      generations: generations,
+      vouches,
+      floorOf: service => keeper.tables().service(service)?.floor,
+      onChange: () => gate.resize(),
+      metrics: this.#options.metrics,
+      log: log.for('health'),
+    });
     const gate = new Gate({
       maxQueueMs: settings.limits.maxQueueMs,
       maxQueuePerCustomer: settings.limits.maxQueuePerCustomer,
       log: log.for('gate'),
-      onSlots: slots => membership.update({slots}),
+      health,
+      onSlots: ({full, spare}) =>
+        membership.update({slots: full, spareSlots: spare}),
+    });
+    const clocks = new PeerClocks(links);
+    const gates = new Gates({
+      own: gate,
+      membership,
+      links,
+      clocks,
+      secret,
+      dial,
+    });
+    const retentionMs = settings.limits.idempotencyRetentionMs;
+    const selfId = settings.daemon.id;
+    const holders = new Holders({selfId, generations, retentionMs});
+    generations.onChange(() => holders.refresh());
+    const ledger = new Ledger(retentionMs, name => holders.heldSinceMs(name));
+    const claims = new Claims({
+      selfId,
+      holders,
+      ledger,
+      links,
+      isCurrent: () => {
+        const vouched = vouches.current()?.generation;
+        return vouched === generations.current()?.number;
+      },
     });
-    const gates = new Gates({own: gate, membership, links, secret, dial});
     return {
       store,
       keeper,
@@ -184,8 +252,12 @@
       links,
       membership,
       authority,
+      limiter,
+      health,
       gate,
       gates,
+      ledger,
+      claims,
     };
   }
 
@@ -212,6 +284,7 @@
       log: log.for('administration'),
       isReady: () => keeper.tables().revision > 0,
       status: {
+        health: () => parts.health.status(),
         generation: () => generations.current()?.number ?? 0,
         vouched: () => vouches.current() !== undefined,
         keysFresh: () => freshness.isFresh(),
@@ -225,15 +298,18 @@
   #connect(parts: Parts): void {
     const {settings, log, metrics} = this.#options;
     const {callers, instances, peers} = this.#servers;
-    const router = new Router({
+    this.#router = new Router({
       tables: () => parts.keeper.tables(),
       areKeysFresh: () => parts.freshness.isFresh(),
-      limiter: new StaticLimiter(() => parts.membership.members().length),
+      limiter: parts.limiter,
       gates: parts.gates,
+      claims: parts.claims,
       log: log.for('router'),
       metrics,
     });
-    const app = polka({onNoMatch: (req, res) => router.handle(req, res)});
+    const app = polka({
+      onNoMatch: (req, res) => this.#router?.handle(req, res),
+    });
     callers.on('request', app.handler);
     this.#administer(parts);
     serveAnnouncements(instances, parts.gate.instances);
