--- /dev/null
+++ b/features/mutants/permit-not-asked/src/health/permit_rule.ts
@@ -0,0 +1,9 @@
+/** Mutant: an instance is ejected without a permit. */
+
+export const PERMIT_MS = 3000;
+export const PERMIT_LAPSE_MS = 3300;
+
+/** Any wish to eject is granted by the gate itself. */
+export function mayBeEjected(): boolean {
+  return true;
+}
--- /dev/null
+++ b/features/steps/health_steps.ts
@@ -0,0 +1,245 @@
+/** Steps about the health of instances and the floor of a service. */
+import {After, Given, Then, When} from '@cucumber/cucumber';
+import assert from 'node:assert/strict';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {until} from '../support/fleet.js';
+import {HealthWatch, SteadyLoad} from '../support/health_watch.js';
+import type {World} from '../support/world.js';
+
+interface HealthWorld extends World {
+  watch?: HealthWatch;
+  load?: SteadyLoad;
+  faultAtMs?: number;
+  sick?: Set<string>;
+}
+
+const SETTLE_MS = 20_000;
+/** A new authority is closed for a permit's lifetime. */
+const AUTHORITY_OPENS_MS = 3500;
+
+function watchOf(world: HealthWorld): HealthWatch {
+  assert.ok(world.watch, 'nothing is watched');
+  return world.watch;
+}
+
+async function startService(
+  world: HealthWorld,
+  {count, floor, mutant}: {count: number; floor: number; mutant?: string},
+): Promise<void> {
+  await world.fleet.startStore();
+  const ids = Array.from({length: count}, (_, index) => `d${index + 1}`);
+  await world.fleet.startNetwork(ids);
+  await Promise.all(
+    ids.map((id, index) => {
+      const failureDomain = `domain-${(index % 3) + 1}`;
+      return world.fleet.startDaemon({id, failureDomain, mutant});
+    }),
+  );
+  const service = 'ledger-read';
+  await Promise.all(
+    ids.map((daemon, index) => {
+      const id = `ledger-${index + 1}`;
+      return world.fleet.startInstance({id, service, daemons: [daemon]});
+    }),
+  );
+  await world.fleet.applySheet(
+    'd1',
+    [
+      'kind;id;floor;path;service;access',
+      `service;${service};${floor};;;`,
+      `route;ledger;;/ledger;${service};open`,
+    ].join('\r\n'),
+  );
+  await until('every daemon serves', () => serves(world, ids), SETTLE_MS);
+  await sleep(AUTHORITY_OPENS_MS);
+  world.watch = new HealthWatch(world.fleet);
+  world.sick = new Set();
+}
+
+async function serves(world: World, ids: readonly string[]): Promise<boolean> {
+  const answers = await Promise.all(
+    ids.map(id => world.request(id, '/ledger/balances')),
+  );
+  const statuses = await Promise.all(ids.map(id => world.fleet.status(id)));
+  const generations = new Set(statuses.map(status => status.generation));
+  return (
+    answers.every(({status}) => status === 200) &&
+    statuses.every(status => status.vouched) &&
+    generations.size === 1
+  );
+}
+
+Given(
+  '{int} instances of a service with floor {int}, each behind its own daemon',
+  async function (this: HealthWorld, count: number, floor: number) {
+    await startService(this, {count, floor});
+  },
+);
+
+Given(
+  '{int} instances of a service with floor {int} behind daemons with the mutant {string}',
+  async function (
+    this: HealthWorld,
+    count: number,
+    floor: number,
+    mutant: string,
+  ) {
+    await startService(this, {count, floor, mutant});
+  },
+);
+
+Given(
+  '{int} requests a second',
+  async function (this: HealthWorld, rate: number) {
+    this.load = new SteadyLoad(this, '/ledger/balances', rate);
+    await sleep(2500);
+  },
+);
+
+When(
+  'instances {string} have the faults {string}',
+  async function (this: HealthWorld, list: string, faults: string) {
+    const ids = list.split(' ');
+    this.faultAtMs = performance.now();
+    ids.forEach(id => this.sick?.add(id));
+    await Promise.all(
+      ids.map(id =>
+        this.fleet.setFaults(
+          this.fleet.instance(id).address,
+          JSON.parse(faults),
+        ),
+      ),
+    );
+  },
+);
+
+When(
+  'instances {string} flap between {string} and health each {int} ms, {int} times',
+  async function (
+    this: HealthWorld,
+    list: string,
+    faults: string,
+    halfMs: number,
+    times: number,
+  ) {
+    const ids = list.split(' ');
+    ids.forEach(id => this.sick?.add(id));
+    const rounds = Array.from({length: times * 2}, (_, index) => index);
+    for (const round of rounds) {
+      const now: unknown = round % 2 === 0 ? JSON.parse(faults) : {};
+      await Promise.all(
+        ids.map(id =>
+          this.fleet.setFaults(this.fleet.instance(id).address, now),
+        ),
+      );
+      await sleep(halfMs);
+    }
+  },
+);
+
+When(
+  'instance {string} gets {string}',
+  function (this: HealthWorld, id: string, signal: NodeJS.Signals) {
+    this.faultAtMs = performance.now();
+    this.sick?.add(id);
+    this.fleet.instance(id).process.signal(signal);
+  },
+);
+
+When(
+  'the authority over the floor gets {string}',
+  async function (this: HealthWorld, signal: NodeJS.Signals) {
+    const {rankMembers} = await import('../../src/member/rendezvous.js');
+    const members = [...this.fleet.daemons.values()];
+    const best = rankMembers('ledger-read', members)[0];
+    assert.ok(best);
+    best.process.signal(signal);
+  },
+);
+
+When('{int} ms pass', async function (this: HealthWorld, ms: number) {
+  await sleep(ms);
+});
+
+Then(
+  'instance {string} is doubted within {int} ms',
+  async function (this: HealthWorld, id: string, boundMs: number) {
+    const watch = watchOf(this);
+    const fromMs = this.faultAtMs ?? 0;
+    const doubted = () => watch.firstDoubt(id, fromMs) !== undefined;
+    await until(`${id} is doubted`, doubted, boundMs + SETTLE_MS);
+    const tookMs = (watch.firstDoubt(id, fromMs)?.atMs ?? 0) - fromMs;
+    process.stdout.write(`\n${id} doubted after ${Math.round(tookMs)} ms\n`);
+    assert.ok(tookMs <= boundMs, `${tookMs} ms`);
+  },
+);
+
+Then(
+  'instance {string} is ejected within {int} ms',
+  async function (this: HealthWorld, id: string, boundMs: number) {
+    const samples = () => watchOf(this).samples;
+    const isEjected = () => samples().some(s => s.ejected.includes(id));
+    await until(`${id} is ejected`, isEjected, boundMs);
+  },
+);
+
+Then(
+  'instance {string} is full again within {int} ms',
+  async function (this: HealthWorld, id: string, boundMs: number) {
+    const last = () =>
+      watchOf(this).changes.findLast(change => change.instance === id);
+    await until(`${id} is full`, () => last()?.grade === 'full', boundMs);
+  },
+);
+
+Then(
+  'at no time more than {int} instance(s) was/were ejected',
+  function (this: HealthWorld, bound: number) {
+    const worst = Math.max(...watchOf(this).samples.map(s => s.ejected.length));
+    process.stdout.write(`\nat most ${worst} ejected\n`);
+    assert.ok(worst <= bound, `${worst} ejected at once`);
+  },
+);
+
+Then(
+  'the check would fail: at some time more than {int} were ejected',
+  async function (this: HealthWorld, bound: number) {
+    const broken = () =>
+      watchOf(this).samples.some(s => s.ejected.length > bound);
+    await until('the floor is broken', broken, SETTLE_MS);
+  },
+);
+
+Then('no healthy instance was ejected', function (this: HealthWorld) {
+  const wrong = watchOf(this)
+    .samples.flatMap(sample => sample.ejected)
+    .filter(id => !this.sick?.has(id));
+  assert.deepEqual([...new Set(wrong)], []);
+});
+
+Then(
+  'instance {string} was ejected at most {int} times',
+  function (this: HealthWorld, id: string, bound: number) {
+    const times = watchOf(this).changes.filter(
+      change => change.instance === id && change.grade === 'ejected',
+    ).length;
+    assert.ok(times <= bound, `${times} times`);
+  },
+);
+
+Then(
+  'at least {int} of 1000 requests were answered 200',
+  async function (this: HealthWorld, bound: number) {
+    await this.load?.stop();
+    const counts = [...(this.load?.statuses.entries() ?? [])];
+    const all = counts.reduce((sum, [, count]) => sum + count, 0);
+    const served = this.load?.statuses.get(200) ?? 0;
+    process.stdout.write(`\n${JSON.stringify(counts)}\n`);
+    assert.ok((served / all) * 1000 >= bound, `${served} of ${all}`);
+  },
+);
+
+After(async function (this: HealthWorld) {
+  this.watch?.stop();
+  await this.load?.stop();
+});
--- a/features/support/fleet.ts
+++ b/features/support/fleet.ts
@@ -320,6 +320,12 @@
     readonly slots: Readonly<Record<string, number>>;
   }[];
   readonly revision: number;
+  readonly generation: number;
+  readonly vouched: boolean;
+  readonly health: readonly {
+    readonly instance: string;
+    readonly grade: string;
+  }[];
 }
 
 /** What a command printed and how it ended. */
--- /dev/null
+++ b/features/support/health_watch.ts
@@ -0,0 +1,115 @@
+/** Watches the grades of instances on every daemon, and keeps up a load. */
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {Fleet} from './fleet.js';
+import type {World} from './world.js';
+
+/** How many instances were ejected at one moment. */
+export interface EjectedSample {
+  readonly atMs: number;
+  readonly ejected: readonly string[];
+}
+
+/** A grade that an instance got. */
+export interface GradeChange {
+  readonly atMs: number;
+  readonly instance: string;
+  readonly grade: string;
+}
+
+interface Seen {
+  readonly atMs: number;
+  readonly grades: ReadonlyMap<string, string>;
+}
+
+const SAMPLE_INTERVAL_MS = 40;
+/** What a daemon said longer ago isn't known to hold any more. */
+const SEEN_FRESH_MS = 200;
+
+/** Samples the status of every daemon until it is stopped. */
+export class HealthWatch {
+  readonly #fleet: Fleet;
+  readonly #seen = new Map<string, Seen>();
+  readonly samples: EjectedSample[] = [];
+  readonly changes: GradeChange[] = [];
+  #stopped = false;
+
+  constructor(fleet: Fleet) {
+    this.#fleet = fleet;
+    [...fleet.daemons.keys()].forEach(id => void this.#follow(id));
+  }
+
+  stop(): void {
+    this.#stopped = true;
+  }
+
+  /** The first time since `fromMs` that an instance was not full. */
+  firstDoubt(instance: string, fromMs: number): GradeChange | undefined {
+    return this.changes.find(
+      change =>
+        change.instance === instance &&
+        change.atMs >= fromMs &&
+        change.grade !== 'full',
+    );
+  }
+
+  async #follow(id: string): Promise<void> {
+    while (!this.#stopped) {
+      const askedAtMs = performance.now();
+      const status = await this.#fleet.status(id).catch(() => undefined);
+      const atMs = performance.now();
+      if (status && atMs - askedAtMs < SEEN_FRESH_MS) {
+        const pairs = status.health.map(h => [h.instance, h.grade] as const);
+        this.#take(id, {atMs, grades: new Map(pairs)});
+      }
+      await sleep(SAMPLE_INTERVAL_MS);
+    }
+  }
+
+  #take(id: string, seen: Seen): void {
+    const before = this.#seen.get(id)?.grades;
+    seen.grades.forEach((grade, instance) => {
+      if (before?.get(instance) === grade) return;
+      this.changes.push({atMs: seen.atMs, instance, grade});
+    });
+    this.#seen.set(id, seen);
+    const ejected = [...this.#seen.values()]
+      .filter(({atMs}) => seen.atMs - atMs < SEEN_FRESH_MS)
+      .flatMap(({grades}) => [...grades])
+      .filter(([, grade]) => grade === 'ejected')
+      .map(([instance]) => instance);
+    this.samples.push({atMs: seen.atMs, ejected: [...new Set(ejected)]});
+  }
+}
+
+/** A steady load on all daemons in turn; counts answers by status. */
+export class SteadyLoad {
+  readonly statuses = new Map<number, number>();
+  readonly #timer: NodeJS.Timeout;
+  readonly #open = new Set<Promise<void>>();
+  #turn = 0;
+
+  constructor(world: World, path: string, perSecond: number) {
+    const daemons = [...world.fleet.daemons.keys()];
+    this.#timer = setInterval(() => {
+      const daemon = daemons[this.#turn++ % daemons.length] ?? '';
+      const run = this.#send(world, daemon, path);
+      this.#open.add(run);
+      void run.finally(() => this.#open.delete(run));
+    }, 1000 / perSecond);
+  }
+
+  /** Sends no more; resolves when all were answered. */
+  async stop(): Promise<void> {
+    clearInterval(this.#timer);
+    await Promise.all(this.#open);
+  }
+
+  async #send(world: World, daemon: string, path: string): Promise<void> {
+    const signal = AbortSignal.timeout(5000);
+    const answer = await world
+      .request(daemon, path, {signal})
+      .catch(() => undefined);
+    const status = answer?.status ?? 0;
+    this.statuses.set(status, (this.statuses.get(status) ?? 0) + 1);
+  }
+}
--- a/src/health/grading.ts
+++ b/src/health/grading.ts
@@ -51,12 +51,9 @@
     return this.#grade === 'reduced' && this.evidence.isSick();
   }
 
-  /** A permit was given, valid until then; undefined if it was refused. */
-  permit(untilMs: number | undefined): void {
-    if (untilMs === undefined) return;
-    if (!this.wantsPermit) return;
-    this.#permitUntilMs = untilMs;
-    if (this.#grade !== 'ejected') this.#enter('ejected');
+  /** A permit to eject was given, valid until then. */
+  permit(untilMs: number): void {
+    if (this.wantsPermit) this.#permitUntilMs = untilMs;
   }
 
   /** Decides anew; true if the grade changed. */
@@ -92,6 +89,8 @@
   }
 
   reviewReduced(): void {
+    const permitted = mayBeEjected(this.#permitUntilMs, performance.now());
+    if (this.wantsPermit && permitted) return this.#enter('ejected');
     if (this.#heldMs() < HOLD_MS * this.#doublings()) return;
     if (this.evidence.goodInRow >= RECOVERY_GOOD) {
       this.#slowStartMs = performance.now();
--- a/src/health/health.ts
+++ b/src/health/health.ts
@@ -210,10 +210,8 @@
       .filter(instance => reply.permits.includes(instance.id))
       .forEach(({id}) => {
         const grading = this.#watched.get(id)?.grading;
-        if (!grading) return;
-        const before = grading.grade;
-        grading.permit(sentAtMs + PERMIT_MS);
-        if (grading.grade !== before) this.#changed(id, grading);
+        grading?.permit(sentAtMs + PERMIT_MS);
+        if (grading) this.#review(id, grading);
       });
   }
 
