--- a/features/support/fleet.ts
+++ b/features/support/fleet.ts
@@ -331,6 +331,12 @@
     readonly slots: Readonly<Record<string, number>>;
   }[];
   readonly revision: number;
+  readonly generation: number;
+  readonly vouched: boolean;
+  readonly health: readonly {
+    readonly instance: string;
+    readonly grade: string;
+  }[];
   /** Whether requests by key are served. */
   readonly keysFresh: boolean;
 }
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -20,6 +20,7 @@
 import {Claims} from '../idempotency/claims.js';
 import {Holders} from '../idempotency/holders.js';
 import {Ledger} from '../idempotency/ledger.js';
+import {Health} from '../health/health.js';
 import {createCallersServer, drainCallers} from '../http/callers.js';
 import {Health} from '../health/health.js';
 import {close, listen} from '../http/listener.js';
@@ -117,8 +118,8 @@
     parts.authority.start();
     parts.limiter.start();
     parts.gate.start();
-    parts.ledger.start();
     parts.health.start();
+    parts.ledger.start();
     this.#options.log.info(`Listening for callers on ${bound.callers}.`);
     return bound;
   }
@@ -204,7 +205,7 @@
       instances: () => gate.instances.all(),
       links,
       membership,
-      generations: generations,
+      generations,
       vouches,
       floorOf: service => keeper.tables().service(service)?.floor,
       onChange: () => gate.resize(),
@@ -287,6 +288,7 @@
         health: () => parts.health.status(),
         generation: () => generations.current()?.number ?? 0,
         vouched: () => vouches.current() !== undefined,
+        health: () => parts.health.status(),
         keysFresh: () => freshness.isFresh(),
         watchesStore: () => watcher.isWatcher(),
       },
