--- a/features/steps/health_steps.ts
+++ b/features/steps/health_steps.ts
@@ -157,10 +157,6 @@
   },
 );
 
-When('{int} ms pass', async function (this: HealthWorld, ms: number) {
-  await sleep(ms);
-});
-
 Then(
   'instance {string} is doubted within {int} ms',
   async function (this: HealthWorld, id: string, boundMs: number) {
