--- a/features/support/fleet.ts
+++ b/features/support/fleet.ts
@@ -67,6 +67,7 @@
 const dist = path.resolve('dist');
 const STORE_TOKEN = 'stand-in-store-token';
 const POLL_MS = 25;
+const MAX_OUTPUT_BYTES = 64 * 1024 * 1024;
 
 const sha256 = (text: string) =>
   createHash('sha256').update(text).digest('hex');
@@ -366,9 +367,12 @@
 }
 
 function runCommand(args: readonly string[]): Promise<CommandResult> {
-  const env = {...process.env, NODE_OPTIONS: ''};
+  const options = {
+    env: {...process.env, NODE_OPTIONS: ''},
+    maxBuffer: MAX_OUTPUT_BYTES,
+  };
   return new Promise(resolve => {
-    execFile(process.execPath, [...args], {env}, (err, stdout, stderr) => {
+    execFile(process.execPath, [...args], options, (err, stdout, stderr) => {
       const code = err ? Number(err.code ?? 1) : 0;
       resolve({code, stdout, stderr});
     });
