Choose gates by room, and send again only on a budget

The router prefers its own gate with room, then the roomier of two drawn at random, and leaves out gates that refused or were silent.

--- a/features/steps/health_steps.ts
+++ b/features/steps/health_steps.ts
@@ -157,7 +157,7 @@
   },
 );
 
-When('{int} ms pass', async function (this: HealthWorld, ms: number) {
+When('{int} ms pass', async (ms: number) => {
   await sleep(ms);
 });
 
@@ -243,3 +243,23 @@
   this.watch?.stop();
   await this.load?.stop();
 });
+
+When(
+  'the probes of instances {string} answer {int}',
+  async function (this: HealthWorld, list: string, probeStatus: number) {
+    const instances = list.split(' ').map(id => this.fleet.instance(id));
+    await Promise.all(
+      instances.map(({address}) =>
+        this.fleet.setFaults(address, {probeStatus}),
+      ),
+    );
+  },
+);
+
+When(
+  'what {string} sends to all others is lost',
+  async function (this: HealthWorld, from: string) {
+    const others = [...this.fleet.daemons.keys()].filter(id => id !== from);
+    await Promise.all(others.map(to => this.fleet.network.cutOneWay(from, to)));
+  },
+);
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -31,7 +31,10 @@
 import type {Metrics} from '../metrics/metrics.js';
 import {HttpStore} from '../platform/http_store.js';
 import {EscrowLimiter} from '../rates/escrow.js';
+import {Backups} from '../router/backups.js';
+import {GateRecords} from '../router/gate_records.js';
 import {Gates} from '../router/gates.js';
+import {RetryBudget} from '../router/retry_budget.js';
 import {Router} from '../router/router.js';
 import type {Settings} from '../settings/schema.js';
 
@@ -66,6 +69,7 @@
   readonly health: Health;
   readonly gate: Gate;
   readonly gates: Gates;
+  readonly backups: Backups;
   readonly ledger: Ledger;
   readonly claims: Claims;
 }
@@ -220,11 +224,17 @@
         membership.update({slots: full, spareSlots: spare}),
     });
     const clocks = new PeerClocks(links);
+    const records = new GateRecords();
+    const budget = new RetryBudget();
+    const {metrics} = this.#options;
+    const backups = new Backups({budget, records, metrics});
     const gates = new Gates({
       own: gate,
       membership,
       links,
       clocks,
+      records,
+      budget,
       secret,
       dial,
     });
@@ -256,6 +266,7 @@
       health,
       gate,
       gates,
+      backups,
       ledger,
       claims,
     };
@@ -303,6 +314,7 @@
       areKeysFresh: () => parts.freshness.isFresh(),
       limiter: parts.limiter,
       gates: parts.gates,
+      backups: parts.backups,
       claims: parts.claims,
       log: log.for('router'),
       metrics,
--- a/src/gate/gate.ts
+++ b/src/gate/gate.ts
@@ -89,6 +89,11 @@
     return this.#slots.free(service) - this.#slots.waiting(service);
   }
 
+  /** True if an instance may be given work, now or after a wait. */
+  hasSlots(service: string): boolean {
+    return this.#slots.limit(service) > 0;
+  }
+
   /** True if an instance that isn't full should get a trial request. */
   isTrialDue(service: string): boolean {
     return this.instances
@@ -125,7 +130,8 @@
     const instances = this.instances.inService(work.service);
     const left = instances.filter(instance => !avoid.has(instance.id));
     if (left.length === 0) return notRun('no-instance');
-    return this.#slots.take(work, avoid);
+    const mayBeTrial = work.idempotent && (work.body?.whole ?? true);
+    return this.#slots.take({...work, mayBeTrial}, avoid);
   }
 
   /** Holds the slot until the answer's body has ended. */
--- a/src/gate/hop.ts
+++ b/src/gate/hop.ts
@@ -40,6 +40,8 @@
   readonly instance?: string;
   /** The attempt that this is the outcome of. */
   readonly attempt?: string;
+  /** Free slots of the service minus waiting work at the gate. */
+  readonly room?: number;
   /** The gate's clock when it answered. */
   readonly clock: ClockReading;
 }
--- a/src/gate/hop_server.ts
+++ b/src/gate/hop_server.ts
@@ -14,14 +14,14 @@
 import type {Links} from '../member/links.js';
 import type {Gate} from './gate.js';
 import type {RateToken} from '../rates/limiter.js';
-import {notRun, type GateDoor, type Outcome, type Work} from './work.js';
+import {notRun, type Outcome, type Work} from './work.js';
 
 const SECRET_FIELD = 'x-chicorycourse-secret';
 const OWN_FIELDS: ReadonlySet<string> = new Set([WORK_FIELD, SECRET_FIELD]);
 
 /** Handles one request of another daemon's router. */
 export async function serveHop(
-  gate: GateDoor,
+  gate: Gate,
   secret: string,
   req: IncomingMessage,
   res: ServerResponse,
@@ -38,10 +38,11 @@
   if (!isOwnClock(hop)) {
     // The times are of a process that ran here before: nothing can be said.
     const outcome = notRun('token-expired');
-    return reply(outcome, hop.attempt, res);
+    return reply(outcome, {attempt: hop.attempt}, res);
   }
   const outcome = await gate.run(workOf(hop, req, gone.signal));
-  await reply(outcome, hop.attempt, res);
+  const room = gate.room(hop.service);
+  await reply(outcome, {attempt: hop.attempt, room}, res);
 }
 
 /** Lets routers on other VMs reserve slots. */
@@ -105,7 +106,7 @@
 
 async function reply(
   outcome: Outcome,
-  attempt: string,
+  detail: Pick<HopOutcome, 'attempt' | 'room'>,
   res: ServerResponse,
 ): Promise<void> {
   if (outcome.kind !== 'answered') {
@@ -114,14 +115,20 @@
       outcome.kind === 'not-run' ? outcome.retryAfterMs : undefined;
     res.writeHead(503, [
       OUTCOME_FIELD,
-      encodeField({kind, attempt, reason, retryAfterMs, clock: readOwnClock()}),
+      encodeField({
+        ...detail,
+        kind,
+        reason,
+        retryAfterMs,
+        clock: readOwnClock(),
+      }),
     ]);
     res.end();
     return;
   }
   const {kind, instance} = outcome;
   const clock = readOwnClock();
-  const told: HopOutcome = {kind, attempt, instance, clock};
+  const told: HopOutcome = {...detail, kind, instance, clock};
   const headers = outcome.headers.filter((_, index) => {
     const name = outcome.headers[index - (index % 2)] ?? '';
     return name.toLowerCase() !== OUTCOME_FIELD;
--- a/src/gate/remote_gate.ts
+++ b/src/gate/remote_gate.ts
@@ -37,6 +37,8 @@
   readonly clock: GateClock;
   /** Reserves a slot at that gate; throws if it can't be reached. */
   readonly reserve: (work: Work, timeoutMs: number) => Promise<ReserveReply>;
+  /** Called with the room that the gate told with an outcome. */
+  readonly onRoom: (service: string, room: number) => void;
 }
 
 const CONNECT_TIMEOUT_MS = 500;
@@ -49,11 +51,13 @@
   readonly #secret: string;
   readonly #clock: GateClock;
   readonly #reserve: RemoteGateOptions['reserve'];
+  readonly #onRoom: RemoteGateOptions['onRoom'];
 
   constructor(options: RemoteGateOptions) {
     this.#secret = options.secret;
     this.#clock = options.clock;
     this.#reserve = options.reserve;
+    this.#onRoom = options.onRoom;
     this.#pool = new Pool(`http://${options.address}`, {
       pipelining: 1,
       connect: {timeout: CONNECT_TIMEOUT_MS},
@@ -133,6 +137,7 @@
       return {kind: 'unknown', reason: 'connection-lost'};
     }
     if (outcome.clock) this.#clock.note(outcome.clock);
+    if (outcome.room !== undefined) this.#onRoom(work.service, outcome.room);
     if (outcome.kind !== 'answered') {
       answer.body.resume();
       return outcome as NotRun | Unknown;
--- a/src/gate/slots.ts
+++ b/src/gate/slots.ts
@@ -82,6 +82,13 @@
       .reduce((sum, i) => sum + Math.max(0, this.#limitOf(i) - i.busy), 0);
   }
 
+  /** Requests that instances may hold at once by their grades. */
+  limit(service: string): number {
+    return this.#instances
+      .inService(service)
+      .reduce((sum, instance) => sum + this.#limitOf(instance), 0);
+  }
+
   /** Slots that instances may have by their grades. */
   counts(): SlotCounts {
     const countOf = (grade: Grade) =>
@@ -208,7 +215,7 @@
    */
   #fit(queue: ServiceQueue, service: string): void {
     const instances = this.#instances.inService(service);
-    const slots = instances.reduce((sum, i) => sum + this.#limitOf(i), 0);
+    const slots = this.limit(service);
     const ids = new Set(instances.map(instance => instance.id));
     const elsewhere = [...this.#held].filter(
       held => held.service === service && !ids.has(held.instance),
--- a/src/health/evidence.ts
+++ b/src/health/evidence.ts
@@ -28,7 +28,7 @@
 const STALL_FACTOR = 10;
 const STALL_MIN_MS = 300;
 /** Time in which siblings that are slow as well become known. */
-const SLOW_CONFIRM_MS = 400;
+const SLOW_CONFIRM_MS = 300;
 const SLOW_SICK_MS = 2000;
 
 /** Evidence about one instance. */
@@ -138,10 +138,11 @@
   }
 
   #end(flight: InFlight, kind: SampleKind): void {
-    if (kind === 'shed' || kind === 'cancelled') return;
+    if (kind === 'shed') return;
     const nowMs = performance.now();
     const {methodClass, sentAtMs} = flight;
     const latencyMs = sentAtMs === undefined ? undefined : nowMs - sentAtMs;
+    if (kind === 'cancelled') return this.#endCancelled(flight, latencyMs);
     // A deadline that siblings would have missed too says nothing.
     const limitMs = this.#stallLimitMs(methodClass);
     if (kind === 'timeout' && (latencyMs ?? 0) < limitMs) return;
@@ -154,6 +155,15 @@
     this.#goodInRow = failed || slow ? 0 : this.#goodInRow + 1;
   }
 
+  /** Whoever didn't wait longer still learned that it took this long. */
+  #endCancelled(flight: InFlight, waitedMs: number | undefined): void {
+    if (flight.stalled || waitedMs === undefined) return;
+    if (!this.#isSlow(flight.methodClass, waitedMs)) return;
+    this.#lastRealMs = performance.now();
+    this.#goodInRow = 0;
+    this.#addSlow(true);
+  }
+
   #addSlow(slow: boolean): void {
     const baseline = this.#baseline();
     if (!baseline) return;
--- a/src/health/reporter.ts
+++ b/src/health/reporter.ts
@@ -43,7 +43,7 @@
 }
 
 const REPORT_INTERVAL_MS = 1000;
-const SUSPICIOUS_INTERVAL_MS = 200;
+const SUSPICIOUS_INTERVAL_MS = 100;
 const URGENT_INTERVAL_MS = 100;
 const REPORT_TIMEOUT_MS = 400;
 const AVOID_MS = 3000;
--- a/src/router/attempts.ts
+++ b/src/router/attempts.ts
@@ -5,6 +5,7 @@
  */
 import type {NotRun, Outcome, Work} from '../gate/work.js';
 import type {RateToken} from '../rates/limiter.js';
+import type {Backups} from './backups.js';
 import type {Candidate} from './gates.js';
 
 /** What trying needs. */
@@ -13,6 +14,8 @@
   readonly next: (tried: ReadonlySet<string>) => Candidate | undefined;
   /** Draws one more rate token; undefined if there is none. */
   readonly draw: () => Promise<RateToken | undefined>;
+  /** Sends to a gate, perhaps with a backup at another. */
+  readonly backups: Backups;
 }
 
 const MAX_ATTEMPTS = 3;
@@ -24,15 +27,19 @@
   options: AttemptOptions,
 ): Promise<Outcome> {
   const tried = new Set<string>();
+  const {backups, next, draw} = options;
+  const means = {next, draw, tried};
   let token = work.token;
   let last: Outcome = NOT_RUN;
   while (tried.size < MAX_ATTEMPTS) {
     const candidate = options.next(tried);
     if (!candidate) return last;
     tried.add(candidate.memberId);
-    last = worse(last, await candidate.door.run({...work, token}));
+    last = worse(last, await backups.run(candidate, {...work, token}, means));
     if (!mayGoAgain(last, work)) return last;
-    if (last.kind === 'unknown' && work.token) {
+    if (last.kind !== 'unknown') continue;
+    if (!backups.payRetry(work.service)) return last;
+    if (work.token) {
       token = await options.draw();
       if (!token) return last;
     }
--- a/src/router/gates.ts
+++ b/src/router/gates.ts
@@ -1,11 +1,18 @@
-/** Which gate a request goes to: this VM's while it has room, else another. */
+/**
+ * Which gate a request goes to: this VM's while it has room, since that
+ * spares a hop; else the roomier of two others drawn at random, so that many
+ * routers with old news don't all choose the same one. Gates that refused or
+ * were silent just now are left out while there are others.
+ */
 import type {Gate} from '../gate/gate.js';
 import {RemoteGate} from '../gate/remote_gate.js';
-import type {GateDoor} from '../gate/work.js';
+import type {GateDoor, Work} from '../gate/work.js';
 import type {Links} from '../member/links.js';
 import type {Membership} from '../member/membership.js';
 import type {MemberRecord} from '../member/messages.js';
 import type {PeerClocks} from '../member/peer_clocks.js';
+import type {GateRecords} from './gate_records.js';
+import type {RetryBudget} from './retry_budget.js';
 
 /** Options of {@link Gates}. */
 export interface GatesOptions {
@@ -13,6 +20,8 @@
   readonly membership: Membership;
   readonly links: Links;
   readonly clocks: PeerClocks;
+  readonly records: GateRecords;
+  readonly budget: RetryBudget;
   readonly secret: string;
   /** Rewrites an advertised address before it is dialled. */
   readonly dial: Readonly<Record<string, string>>;
@@ -24,61 +33,115 @@
   readonly door: GateDoor;
 }
 
+/** Slots of a member that a request may use. */
+type SlotsOf = (member: MemberRecord) => number;
+
 /** The gates of the fleet as one router sees them. */
 export class Gates {
   readonly #options: GatesOptions;
   readonly #remote = new Map<string, RemoteGate>();
-  #turn = 0;
 
   constructor(options: GatesOptions) {
     this.#options = options;
   }
 
-  /** The next gate to try for a service, `undefined` if none is left. */
-  next(service: string, tried: ReadonlySet<string>): Candidate | undefined {
+  /** The next gate to try for a request, `undefined` if none is left. */
+  next(work: Work, tried: ReadonlySet<string>): Candidate | undefined {
     const {own, membership} = this.#options;
+    const {service} = work;
+    const mayUseOwn = !tried.has(membership.self().id);
+    if (mayUseOwn && own.room(service) > 0) return this.#own();
+    if (mayUseOwn && this.#isTrial(work)) return this.#own();
+    const full: SlotsOf = member => member.slots[service] ?? 0;
+    const spare: SlotsOf = member => member.spareSlots?.[service] ?? 0;
+    const others = this.#others(tried);
+    const other = this.#draw(others, service, full);
+    if (other) return this.#remoteTo(other);
+    if (mayUseOwn && own.hasSlots(service)) return this.#own();
+    const sparing = this.#draw(others, service, spare);
+    return sparing && this.#remoteTo(sparing);
+  }
+
+  async stop(): Promise<void> {
+    await Promise.all([...this.#remote.values()].map(gate => gate.close()));
+  }
+
+  /** A trial may fail, so that a second send must be safe and paid for. */
+  #isTrial({service, idempotent, body}: Work): boolean {
+    const {own, budget} = this.#options;
+    if (!idempotent || (body && !body.whole)) return false;
+    return budget.has(service) && own.isTrialDue(service);
+  }
+
+  #others(tried: ReadonlySet<string>): readonly MemberRecord[] {
+    const {membership} = this.#options;
     const self = membership.self().id;
-    if (!tried.has(self) && own.room(service) > 0) {
-      return {memberId: self, door: own};
-    }
-    const others = membership
+    return membership
       .members()
       .filter(member => member.id !== self && !tried.has(member.id))
-      .filter(member => member.state === 'alive')
-      .filter(member => (member.slots[service] ?? 0) > 0);
-    this.#turn += 1;
-    const other = others[this.#turn % Math.max(1, others.length)];
-    if (other) return {memberId: other.id, door: this.#remoteTo(other)};
-    if (tried.has(self) || own.instances.inService(service).length === 0) {
-      return undefined;
-    }
-    return {memberId: self, door: own};
+      .filter(member => member.state === 'alive');
   }
 
-  async stop(): Promise<void> {
-    await Promise.all([...this.#remote.values()].map(gate => gate.close()));
+  /** The roomier of two drawn at random. */
+  #draw(
+    members: readonly MemberRecord[],
+    service: string,
+    slotsOf: SlotsOf,
+  ): MemberRecord | undefined {
+    const {records, membership} = this.#options;
+    const offering = members.filter(member => slotsOf(member) > 0);
+    const welcome = offering.filter(({id}) => !records.isAvoided(id, service));
+    const pool = welcome.length > 0 ? welcome : offering;
+    const roomOf = (member: MemberRecord) =>
+      records.room(member.id, service) ?? slotsOf(member);
+    const {failureDomain} = membership.self();
+    const nearOf = (member: MemberRecord) =>
+      member.failureDomain === failureDomain ? 1 : 0;
+    return drawTwo(pool).toSorted(
+      (a, b) => roomOf(b) - roomOf(a) || nearOf(b) - nearOf(a),
+    )[0];
+  }
+
+  #own(): Candidate {
+    const {own, membership} = this.#options;
+    return {memberId: membership.self().id, door: own};
   }
 
-  #remoteTo(member: MemberRecord): RemoteGate {
-    const {dial, links, clocks, secret} = this.#options;
+  #remoteTo(member: MemberRecord): Candidate {
+    const {dial} = this.#options;
     const address = dial[member.peersAddress] ?? member.peersAddress;
     const known = this.#remote.get(address);
-    if (known) return known;
-    const gate = new RemoteGate({
+    const door = known ?? this.#connect(member, address);
+    this.#remote.set(address, door);
+    return {memberId: member.id, door};
+  }
+
+  #connect({id, peersAddress}: MemberRecord, address: string): RemoteGate {
+    const {links, clocks, records, secret} = this.#options;
+    return new RemoteGate({
       address,
       secret,
       clock: {
-        read: () => clocks.read(member.peersAddress),
-        note: reading => clocks.note(member.peersAddress, reading),
+        read: () => clocks.read(peersAddress),
+        note: reading => clocks.note(peersAddress, reading),
       },
       reserve: (work, timeoutMs) => {
         const {service, customer} = work;
         const body = {service, customer, leftMs: timeoutMs};
-        const {peersAddress} = member;
         return links.call(peersAddress, 'gate.reserve', body, timeoutMs);
       },
+      onRoom: (service, room) => records.noteRoom(id, service, room),
     });
-    this.#remote.set(address, gate);
-    return gate;
   }
 }
+
+/** Two different items at random, or as many as there are. */
+function drawTwo<Item>(items: readonly Item[]): readonly Item[] {
+  if (items.length <= 2) return items;
+  const first = Math.floor(Math.random() * items.length);
+  const step = 1 + Math.floor(Math.random() * (items.length - 1));
+  const second = (first + step) % items.length;
+  return [first, second]
+    .map(index => items[index])
+    .filter(item => item !== undefined);
+}
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -16,6 +16,7 @@
 import type {RateLimiter, RateToken} from '../rates/limiter.js';
 import {decideAccess, type Denied, type Granted} from './access.js';
 import {attempt} from './attempts.js';
+import type {Backups} from './backups.js';
 import type {Gates} from './gates.js';
 import {GuardedToken} from './guarded_token.js';
 import {carriesKey, keyOf, returnedHeaders} from './headers.js';
@@ -32,6 +33,7 @@
   readonly areKeysFresh: () => boolean;
   readonly limiter: RateLimiter;
   readonly gates: Gates;
+  readonly backups: Backups;
   readonly claims: Claims;
   readonly log: Logger;
   readonly metrics: Metrics;
@@ -177,14 +179,13 @@
   }
 
   #attempt(work: Work, customer: Customer | undefined): Promise<Outcome> {
-    const {gates, limiter} = this.#options;
+    const {gates, limiter, backups} = this.#options;
     const draw = async (): Promise<RateToken | undefined> => {
       const admission = customer && (await limiter.admit(customer));
       return admission?.admitted ? admission.token : undefined;
     };
-    const next = (tried: ReadonlySet<string>) =>
-      gates.next(work.service, tried);
-    return attempt(work, {next, draw});
+    const next = (tried: ReadonlySet<string>) => gates.next(work, tried);
+    return attempt(work, {next, draw, backups});
   }
 
   async #finish(visit: Visit, outcome: Outcome): Promise<void> {
