Add the report on service-level burn

GET /v1/burn tells them; `report burn` asks every member, merges, and prints budget, burn rate over four windows, multi-window alerts, who spent the budget and why, as text, as JSON, and as one page with plots.

Counts are handed to two peers at a planned stop and fetched back by the next process at the same id. Keeping them in the store was ruled out: minutes of thousands of daemons would take more writes than the store has. Peers are told every ten seconds that a daemon counts; a process whose mark is known and whose counts nobody has is named in the report as lost, with its time.

Tried and changed: a keeper forgot counts as soon as they were fetched back, so that a report collected at that moment could count them nowhere; it now keeps them for a minute, and the merge counts each process once.

--- a/bench/demo.ts
+++ b/bench/demo.ts
@@ -2,8 +2,9 @@
  * A tour of a small fleet, for newcomers: one line for each thing that
  * happens. It starts every process itself, and ends and removes them all.
  */
+import path from 'node:path';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {Fleet, until} from '../features/support/fleet.js';
+import {Fleet, READER_TOKEN, until} from '../features/support/fleet.js';
 
 const DOMAINS = ['vn-south-1', 'vn-south-2', 'vn-south-3'] as const;
 const DAEMONS = ['d1', 'd2', 'd3', 'd4', 'd5', 'd6'] as const;
@@ -165,6 +166,19 @@
   say(`A request that was open meanwhile: ${(await open).status}.`);
 }
 
+async function showReport(): Promise<void> {
+  const tokenFile = fleet.writeFile('reader.token', READER_TOKEN);
+  const {administration} = fleet.daemon('d1').addresses;
+  const page = path.resolve('dist/burn.html');
+  const result = await fleet.run([
+    ...['report', 'burn', '--admin', administration],
+    ...['--token-file', tokenFile, '--html', page],
+  ]);
+  say('The report on service-level burn, from the counts of all daemons:');
+  say(result.stdout.trimEnd().replaceAll(/^/gm, '  | '));
+  say(`The same as a page with plots: ${page}`);
+}
+
 async function main(): Promise<void> {
   try {
     await startFleet();
@@ -173,6 +187,7 @@
     await showGrayFailure(canTho);
     await showStoreOutage(canTho);
     await showPlannedStop(canTho);
+    await showReport();
   } finally {
     await fleet.stop();
     say('Every process was ended.');
--- /dev/null
+++ b/features/mutants/no-keepers/src/report/keepers.ts
@@ -0,0 +1,4 @@
+/** Mutant: nobody keeps a daemon's counts or learns that it counts. */
+export function keepersOf(): readonly never[] {
+  return [];
+}
--- /dev/null
+++ b/features/steps/burn_steps.ts
@@ -0,0 +1,190 @@
+/** Steps that make a fleet count, and look at the report on burn. */
+import {Given, Then, When} from '@cucumber/cucumber';
+import assert from 'node:assert/strict';
+import {readFileSync} from 'node:fs';
+import type {BurnReport, ServiceBurn} from '../../src/report/burn.js';
+import type {BurnDocument} from '../../src/report/collect.js';
+import {READER_TOKEN, until} from '../support/fleet.js';
+import type {World} from '../support/world.js';
+
+const DAEMONS = ['d1', 'd2', 'd3'] as const;
+const SETTLE_MS = 15_000;
+const SHEET = [
+  'kind;id;name;ratePerSecond;burst;floor;path;service',
+  'customer;can-tho;Công ty Cần Thơ;600;300;;;',
+  'customer;da-lat;Công ty Đà Lạt;3;3;;;',
+  'service;ledger-read;;;;1;;',
+  'route;ledger;;;;;/ledger;ledger-read',
+].join('\r\n');
+
+async function startFleet(world: World, mutant?: string): Promise<void> {
+  const {fleet, keys} = world;
+  await fleet.startStore();
+  for (const id of DAEMONS) {
+    await fleet.startDaemon({id, failureDomain: `domain-${id}`, mutant});
+  }
+  await fleet.startInstance({
+    id: 'ledger-1',
+    service: 'ledger-read',
+    daemons: ['d1'],
+  });
+  await fleet.applySheet('d1', SHEET);
+  for (const customer of ['can-tho', 'da-lat']) {
+    keys.set(customer, await fleet.issueKey('d1', customer));
+  }
+  await until('all daemons serve', () => allServe(world), SETTLE_MS);
+}
+
+async function allServe(world: World): Promise<boolean> {
+  const found = await Promise.all(
+    DAEMONS.flatMap(id =>
+      [...world.keys.values()].map(async key => {
+        const headers = {'x-api-key': key};
+        return (await world.request(id, '/none', {headers})).status;
+      }),
+    ),
+  );
+  const all = await Promise.all(DAEMONS.map(id => world.fleet.status(id)));
+  const known = all.every(
+    ({members}) =>
+      members.length === DAEMONS.length &&
+      members.some(member => (member.slots['ledger-read'] ?? 0) > 0),
+  );
+  return known && found.every(status => status === 404);
+}
+
+async function reportOf(world: World, args: readonly string[] = []) {
+  const tokenFile = world.fleet.writeFile('reader.token', READER_TOKEN);
+  const {administration} = world.fleet.daemon('d1').addresses;
+  const result = await world.fleet.run([
+    ...['report', 'burn', '--json', '--admin', administration],
+    ...['--token-file', tokenFile, ...args],
+  ]);
+  assert.equal(result.code, 0, result.stderr);
+  return JSON.parse(result.stdout) as BurnReport;
+}
+
+async function serviceOf(world: World): Promise<ServiceBurn> {
+  const {services} = await reportOf(world);
+  const found = services.find(s => s.objective.service === 'ledger-read');
+  assert.ok(found, 'the service is not in the report');
+  return found;
+}
+
+async function countOf(world: World, customer: string, verdict: string) {
+  const {customers} = await serviceOf(world);
+  const found = customers.find(entry => entry.customer === customer);
+  return found?.counts[verdict] ?? 0;
+}
+
+Given('a fleet of three daemons that counts', function (this: World) {
+  return startFleet(this);
+});
+
+Given(
+  'a fleet of three daemons that counts, as the mutant {string}',
+  function (this: World, mutant: string) {
+    return startFleet(this, mutant);
+  },
+);
+
+Given(
+  'the others know that {string} counts',
+  async function (this: World, id: string) {
+    const others = DAEMONS.filter(daemon => daemon !== id);
+    await until(
+      `${id} has told that it counts`,
+      async () => {
+        const told = await Promise.all(
+          others.map(async other => {
+            const {administration} = this.fleet.daemon(other).addresses;
+            const res = await fetch(`http://${administration}/v1/burn`, {
+              headers: {authorization: `Bearer ${READER_TOKEN}`},
+            });
+            return ((await res.json()) as BurnDocument).marks;
+          }),
+        );
+        return told.flat().some(mark => mark.daemon === id);
+      },
+      SETTLE_MS,
+    );
+  },
+);
+
+When('every daemon serves', async function (this: World) {
+  await until('all daemons serve', () => allServe(this), SETTLE_MS);
+});
+
+When(
+  'instance {string} fails every request',
+  async function (this: World, id: string) {
+    const {address} = this.fleet.instance(id);
+    await this.fleet.setFaults(address, {errorShare: 1});
+  },
+);
+
+When(
+  'daemon {string} is stopped as planned',
+  async function (this: World, id: string) {
+    assert.equal(await this.fleet.daemon(id).process.end('SIGTERM'), 0);
+  },
+);
+
+Then(
+  'the report counts {int} {string} requests of {string}',
+  async function (this: World, count: number, verdict: string, id: string) {
+    assert.equal(await countOf(this, id, verdict), count);
+  },
+);
+
+Then(
+  'the report counts more than {int} {string} requests of {string}',
+  async function (this: World, count: number, verdict: string, id: string) {
+    assert.ok((await countOf(this, id, verdict)) > count);
+  },
+);
+
+Then(
+  'the report names {string} first among those who spent the budget',
+  async function (this: World, customer: string) {
+    const {burners, budgetLeft, alert} = await serviceOf(this);
+    assert.equal(burners[0]?.name, customer);
+    assert.ok(budgetLeft < 0);
+    assert.equal(alert, 'page');
+  },
+);
+
+Then(
+  'the report names {string} first among the causes',
+  async function (this: World, verdict: string) {
+    assert.equal((await serviceOf(this)).causes[0]?.name, verdict);
+  },
+);
+
+Then('nothing is missing from the report', async function (this: World) {
+  const {gaps, unreached} = await reportOf(this);
+  assert.deepEqual({gaps, unreached}, {gaps: [], unreached: []});
+});
+
+Then(
+  'the report says that counts of {string} were lost in a crash',
+  async function (this: World, id: string) {
+    const {gaps} = await reportOf(this);
+    assert.deepEqual(
+      gaps.map(({daemon, reason}) => ({daemon, reason})),
+      [{daemon: id, reason: 'lost in a crash'}],
+    );
+  },
+);
+
+Then(
+  'the page of the report needs nothing from outside',
+  async function (this: World) {
+    const file = this.fleet.writeFile('burn.html', '');
+    await reportOf(this, ['--html', file]);
+    const page = readFileSync(file, 'utf8');
+    assert.match(page, /<svg /);
+    assert.match(page, /can-tho/);
+    assert.doesNotMatch(page, /src=|href=|url\(|@import|https?:/);
+  },
+);
--- a/src/admin/administration.ts
+++ b/src/admin/administration.ts
@@ -8,6 +8,7 @@
 import type {ConfigurationKeeper} from '../configuration/keeper.js';
 import type {FleetAuthority} from '../member/fleet_authority.js';
 import type {Membership} from '../member/membership.js';
+import type {BurnDocument} from '../report/collect.js';
 import type {Settings} from '../settings/schema.js';
 
 /** Options of {@link Administration}. */
@@ -18,6 +19,8 @@
   readonly membership: Membership;
   readonly authority: FleetAuthority;
   readonly isReady: () => boolean;
+  /** What this daemon counted for the report. */
+  readonly burn: () => BurnDocument;
 }
 
 type Credential = Settings['administration']['credentials'][number];
@@ -31,7 +34,8 @@
     const app = polka()
       .get('/healthz', (_req, res) => sendJson(res, 200, {healthy: true}))
       .get('/readyz', (_req, res) => this.#readiness(res))
-      .get('/v1/status', (req, res) => this.#status(req, res));
+      .get('/v1/status', (req, res) => this.#status(req, res))
+      .get('/v1/burn', (req, res) => this.#burn(req, res));
     options.server.on('request', app.handler);
   }
 
@@ -52,6 +56,11 @@
     });
   }
 
+  #burn(req: IncomingMessage, res: ServerResponse): void {
+    if (!this.#authenticate(req)) return sendProblem(res, 401, 'Unauthorized');
+    sendJson(res, 200, this.#options.burn());
+  }
+
   #authenticate(req: IncomingMessage): Credential | undefined {
     const token = (req.headers.authorization ?? '').replace(/^Bearer /, '');
     const digest = createHash('sha256').update(token).digest();
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -22,6 +22,9 @@
 import type {Metrics} from '../metrics/metrics.js';
 import {HttpStore} from '../platform/http_store.js';
 import {StaticLimiter} from '../rates/static_limiter.js';
+import {objectivesOf} from '../report/burn.js';
+import {BurnCounter} from '../report/counter.js';
+import {Handover} from '../report/handover.js';
 import {Gates} from '../router/gates.js';
 import {Router} from '../router/router.js';
 import type {Settings} from '../settings/schema.js';
@@ -52,6 +55,8 @@
   readonly authority: FleetAuthority;
   readonly gate: Gate;
   readonly gates: Gates;
+  readonly burn: BurnCounter;
+  readonly handover: Handover;
 }
 
 interface Servers {
@@ -93,6 +98,7 @@
     parts.spread.start();
     parts.authority.start();
     parts.gate.start();
+    parts.handover.start();
     this.#options.log.info(`Listening for callers on ${bound.callers}.`);
     return bound;
   }
@@ -107,6 +113,7 @@
     await close(this.#servers.callers);
     await parts.gate.stop();
     await parts.gates.stop();
+    await parts.handover.handOver();
     parts.watcher.stop();
     parts.spread.stop();
     parts.authority.stop();
@@ -160,6 +167,14 @@
       log: log.for('gate'),
       onSlots: slots => membership.update({slots}),
     });
+    const {id, incarnation} = membership.self();
+    const burn = new BurnCounter(id, incarnation);
+    const handover = new Handover({
+      counter: burn,
+      links,
+      membership,
+      log: log.for('report'),
+    });
     const gates = new Gates({own: gate, membership, links, secret, dial});
     return {
       store,
@@ -171,6 +186,8 @@
       authority,
       gate,
       gates,
+      burn,
+      handover,
     };
   }
 
@@ -182,6 +199,7 @@
       tables: () => parts.keeper.tables(),
       limiter: new StaticLimiter(() => parts.membership.members().length),
       gates: parts.gates,
+      burn: parts.burn,
       log: log.for('router'),
       metrics,
     });
@@ -194,6 +212,10 @@
       membership: parts.membership,
       authority: parts.authority,
       isReady: () => parts.keeper.tables().revision > 0,
+      burn: () => ({
+        ...parts.handover.answer(),
+        objectives: objectivesOf(parts.keeper.tables().services()),
+      }),
     });
     serveAnnouncements(instances, parts.gate.instances);
     serveReservations(parts.links, parts.gate);
--- a/src/errors/catalogue.ts
+++ b/src/errors/catalogue.ts
@@ -138,6 +138,12 @@
     hint: 'Check that all daemons run compatible versions.',
     exitCode: EXIT_CODES.internal,
   }),
+  administrationFailed: kind<{url: string; reason: string}>({
+    title: 'The administration API of a daemon does not answer',
+    message: d => `${d.url}: ${d.reason}`,
+    hint: 'Check the address, the token, and that the daemon runs.',
+    exitCode: EXIT_CODES.unavailable,
+  }),
   startFailed: kind<{part: string; reason: string}>({
     title: 'A part of the daemon could not start',
     message: d => `${d.part}: ${d.reason}`,
--- a/src/main.ts
+++ b/src/main.ts
@@ -3,6 +3,7 @@
 import {apply} from './commands/apply.js';
 import {check} from './commands/check.js';
 import {key} from './commands/key.js';
+import {report} from './commands/report.js';
 import {serve} from './commands/serve.js';
 import {EXIT_CODES} from './errors/catalogue.js';
 import {Failure, reasonOf} from './errors/failure.js';
@@ -12,7 +13,7 @@
   name: 'chicorycourse',
   description: 'A proxy fleet for backend servers that fail grayly.',
   version: VERSION,
-  cmds: {serve, check, apply, key},
+  cmds: {serve, check, apply, key, report},
 });
 
 function printFailure(err: unknown): void {
--- /dev/null
+++ b/src/report/collect.ts
@@ -0,0 +1,94 @@
+/** Asks every member of the fleet for its counts, over their API. */
+import PQueue from 'p-queue';
+import {Failure, reasonOf} from '../errors/failure.js';
+import {makeReport, type BurnReport, type Objective} from './burn.js';
+import type {BurnAnswer} from './handover.js';
+import {mergeAnswers} from './merge.js';
+
+/** What `GET /v1/burn` answers. */
+export interface BurnDocument extends BurnAnswer {
+  readonly objectives: readonly Objective[];
+}
+
+/** Where the first daemon is asked, and with which credential. */
+export interface CollectOptions {
+  /** `IP:PORT` of an administration listener. */
+  readonly admin: string;
+  readonly token: string;
+}
+
+interface Status {
+  readonly members: readonly {
+    readonly id: string;
+    readonly administrationAddress: string;
+    readonly incarnation: number;
+  }[];
+}
+
+const TIMEOUT_MS = 5000;
+const CONCURRENCY = 32;
+
+/** Collects and merges; throws `administrationFailed` if the first fails. */
+export async function collectReport(
+  options: CollectOptions,
+): Promise<BurnReport> {
+  const {admin, token} = options;
+  const status = await get<Status>(admin, '/v1/status', token);
+  const first = await get<BurnDocument>(admin, '/v1/burn', token);
+  const failed: Status['members'][number][] = [];
+  const queue = new PQueue({concurrency: CONCURRENCY});
+  const others = await queue.addAll(
+    status.members
+      .filter(({id}) => id !== first.statement.daemon)
+      .map(member => async () => {
+        const address = member.administrationAddress;
+        const asked = get<BurnDocument>(address, '/v1/burn', token);
+        return asked.catch(() => void failed.push(member));
+      }),
+  );
+  const answers = [first, ...others.filter(other => typeof other === 'object')];
+  return makeReport({
+    atMs: Date.now(),
+    counts: mergeAnswers(answers),
+    objectives: first.objectives,
+    unreached: failed
+      .filter(member => !isKept(member, answers))
+      .map(({id}) => id),
+  });
+}
+
+/** A member that stopped as planned has handed its counts over. */
+function isKept(
+  member: Status['members'][number],
+  answers: readonly BurnAnswer[],
+): boolean {
+  return answers
+    .flatMap(({kept}) => kept)
+    .filter(({daemon}) => daemon === member.id)
+    .some(({spans}) =>
+      spans.some(span => span.incarnation === member.incarnation),
+    );
+}
+
+async function get<Body>(
+  address: string,
+  path: string,
+  token: string,
+): Promise<Body> {
+  const url = `http://${address}${path}`;
+  try {
+    const res = await fetch(url, {
+      headers: {authorization: `Bearer ${token}`},
+      signal: AbortSignal.timeout(TIMEOUT_MS),
+    });
+    if (!res.ok) {
+      const reason = `status ${res.status}`;
+      throw new Failure('administrationFailed', {url, reason});
+    }
+    return (await res.json()) as Body;
+  } catch (err) {
+    if (err instanceof Failure) throw err;
+    const reason = reasonOf(err);
+    throw new Failure('administrationFailed', {url, reason}, err);
+  }
+}
--- /dev/null
+++ b/src/report/handover.ts
@@ -0,0 +1,203 @@
+/**
+ * Keeps a daemon's counts over its planned restart: before the stop they go
+ * to a few peers, and the next process at the same id fetches them back.
+ * While it runs, a daemon marks with the same peers that it counts, so that
+ * counts which were lost in a crash show as a gap.
+ */
+import {reasonOf} from '../errors/failure.js';
+import type {Logger} from '../log/logger.js';
+import type {Links} from '../member/links.js';
+import type {Membership} from '../member/membership.js';
+import {HISTORY_MS, type BurnCounter} from './counter.js';
+import {keepersOf} from './keepers.js';
+import type {Mark, Statement} from './messages.js';
+
+/** Options of {@link Handover}. */
+export interface HandoverOptions {
+  readonly counter: BurnCounter;
+  readonly links: Links;
+  readonly membership: Membership;
+  readonly log: Logger;
+}
+
+/** What a daemon knows of the counts: its own, and what it keeps of others. */
+export interface BurnAnswer {
+  readonly statement: Statement;
+  readonly kept: readonly Statement[];
+  readonly marks: readonly Mark[];
+}
+
+const KEEPERS = 2;
+/** More are asked than keep: the ranking may have moved by a member or two. */
+const ASKED = 4;
+const MARK_INTERVAL_MS = 10_000;
+const FIRST_ROUND_MS = 500;
+const FETCH_ROUNDS = 6;
+const CALL_TIMEOUT_MS = 1000;
+/** A report that is being collected may still need what was fetched back. */
+const KEPT_GRACE_MS = 60_000;
+const MAX_MARKS = 64;
+const MAX_KEPT = 8;
+
+/** The part that hands counts over and keeps those of others. */
+export class Handover {
+  readonly #options: HandoverOptions;
+  readonly #kept = new Map<string, Statement>();
+  readonly #marks = new Map<string, Mark>();
+  #timer: NodeJS.Timeout | undefined;
+  #round = 0;
+
+  constructor(options: HandoverOptions) {
+    this.#options = options;
+    const {links} = options;
+    links.handle('report.mark', mark => this.#takeMark(mark));
+    links.handle('report.keep', ({statement}) => this.#keep(statement));
+    links.handle('report.fetch', ({daemon}) => ({
+      statements: [...this.#kept.values()].filter(s => s.daemon === daemon),
+    }));
+  }
+
+  start(): void {
+    this.#schedule(FIRST_ROUND_MS);
+  }
+
+  /** Hands everything over; it must be called while peers can be reached. */
+  async handOver(): Promise<void> {
+    clearTimeout(this.#timer);
+    const statements = [this.#options.counter.statement()];
+    const own = this.#call(KEEPERS, async address => {
+      await this.#send(address, statements);
+    });
+    const passedOn = this.#call(1, async address => {
+      await this.#send(address, [...this.#kept.values()]);
+    });
+    await Promise.all([own, passedOn]);
+  }
+
+  answer(): BurnAnswer {
+    this.#forgetOld();
+    return {
+      statement: this.#options.counter.statement(),
+      kept: [...this.#kept.values()],
+      marks: [...this.#marks.values()],
+    };
+  }
+
+  #schedule(delayMs: number): void {
+    this.#timer = setTimeout(() => void this.#work(), delayMs);
+  }
+
+  /** In the first rounds fetches what was kept; in all rounds marks. */
+  async #work(): Promise<void> {
+    this.#round += 1;
+    const early = this.#round <= FETCH_ROUNDS;
+    if (early) await this.#fetch();
+    const mark = this.#mark();
+    const {links} = this.#options;
+    await this.#call(KEEPERS, async address => {
+      await links.call(address, 'report.mark', mark, CALL_TIMEOUT_MS);
+    });
+    this.#schedule(early ? FIRST_ROUND_MS : MARK_INTERVAL_MS);
+  }
+
+  async #fetch(): Promise<void> {
+    const {links, membership, counter} = this.#options;
+    const daemon = membership.self().id;
+    const found: Statement[] = [];
+    await this.#call(ASKED, async address => {
+      const body = {daemon};
+      const reply = await links.call(
+        address,
+        'report.fetch',
+        body,
+        CALL_TIMEOUT_MS,
+      );
+      found.push(...reply.statements);
+    });
+    found
+      .toSorted((a, b) => b.spans.length - a.spans.length)
+      .forEach(statement => counter.inherit(statement));
+  }
+
+  async #send(
+    address: string,
+    statements: readonly Statement[],
+  ): Promise<void> {
+    const {links} = this.#options;
+    await Promise.all(
+      statements.map(statement =>
+        links.call(address, 'report.keep', {statement}, CALL_TIMEOUT_MS),
+      ),
+    );
+  }
+
+  #mark(): Mark {
+    const {membership, counter} = this.#options;
+    return {daemon: membership.self().id, spans: counter.spans()};
+  }
+
+  /** Calls the peers that rank best for this daemon; failures are logged. */
+  async #call(
+    count: number,
+    task: (address: string) => Promise<void>,
+  ): Promise<void> {
+    const {log, membership} = this.#options;
+    const {id} = membership.self();
+    const calls = keepersOf(id, membership.members(), count).map(peer =>
+      task(peer.peersAddress).catch((err: unknown) =>
+        log.debug(`No answer from ${peer.id}: ${reasonOf(err)}.`),
+      ),
+    );
+    await Promise.all(calls);
+  }
+
+  #takeMark(mark: Mark): null {
+    const merged = withEarlierSpans(mark, this.#marks.get(mark.daemon));
+    this.#marks.delete(mark.daemon);
+    this.#marks.set(mark.daemon, merged);
+    [...this.#marks.keys()]
+      .slice(0, Math.max(0, this.#marks.size - MAX_MARKS))
+      .forEach(daemon => this.#marks.delete(daemon));
+    const kept = this.#kept.get(mark.daemon);
+    const covers = (incarnation: number) =>
+      mark.spans.some(span => span.incarnation === incarnation);
+    const isCovered = kept?.spans.every(span => covers(span.incarnation));
+    if (kept && isCovered && Date.now() > endOf(kept) + KEPT_GRACE_MS) {
+      this.#kept.delete(mark.daemon);
+    }
+    return null;
+  }
+
+  #keep(statement: Statement): null {
+    this.#kept.delete(statement.daemon);
+    this.#kept.set(statement.daemon, statement);
+    [...this.#kept.keys()]
+      .slice(0, Math.max(0, this.#kept.size - MAX_KEPT))
+      .forEach(daemon => this.#kept.delete(daemon));
+    return null;
+  }
+
+  #forgetOld(): void {
+    const firstMs = Date.now() - HISTORY_MS;
+    const isOld = ({spans}: Mark) => spans.every(s => s.untilMs < firstMs);
+    [this.#kept, this.#marks].forEach(table =>
+      [...table.values()]
+        .filter(isOld)
+        .forEach(({daemon}) => table.delete(daemon)),
+    );
+  }
+}
+
+function endOf({spans}: Statement): number {
+  return Math.max(...spans.map(span => span.untilMs));
+}
+
+/** A crashed process is in no later mark: its spans stay here. */
+function withEarlierSpans(mark: Mark, earlier: Mark | undefined): Mark {
+  const firstMs = Date.now() - HISTORY_MS;
+  const told = new Set(mark.spans.map(span => span.incarnation));
+  const untold = (earlier?.spans ?? [])
+    .filter(span => !told.has(span.incarnation))
+    .filter(span => span.untilMs >= firstMs);
+  return {...mark, spans: [...untold, ...mark.spans]};
+}
--- /dev/null
+++ b/src/report/merge.ts
@@ -0,0 +1,86 @@
+/**
+ * Puts the counts of all daemons together. A statement may be told twice, by
+ * its daemon and by a peer that keeps it: each process is counted once. What
+ * is known to be missing is named.
+ */
+import type {BurnAnswer} from './handover.js';
+import type {Cell, Statement} from './messages.js';
+
+/** A time whose counts are missing for one daemon; Unix time. */
+export interface Gap {
+  readonly daemon: string;
+  readonly fromMs: number;
+  readonly untilMs: number;
+  readonly reason: 'lost in a crash' | 'dropped for want of room';
+}
+
+/** The counts of the fleet. */
+export interface FleetCounts {
+  readonly cells: readonly Cell[];
+  readonly daemons: readonly string[];
+  readonly gaps: readonly Gap[];
+}
+
+/** Merges what the daemons answered. */
+export function mergeAnswers(answers: readonly BurnAnswer[]): FleetCounts {
+  const told = answers.flatMap(({statement, kept}) => [statement, ...kept]);
+  const statements = withoutRepeats(told);
+  return {
+    cells: statements.flatMap(statement => statement.cells),
+    daemons: [...new Set(statements.map(({daemon}) => daemon))].toSorted(),
+    gaps: [...lostIn(answers, statements), ...droppedIn(statements)],
+  };
+}
+
+/** Takes the statement with the most spans, and none that it covers. */
+function withoutRepeats(told: readonly Statement[]): readonly Statement[] {
+  const covered = new Set<string>();
+  return told
+    .toSorted((a, b) => b.spans.length - a.spans.length || endOf(b) - endOf(a))
+    .filter(({daemon, spans}) => {
+      const names = spans.map(span => `${daemon} ${span.incarnation}`);
+      if (names.some(name => covered.has(name))) return false;
+      names.forEach(name => covered.add(name));
+      return true;
+    });
+}
+
+function endOf({spans}: Statement): number {
+  return Math.max(...spans.map(span => span.untilMs));
+}
+
+/** Spans that a peer was told of and whose counts nobody has. */
+function lostIn(
+  answers: readonly BurnAnswer[],
+  statements: readonly Statement[],
+): readonly Gap[] {
+  const known = new Set(
+    statements.flatMap(({daemon, spans}) =>
+      spans.map(span => `${daemon} ${span.incarnation}`),
+    ),
+  );
+  const lost = new Map<string, Gap>();
+  answers
+    .flatMap(({marks}) => marks)
+    .forEach(({daemon, spans}) => {
+      spans.forEach(({incarnation, fromMs, untilMs}) => {
+        const name = `${daemon} ${incarnation}`;
+        if (known.has(name)) return;
+        const end = Math.max(untilMs, lost.get(name)?.untilMs ?? 0);
+        const reason = 'lost in a crash';
+        lost.set(name, {daemon, fromMs, untilMs: end, reason});
+      });
+    });
+  return [...lost.values()];
+}
+
+function droppedIn(statements: readonly Statement[]): readonly Gap[] {
+  return statements
+    .filter(({completeFromMs}) => completeFromMs > 0)
+    .map(({daemon, spans, completeFromMs}) => ({
+      daemon,
+      fromMs: spans[0]?.fromMs ?? 0,
+      untilMs: completeFromMs,
+      reason: 'dropped for want of room' as const,
+    }));
+}
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -14,7 +14,13 @@
 import type {Logger} from '../log/logger.js';
 import type {Metrics} from '../metrics/metrics.js';
 import type {RateLimiter, RateToken} from '../rates/limiter.js';
-import {decideAccess} from './access.js';
+import type {BurnCounter} from '../report/counter.js';
+import {
+  verdictOfOutcome,
+  verdictOfRefusal,
+  type Verdict,
+} from '../report/verdict.js';
+import {decideAccess, type Granted} from './access.js';
 import type {Gates} from './gates.js';
 import {forwardedHeaders, keyOf, returnedHeaders} from './headers.js';
 import {receiveBody} from './receive.js';
@@ -25,6 +31,8 @@
   readonly tables: () => Tables;
   readonly limiter: RateLimiter;
   readonly gates: Gates;
+  /** Counts what each request meant for the service level. */
+  readonly burn: Pick<BurnCounter, 'count'>;
   readonly log: Logger;
   readonly metrics: Metrics;
 }
@@ -94,7 +102,7 @@
     const admission = customer && (await this.#options.limiter.admit(customer));
     if (admission && !admission.admitted) {
       const {reason, retryAfterMs} = admission;
-      this.#count(route, customer, reason);
+      this.#count(access, reason, verdictOfRefusal(reason));
       return refuse(res, reason, {requestId, retryAfterMs});
     }
     const work = makeWork(req, res, {
@@ -108,7 +116,10 @@
     });
     const outcome = await this.#attempt(work);
     if (outcome.kind === 'not-run') admission?.token.giveBack();
-    this.#count(route, customer, outcome.kind);
+    const elapsedMs = performance.now() - arrivedAtMs;
+    const objective = tables.service(route.service)?.objectiveLatencyMs;
+    const verdict = verdictOfOutcome(outcome, elapsedMs, objective ?? Infinity);
+    this.#count(access, outcome.kind, verdict);
     await this.#finish(res, outcome, requestId);
   }
 
@@ -145,12 +156,11 @@
     await sendBody(answer.body, res);
   }
 
-  #count(route: Route, customer: Customer | undefined, outcome: string): void {
-    this.#options.metrics.count('requests', {
-      service: route.service,
-      customer: customer?.id ?? 'open',
-      outcome,
-    });
+  #count(access: Granted, outcome: string, verdict: Verdict): void {
+    const {service} = access.route;
+    const customer = access.customer?.id ?? 'open';
+    this.#options.metrics.count('requests', {service, customer, outcome});
+    this.#options.burn.count(service, customer, verdict);
   }
 }
 
--- a/src/wire/messages.ts
+++ b/src/wire/messages.ts
@@ -5,6 +5,7 @@
 import type {ConfigurationMessages} from '../configuration/messages.js';
 import type {GateMessages} from '../gate/messages.js';
 import type {MemberMessages} from '../member/messages.js';
+import type {ReportMessages} from '../report/messages.js';
 import type {WitnessMessages} from '../member/witness_messages.js';
 
 /** One kind of message: what is asked, and what is answered. */
@@ -19,7 +20,8 @@
     MemberMessages,
     WitnessMessages,
     ConfigurationMessages,
-    GateMessages {}
+    GateMessages,
+    ReportMessages {}
 
 /** The name of a kind of message. */
 export type MessageKind = keyof Messages & string;
