--- a/features/burn.feature
+++ b/features/burn.feature
@@ -4,7 +4,7 @@
 
   Scenario: The report names who spent the budget, and why
     Given a fleet of three daemons that counts
-    When "can-tho" requests "/ledger/x" from daemon "d1" 8 times at once
+    When 8 requests of "can-tho" are served by daemon "d1"
     And instance "ledger-1" fails every request
     And "can-tho" requests "/ledger/x" from daemon "d2" 4 times at once
     And "da-lat" requests "/ledger/x" from daemon "d3" 30 times at once
@@ -18,21 +18,20 @@
 
   Scenario: Counts survive a planned restart
     Given a fleet of three daemons that counts
-    When "can-tho" requests "/ledger/x" from daemon "d2" 8 times at once
+    When 8 requests of "can-tho" are served by daemon "d2"
     And daemon "d2" is stopped as planned
     Then the report counts 8 "good" requests of "can-tho"
     And nothing is missing from the report
     When daemon "d2" is started again
     And every daemon serves
-    And "can-tho" requests "/ledger/x" from daemon "d2" 2 times at once
-    Then the answer is 200 from instance "ledger-1"
-    And the report counts 10 "good" requests of "can-tho"
+    And 2 requests of "can-tho" are served by daemon "d2"
+    Then the report counts 10 "good" requests of "can-tho"
     And nothing is missing from the report
 
   Scenario: After a crash the report names the time that is missing
     Given a fleet of three daemons that counts
     And the others know that "d2" counts
-    When "can-tho" requests "/ledger/x" from daemon "d2" 8 times at once
+    When 8 requests of "can-tho" are served by daemon "d2"
     And daemon "d2" is killed
     And daemon "d2" is started again
     And every daemon serves
@@ -41,7 +40,7 @@
 
   Scenario: Without keepers the counts would be lost, and nobody would know
     Given a fleet of three daemons that counts, as the mutant "no-keepers"
-    When "can-tho" requests "/ledger/x" from daemon "d2" 8 times at once
+    When 8 requests of "can-tho" are served by daemon "d2"
     And daemon "d2" is stopped as planned
     And daemon "d2" is started again
     And every daemon serves
--- a/features/steps/burn_steps.ts
+++ b/features/steps/burn_steps.ts
@@ -115,6 +115,23 @@
   await until('all daemons serve', () => allServe(this), SETTLE_MS);
 });
 
+When(
+  '{int} requests of {string} are served by daemon {string}',
+  async function (this: World, count: number, customer: string, id: string) {
+    const headers = {'x-api-key': this.keys.get(customer) ?? ''};
+    let served = 0;
+    await until(
+      `${count} requests were served`,
+      async () => {
+        const {status} = await this.request(id, '/ledger/x', {headers});
+        if (status === 200) served += 1;
+        return served === count;
+      },
+      SETTLE_MS,
+    );
+  },
+);
+
 When(
   'instance {string} fails every request',
   async function (this: World, id: string) {
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -9,19 +9,27 @@
 import {Administration} from '../admin/administration.js';
 import {readFreshRevision} from '../configuration/fresh_revision.js';
 import {ConfigurationKeeper} from '../configuration/keeper.js';
+import {Acceptance} from '../configuration/acceptance.js';
+import {KeyFreshness} from '../configuration/freshness.js';
 import {Spread} from '../configuration/spread.js';
 import {StoreWatcher} from '../configuration/store_watcher.js';
+import {ChangeWriter} from '../configuration/writer.js';
 import {serveAnnouncements} from '../gate/announcements.js';
 import {Gate} from '../gate/gate.js';
 import {serveHop, serveReservations} from '../gate/hop_server.js';
+import {Claims} from '../idempotency/claims.js';
+import {Holders} from '../idempotency/holders.js';
+import {Ledger} from '../idempotency/ledger.js';
+import {createCallersServer, drainCallers} from '../http/callers.js';
 import {close, listen} from '../http/listener.js';
 import type {Logger} from '../log/logger.js';
 import {FleetAuthority} from '../member/fleet_authority.js';
 import {WebSocketLinks} from '../member/links.js';
 import {SwimMembership} from '../member/membership.js';
+import {PeerClocks} from '../member/peer_clocks.js';
 import type {Metrics} from '../metrics/metrics.js';
 import {HttpStore} from '../platform/http_store.js';
-import {StaticLimiter} from '../rates/static_limiter.js';
+import {EscrowLimiter} from '../rates/escrow.js';
 import {objectivesOf} from '../report/burn.js';
 import {BurnCounter} from '../report/counter.js';
 import {Handover} from '../report/handover.js';
@@ -42,6 +50,8 @@
   readonly settings: Settings;
   readonly log: Logger;
   readonly metrics: Metrics;
+  /** Called when an operator asks for a planned stop. */
+  readonly onDrain: () => void;
 }
 
 /** The parts of a running daemon. */
@@ -50,13 +60,17 @@
   readonly keeper: ConfigurationKeeper;
   readonly watcher: StoreWatcher;
   readonly spread: Spread;
+  readonly freshness: KeyFreshness;
   readonly links: WebSocketLinks;
   readonly membership: SwimMembership;
   readonly authority: FleetAuthority;
+  readonly limiter: EscrowLimiter;
   readonly gate: Gate;
   readonly gates: Gates;
   readonly burn: BurnCounter;
   readonly handover: Handover;
+  readonly ledger: Ledger;
+  readonly claims: Claims;
 }
 
 interface Servers {
@@ -74,16 +88,22 @@
   readonly #options: DaemonOptions;
   readonly #servers: Servers;
   #parts: Parts | undefined;
+  #router: Router | undefined;
 
   constructor(options: DaemonOptions) {
     this.#options = options;
     const {maxHeaderBytes} = options.settings.limits;
-    const http = {maxHeaderSize: maxHeaderBytes, requireHostHeader: true};
+    const http = {maxHeaderSize: maxHeaderBytes};
     this.#servers = {
-      callers: createServer(http),
+      callers: createCallersServer(maxHeaderBytes),
       administration: createServer(http),
       instances: createServer(http),
-      peers: createServer({maxHeaderSize: maxHeaderBytes * 2}),
+      peers: createServer({
+        maxHeaderSize: maxHeaderBytes * 2,
+        requestTimeout: 0,
+        // Longer than peers keep idle connections, so that they close first.
+        keepAliveTimeout: 30_000,
+      }),
     };
   }
 
@@ -96,9 +116,12 @@
     parts.membership.start();
     parts.watcher.start();
     parts.spread.start();
+    parts.freshness.start();
     parts.authority.start();
+    parts.limiter.start();
     parts.gate.start();
     parts.handover.start();
+    parts.ledger.start();
     this.#options.log.info(`Listening for callers on ${bound.callers}.`);
     return bound;
   }
@@ -108,14 +131,19 @@
     const parts = this.#parts;
     if (!parts) return;
     this.#options.log.info('Leaving.');
+    parts.gate.leave();
+    this.#router?.leave();
     parts.membership.update({state: 'leaving'});
     await new Promise(resolve => setTimeout(resolve, LEAVE_PAUSE_MS));
-    await close(this.#servers.callers);
+    await drainCallers(this.#servers.callers);
     await parts.gate.stop();
     await parts.gates.stop();
     await parts.handover.handOver();
     parts.watcher.stop();
     parts.spread.stop();
+    parts.limiter.stop();
+    parts.ledger.stop();
+    parts.freshness.stop();
     parts.authority.stop();
     parts.membership.stop();
     parts.links.stop();
@@ -151,9 +179,6 @@
       links,
       log: log.for('member'),
     });
-    const shared = {keeper, membership, log: configurationLog};
-    const watcher = new StoreWatcher({...shared, store});
-    const spread = new Spread({...shared, links});
     const authority = new FleetAuthority({
       store,
       links,
@@ -161,6 +186,23 @@
       log: log.for('generations'),
       readRevision: () => readFreshRevision(store),
     });
+    const {generations, vouches} = authority;
+    const limiter = new EscrowLimiter({
+      self: membership.self(),
+      links,
+      generations,
+      vouches,
+      customer: id => keeper.tables().customer(id),
+      log: log.for('rates'),
+    });
+    const shared = {keeper, membership, log: configurationLog};
+    const watcher = new StoreWatcher({...shared, store, vouches});
+    const spread = new Spread({...shared, links});
+    const freshness = new KeyFreshness({
+      vouches,
+      keeper,
+      onBehind: () => spread.compareNow(),
+    });
     const gate = new Gate({
       maxQueueMs: settings.limits.maxQueueMs,
       maxQueuePerCustomer: settings.limits.maxQueuePerCustomer,
@@ -175,48 +217,104 @@
       membership,
       log: log.for('report'),
     });
-    const gates = new Gates({own: gate, membership, links, secret, dial});
+    const clocks = new PeerClocks(links);
+    const gates = new Gates({
+      own: gate,
+      membership,
+      links,
+      clocks,
+      secret,
+      dial,
+    });
+    const retentionMs = settings.limits.idempotencyRetentionMs;
+    const selfId = settings.daemon.id;
+    const holders = new Holders({selfId, generations, retentionMs});
+    generations.onChange(() => holders.refresh());
+    const ledger = new Ledger(retentionMs, name => holders.heldSinceMs(name));
+    const claims = new Claims({
+      selfId,
+      holders,
+      ledger,
+      links,
+      isCurrent: () => {
+        const vouched = vouches.current()?.generation;
+        return vouched === generations.current()?.number;
+      },
+    });
     return {
       store,
       keeper,
       watcher,
       spread,
+      freshness,
       links,
       membership,
       authority,
+      limiter,
       gate,
       gates,
       burn,
       handover,
+      ledger,
+      claims,
     };
   }
 
+  /** Registers the administration API. */
+  #administer(parts: Parts): void {
+    const {settings, log, onDrain} = this.#options;
+    const {keeper, watcher, spread, freshness, membership, store} = parts;
+    const {generations, vouches} = parts.authority;
+    const writer = new ChangeWriter(store, () => keeper.state());
+    const acceptance = new Acceptance({
+      writer,
+      keeper,
+      spread,
+      vouches,
+      log: log.for('configuration'),
+    });
+    new Administration({
+      server: this.#servers.administration,
+      credentials: settings.administration.credentials,
+      keeper,
+      acceptance,
+      membership,
+      store,
+      log: log.for('administration'),
+      isReady: () => keeper.tables().revision > 0,
+      status: {
+        generation: () => generations.current()?.number ?? 0,
+        vouched: () => vouches.current() !== undefined,
+        keysFresh: () => freshness.isFresh(),
+        watchesStore: () => watcher.isWatcher(),
+      },
+      onDrain,
+      burn: () => ({
+        ...parts.handover.answer(),
+        objectives: objectivesOf(keeper.tables().services()),
+      }),
+    });
+  }
+
   /** Registers the parts on the servers. */
   #connect(parts: Parts): void {
     const {settings, log, metrics} = this.#options;
-    const {callers, administration, instances, peers} = this.#servers;
-    const router = new Router({
+    const {callers, instances, peers} = this.#servers;
+    this.#router = new Router({
       tables: () => parts.keeper.tables(),
-      limiter: new StaticLimiter(() => parts.membership.members().length),
+      areKeysFresh: () => parts.freshness.isFresh(),
+      limiter: parts.limiter,
       gates: parts.gates,
       burn: parts.burn,
+      claims: parts.claims,
       log: log.for('router'),
       metrics,
     });
-    const app = polka({onNoMatch: (req, res) => router.handle(req, res)});
-    callers.on('request', app.handler);
-    new Administration({
-      server: administration,
-      credentials: settings.administration.credentials,
-      keeper: parts.keeper,
-      membership: parts.membership,
-      authority: parts.authority,
-      isReady: () => parts.keeper.tables().revision > 0,
-      burn: () => ({
-        ...parts.handover.answer(),
-        objectives: objectivesOf(parts.keeper.tables().services()),
-      }),
+    const app = polka({
+      onNoMatch: (req, res) => this.#router?.handle(req, res),
     });
+    callers.on('request', app.handler);
+    this.#administer(parts);
     serveAnnouncements(instances, parts.gate.instances);
     serveReservations(parts.links, parts.gate);
     const {secret} = settings.peers;
--- a/src/main.ts
+++ b/src/main.ts
@@ -2,22 +2,36 @@
 import {binary, run, subcommands} from 'cmd-ts';
 import {apply} from './commands/apply.js';
 import {check} from './commands/check.js';
+import {audit, drain, status} from './commands/fleet.js';
 import {key} from './commands/key.js';
+import {customer, route, service} from './commands/records.js';
 import {report} from './commands/report.js';
 import {serve} from './commands/serve.js';
 import {EXIT_CODES} from './errors/catalogue.js';
-import {Failure, reasonOf} from './errors/failure.js';
+import {Failure, reasonOf, RemoteFailure} from './errors/failure.js';
 import {VERSION} from './version.js';
 
 const app = subcommands({
   name: 'chicorycourse',
   description: 'A proxy fleet for backend servers that fail grayly.',
   version: VERSION,
-  cmds: {serve, check, apply, key, report},
+  cmds: {
+    serve,
+    check,
+    apply,
+    customer,
+    route,
+    service,
+    key,
+    status,
+    audit,
+    drain,
+    report,
+  },
 });
 
 function printFailure(err: unknown): void {
-  if (!(err instanceof Failure)) {
+  if (!(err instanceof Failure) && !(err instanceof RemoteFailure)) {
     process.stderr.write(`error: ${reasonOf(err)}\n`);
     process.exit(EXIT_CODES.internal);
   }
--- a/src/report/burn.ts
+++ b/src/report/burn.ts
@@ -27,7 +27,7 @@
 /** Counts of one window. */
 export interface WindowBurn {
   readonly minutes: number;
-  /** Requests that count for the objective: neither over rate nor cancelled. */
+  /** Requests that count for the objective: not over rate, cancelled or repeated. */
   readonly eligible: number;
   readonly bad: number;
   readonly burnRate: number;
--- a/src/report/collect.ts
+++ b/src/report/collect.ts
@@ -28,7 +28,7 @@
 const TIMEOUT_MS = 5000;
 const CONCURRENCY = 32;
 
-/** Collects and merges; throws `administrationFailed` if the first fails. */
+/** Collects and merges; throws `administrationUnreachable` if the first fails. */
 export async function collectReport(
   options: CollectOptions,
 ): Promise<BurnReport> {
@@ -75,20 +75,19 @@
   path: string,
   token: string,
 ): Promise<Body> {
-  const url = `http://${address}${path}`;
   try {
-    const res = await fetch(url, {
+    const res = await fetch(`http://${address}${path}`, {
       headers: {authorization: `Bearer ${token}`},
       signal: AbortSignal.timeout(TIMEOUT_MS),
     });
     if (!res.ok) {
       const reason = `status ${res.status}`;
-      throw new Failure('administrationFailed', {url, reason});
+      throw new Failure('administrationUnreachable', {address, reason});
     }
     return (await res.json()) as Body;
   } catch (err) {
     if (err instanceof Failure) throw err;
     const reason = reasonOf(err);
-    throw new Failure('administrationFailed', {url, reason}, err);
+    throw new Failure('administrationUnreachable', {address, reason}, err);
   }
 }
--- a/src/report/text.ts
+++ b/src/report/text.ts
@@ -11,6 +11,7 @@
   failed: 'backend failure',
   unknown: 'unknown outcome',
   cancelled: 'cancelled',
+  repeated: 'repeated key',
 };
 
 /** A share as a percentage. */
--- a/src/report/verdict.ts
+++ b/src/report/verdict.ts
@@ -14,6 +14,7 @@
   'failed',
   'unknown',
   'cancelled',
+  'repeated',
 ] as const;
 
 /**
@@ -21,7 +22,7 @@
  * later than the objective. `overRate`: the customer was over its rate.
  * `refused`: not run, although within its rate. `failed`: the backend server
  * answered with a server error. `unknown`: it may have run. `cancelled`: the
- * caller went away first.
+ * caller went away first. `repeated`: its idempotency key came before.
  */
 export type Verdict = (typeof VERDICTS)[number];
 
--- a/src/wire/messages.ts
+++ b/src/wire/messages.ts
@@ -4,9 +4,12 @@
  */
 import type {ConfigurationMessages} from '../configuration/messages.js';
 import type {GateMessages} from '../gate/messages.js';
+import type {ClockMessages} from '../member/clock_messages.js';
+import type {IdempotencyMessages} from '../idempotency/messages.js';
 import type {MemberMessages} from '../member/messages.js';
 import type {ReportMessages} from '../report/messages.js';
 import type {WitnessMessages} from '../member/witness_messages.js';
+import type {RateMessages} from '../rates/messages.js';
 
 /** One kind of message: what is asked, and what is answered. */
 export interface Exchange<Request, Reply> {
@@ -17,11 +20,14 @@
 /** Every kind of message between daemons. */
 export interface Messages
   extends
-    MemberMessages,
-    WitnessMessages,
+    ClockMessages,
     ConfigurationMessages,
     GateMessages,
-    ReportMessages {}
+    ReportMessages,
+    IdempotencyMessages,
+    MemberMessages,
+    RateMessages,
+    WitnessMessages {}
 
 /** The name of a kind of message. */
 export type MessageKind = keyof Messages & string;
