--- a/bench/demo.ts
+++ b/bench/demo.ts
@@ -77,8 +77,8 @@
 }
 
 async function configure(): Promise<Readonly<Record<string, string>>> {
-  const accepted = (await fleet.applySheet('d1', SHEET)).trim();
-  say(`The planners' sheet was applied: ${accepted}.`);
+  const output = (await fleet.applySheet('d1', SHEET)).trim();
+  say(`The planners' sheet was applied: ${output.split('\n').at(-1)}`);
   const canTho = await fleet.issueKey('d1', 'can-tho');
   const daLat = await fleet.issueKey('d1', 'da-lat');
   await until('all daemons serve', allServe(daLat), SETTLE_MS);
@@ -194,4 +194,7 @@
   }
 }
 
+// A reader that goes away must not leave processes behind.
+process.stdout.on('error', () => void fleet.stop().then(() => process.exit(1)));
+process.on('SIGINT', () => void fleet.stop().then(() => process.exit(130)));
 void main();
--- a/standins/backend.ts
+++ b/standins/backend.ts
@@ -19,6 +19,8 @@
   readonly errorShare?: number;
   /** Replaces the service time, in milliseconds. */
   readonly serviceMs?: number;
+  /** Multiplies the service time. */
+  readonly slowFactor?: number;
   /** Real requests are taken and never answered. */
   readonly hang?: boolean;
   /** Answers probes with this status, whatever the truth. */
@@ -93,7 +95,8 @@
     if (faults.hang)
       await new Promise<void>(resolve => res.on('close', resolve));
     await sleep(
-      Number(req.headers['x-work-ms'] ?? faults.serviceMs ?? SERVICE_MS),
+      Number(req.headers['x-work-ms'] ?? faults.serviceMs ?? SERVICE_MS) *
+        (faults.slowFactor ?? 1),
     );
     if (res.destroyed) return;
     Object.assign(run, {bodyBytes, finished: true});
