--- a/bench/lib/watch.ts
+++ b/bench/lib/watch.ts
@@ -57,7 +57,7 @@
   }
 
   async #sample(daemon: string): Promise<void> {
-    const {health = []} = await this.#fleet.status(daemon);
+    const {health} = await this.#fleet.status(daemon);
     health
       .filter(({grade}) => grade !== 'full')
       .forEach(({instance, grade}) => {
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -21,6 +21,7 @@
 import {Holders} from '../idempotency/holders.js';
 import {Ledger} from '../idempotency/ledger.js';
 import {createCallersServer, drainCallers} from '../http/callers.js';
+import {Health} from '../health/health.js';
 import {close, listen} from '../http/listener.js';
 import type {Logger} from '../log/logger.js';
 import {FleetAuthority} from '../member/fleet_authority.js';
@@ -65,6 +66,7 @@
   readonly membership: SwimMembership;
   readonly authority: FleetAuthority;
   readonly limiter: EscrowLimiter;
+  readonly health: Health;
   readonly gate: Gate;
   readonly gates: Gates;
   readonly burn: BurnCounter;
@@ -121,6 +123,7 @@
     parts.limiter.start();
     parts.gate.start();
     parts.handover.start();
+    parts.health.start();
     parts.ledger.start();
     this.#options.log.info(`Listening for callers on ${bound.callers}.`);
     return bound;
@@ -137,6 +140,7 @@
     await new Promise(resolve => setTimeout(resolve, LEAVE_PAUSE_MS));
     await drainCallers(this.#servers.callers);
     await parts.gate.stop();
+    await parts.health.stop();
     await parts.gates.stop();
     await parts.handover.handOver();
     parts.watcher.stop();
@@ -203,11 +207,24 @@
       keeper,
       onBehind: () => spread.compareNow(),
     });
+    const health: Health = new Health({
+      instances: () => gate.instances.all(),
+      links,
+      membership,
+      generations,
+      vouches,
+      floorOf: service => keeper.tables().service(service)?.floor,
+      onChange: () => gate.resize(),
+      metrics: this.#options.metrics,
+      log: log.for('health'),
+    });
     const gate = new Gate({
       maxQueueMs: settings.limits.maxQueueMs,
       maxQueuePerCustomer: settings.limits.maxQueuePerCustomer,
       log: log.for('gate'),
-      onSlots: slots => membership.update({slots}),
+      health,
+      onSlots: ({full, spare}) =>
+        membership.update({slots: full, spareSlots: spare}),
     });
     const {id, incarnation} = membership.self();
     const burn = new BurnCounter(id, incarnation);
@@ -251,6 +268,7 @@
       membership,
       authority,
       limiter,
+      health,
       gate,
       gates,
       burn,
@@ -285,6 +303,7 @@
       status: {
         generation: () => generations.current()?.number ?? 0,
         vouched: () => vouches.current() !== undefined,
+        health: () => parts.health.status(),
         keysFresh: () => freshness.isFresh(),
         watchesStore: () => watcher.isWatcher(),
       },
--- a/src/wire/messages.ts
+++ b/src/wire/messages.ts
@@ -4,8 +4,9 @@
  */
 import type {ConfigurationMessages} from '../configuration/messages.js';
 import type {GateMessages} from '../gate/messages.js';
-import type {ClockMessages} from '../member/clock_messages.js';
+import type {HealthMessages} from '../health/messages.js';
 import type {IdempotencyMessages} from '../idempotency/messages.js';
+import type {ClockMessages} from '../member/clock_messages.js';
 import type {MemberMessages} from '../member/messages.js';
 import type {ReportMessages} from '../report/messages.js';
 import type {WitnessMessages} from '../member/witness_messages.js';
@@ -24,6 +25,7 @@
     ConfigurationMessages,
     GateMessages,
     ReportMessages,
+    HealthMessages,
     IdempotencyMessages,
     MemberMessages,
     RateMessages,
