--- a/src/gate/remote_gate.ts
+++ b/src/gate/remote_gate.ts
@@ -92,27 +92,19 @@
   }
 
   async #exchangeInTime(work: Work, hop: HopWork): Promise<Outcome> {
-    const leftMs = work.deadlineAtMs - performance.now() + ANSWER_GRACE_MS;
-    const deadline = new AbortController();
-    const timer = setTimeout(() => deadline.abort(), Math.max(1, leftMs));
     try {
-      return await this.#exchange(work, hop, deadline.signal);
+      return await this.#exchange(work, hop);
     } catch (err) {
       if (!(err instanceof ExchangeError)) throw err;
       if (!err.started) return notRun('connect-failed');
       if (work.signal.aborted) return {kind: 'unknown', reason: 'cancelled'};
-      const reason = deadline.signal.aborted ? 'timeout' : 'connection-lost';
+      const reason = err.timedOut ? 'timeout' : 'connection-lost';
       return {kind: 'unknown', reason};
-    } finally {
-      clearTimeout(timer);
     }
   }
 
-  async #exchange(
-    work: Work,
-    hop: HopWork,
-    deadline: AbortSignal,
-  ): Promise<Outcome> {
+  async #exchange(work: Work, hop: HopWork): Promise<Outcome> {
+    const leftMs = work.deadlineAtMs - performance.now() + ANSWER_GRACE_MS;
     const answer = await exchange(this.#pool, {
       method: work.method,
       path: work.path,
@@ -124,7 +116,8 @@
         encodeField(hop),
       ],
       body: work.body,
-      signal: AbortSignal.any([work.signal, deadline]),
+      signal: work.signal,
+      headersTimeoutMs: Math.max(1, leftMs),
       mayStart: () => true,
     });
     const index = answer.headers.findIndex(
--- a/src/main.ts
+++ b/src/main.ts
@@ -5,6 +5,7 @@
 import {audit, drain, status} from './commands/fleet.js';
 import {key} from './commands/key.js';
 import {customer, route, service} from './commands/records.js';
+import {report} from './commands/report.js';
 import {serve} from './commands/serve.js';
 import {EXIT_CODES} from './errors/catalogue.js';
 import {Failure, reasonOf, RemoteFailure} from './errors/failure.js';
@@ -25,6 +26,7 @@
     status,
     audit,
     drain,
+    report,
   },
 });
 
