--- a/features/steps/rate_steps.ts
+++ b/features/steps/rate_steps.ts
@@ -1,7 +1,6 @@
 /** Steps that load the fleet and look at what started at the instances. */
 import {Given, Then, When} from '@cucumber/cucumber';
 import assert from 'node:assert/strict';
-import {setTimeout as sleep} from 'node:timers/promises';
 import {until} from '../support/fleet.js';
 import {Load, tally, worstWindow, type LoadAnswer} from '../support/load.js';
 import type {World} from '../support/world.js';
@@ -68,14 +67,6 @@
   return excess;
 }
 
-Given('the store is away', async function (this: World) {
-  await this.fleet.setFaults(this.fleet.storeAddress, {outage: true});
-});
-
-Given('the store is back', async function (this: World) {
-  await this.fleet.setFaults(this.fleet.storeAddress, {});
-});
-
 Given(
   '{string} is served through {string}',
   async function (this: World, customer: string, daemons: string) {
@@ -126,10 +117,6 @@
   },
 );
 
-When('{int} s pass', async (seconds: number) => {
-  await sleep(seconds * 1000);
-});
-
 When('all load ends', async function (this: World) {
   const all = [...(loads.get(this)?.values() ?? [])];
   await Promise.all(all.map(load => load.stop()));
--- /dev/null
+++ b/spec/escrow.ts
@@ -0,0 +1,293 @@
+/**
+ * Specification of the escrow. The first holder owns the whole rate, one token
+ * a tick with a burst of three; it lends all it has to a borrower. A new generation moves
+ * the rate to a second holder. Messages are lost, late and doubled; the first
+ * holder restarts; anybody may do nothing for any number of ticks, which is a
+ * pause. Ages are counted in ticks up to the point where they stop mattering,
+ * so that the exploration covers runs of any length.
+ *
+ * Unsafe is a state in which more was spent than one bucket of that rate and
+ * burst would have let through.
+ */
+import type {Specification} from './explore.js';
+
+const BURST = 3;
+const LOAN_TICKS = 2;
+const VOUCH_TICKS = 2;
+const MOVE_TICKS = VOUCH_TICKS + LOAN_TICKS;
+
+/** The holder of the first generation. */
+interface FirstHolder {
+  readonly level: number;
+  readonly closedFor: number;
+  readonly knowsNext: boolean;
+  /** Ticks that its vouch is counted to have lasted. */
+  readonly vouchAge: number;
+  /** Ticks since it asked to be vouched for; -1 if it didn't. */
+  readonly askAge: number;
+  /** What the witnesses answered. */
+  readonly answer: 'none' | 'first' | 'next';
+}
+
+/** A loan of the first holder to the borrower. */
+interface Loan {
+  /** Ticks since the borrower's ask; -1 if there is none. */
+  readonly askAge: number;
+  /** Ticks since the grant; -1 if the lender knows of none. */
+  readonly grantAge: number;
+  readonly reply: 'none' | 'under way' | 'taken';
+  readonly granted: number;
+  /** What the borrower can spend. */
+  readonly held: number;
+  /** What the lender counts as outstanding. */
+  readonly open: number;
+}
+
+/** A state of the specification. */
+export interface EscrowState {
+  readonly first: FirstHolder;
+  readonly loan: Loan;
+  /** Ticks since the next generation settled; -1 before. */
+  readonly settledFor: number;
+  readonly secondLevel: number;
+  /** What one bucket for the whole fleet would still let through. */
+  readonly allowance: number;
+}
+
+/** An event of the specification. */
+export interface EscrowEvent {
+  readonly type: keyof typeof HANDLERS;
+}
+
+/** Rules that a mutant leaves out. */
+export interface EscrowRules {
+  /** What is lent leaves the bucket before the reply is sent. */
+  readonly deductBeforeSend: boolean;
+  /** What is lent out counts against the burst. */
+  readonly countLent: boolean;
+  /** A borrower spends only within the lifetime since its ask. */
+  readonly expireLoans: boolean;
+  /** A restarted holder grants nothing until old loans are void. */
+  readonly closedAfterRestart: boolean;
+  readonly emptyAfterRestart: boolean;
+  /** A doubled reply is taken once. */
+  readonly takeOnce: boolean;
+  readonly vouchNeeded: boolean;
+  /** A vouch counts from the sending of the ask. */
+  readonly vouchFromSend: boolean;
+  /** Moved shares wait until old vouches and loans are void. */
+  readonly shrinkBeforeGrow: boolean;
+}
+
+/** The names of all rules. */
+export const ESCROW_RULES: readonly (keyof EscrowRules)[] = [
+  'deductBeforeSend',
+  'countLent',
+  'expireLoans',
+  'closedAfterRestart',
+  'emptyAfterRestart',
+  'takeOnce',
+  'vouchNeeded',
+  'vouchFromSend',
+  'shrinkBeforeGrow',
+];
+
+const NO_LOAN: Loan = {
+  askAge: -1,
+  grantAge: -1,
+  reply: 'none',
+  granted: 0,
+  held: 0,
+  open: 0,
+};
+
+const START: EscrowState = {
+  first: {
+    level: BURST,
+    closedFor: 0,
+    knowsNext: false,
+    vouchAge: VOUCH_TICKS,
+    askAge: -1,
+    answer: 'none',
+  },
+  loan: NO_LOAN,
+  settledFor: -1,
+  secondLevel: 0,
+  allowance: BURST,
+};
+
+type Step = (state: EscrowState, rules: EscrowRules) => EscrowState;
+
+function older(age: number, limit: number): number {
+  return age < 0 ? age : Math.min(limit, age + 1);
+}
+
+function spend(state: EscrowState): EscrowState {
+  return {...state, allowance: state.allowance - 1};
+}
+
+function mayGrant({first}: EscrowState, rules: EscrowRules): boolean {
+  const vouched = first.vouchAge < VOUCH_TICKS || !rules.vouchNeeded;
+  const open = first.closedFor === 0;
+  return vouched && open && !first.knowsNext && first.level > 0;
+}
+
+function roomOf({loan}: EscrowState, rules: EscrowRules): number {
+  return BURST - (rules.countLent ? loan.open : 0);
+}
+
+function tickFirst(state: EscrowState, rules: EscrowRules): FirstHolder {
+  const {first} = state;
+  const gains = first.closedFor === 0 && !first.knowsNext;
+  const room = Math.max(first.level, roomOf(state, rules));
+  return {
+    ...first,
+    level: gains ? Math.min(room, first.level + 1) : first.level,
+    closedFor: Math.max(0, first.closedFor - 1),
+    vouchAge: older(first.vouchAge, VOUCH_TICKS),
+    askAge: older(first.askAge, VOUCH_TICKS),
+  };
+}
+
+/** What can't matter any more is forgotten, so that states fall together. */
+function tickLoan(loan: Loan, rules: EscrowRules): Loan {
+  const grantAge = older(loan.grantAge, LOAN_TICKS);
+  const lapsed = grantAge === LOAN_TICKS;
+  const isVoid = older(loan.askAge, LOAN_TICKS) === LOAN_TICKS;
+  if (lapsed && isVoid && rules.expireLoans) return NO_LOAN;
+  return {
+    ...loan,
+    askAge: older(loan.askAge, LOAN_TICKS),
+    grantAge: lapsed ? -1 : grantAge,
+    open: lapsed ? 0 : loan.open,
+  };
+}
+
+const HANDLERS = {
+  tick: (state, rules) => {
+    const open = state.settledFor >= (rules.shrinkBeforeGrow ? MOVE_TICKS : 0);
+    return {
+      first: tickFirst(state, rules),
+      loan: tickLoan(state.loan, rules),
+      settledFor: older(state.settledFor, MOVE_TICKS),
+      secondLevel: open
+        ? Math.min(BURST, state.secondLevel + 1)
+        : state.secondLevel,
+      allowance: Math.min(BURST, state.allowance + 1),
+    };
+  },
+  // The witnesses answer at once: any later answer could only be newer.
+  askVouch: state => {
+    const answer = state.settledFor >= 0 ? 'next' : 'first';
+    return {...state, first: {...state.first, askAge: 0, answer}};
+  },
+  takeVouch: (state, rules) => {
+    const {askAge, answer} = state.first;
+    if (answer === 'none') return state;
+    const first = {...state.first, askAge: -1, answer: 'none' as const};
+    if (answer === 'next') {
+      return {...state, first: {...START.first, knowsNext: true, level: 0}};
+    }
+    const vouchAge = rules.vouchFromSend ? askAge : 0;
+    return {...state, first: {...first, vouchAge}};
+  },
+  spendOwn: (state, rules) => {
+    if (!mayGrant(state, rules)) return state;
+    const first = {...state.first, level: state.first.level - 1};
+    return spend({...state, first});
+  },
+  askLoan: state => {
+    const {askAge, grantAge, held} = state.loan;
+    const busy = grantAge >= 0 || (askAge >= 0 && askAge < LOAN_TICKS);
+    if (busy || held > 0) return state;
+    return {...state, loan: {...NO_LOAN, askAge: 0}};
+  },
+  grantLoan: (state, rules) => {
+    const {loan, first} = state;
+    const asked = loan.askAge >= 0 && loan.grantAge < 0;
+    if (!asked || loan.reply !== 'none' || !mayGrant(state, rules)) {
+      return state;
+    }
+    const granted = first.level;
+    const level = rules.deductBeforeSend ? 0 : granted;
+    return {
+      ...state,
+      first: {...first, level},
+      loan: {...loan, grantAge: 0, reply: 'under way', granted, open: granted},
+    };
+  },
+  takeReply: (state, rules) => {
+    const {loan} = state;
+    const doubled = loan.reply === 'taken' && !rules.takeOnce;
+    if (loan.reply !== 'under way' && !doubled) return state;
+    const held = Math.min(BURST, loan.held + loan.granted);
+    return {...state, loan: {...loan, reply: 'taken', held}};
+  },
+  spendLoan: (state, rules) => {
+    const {loan} = state;
+    const valid = loan.askAge < LOAN_TICKS || !rules.expireLoans;
+    if (loan.held === 0 || !valid) return state;
+    return spend({...state, loan: {...loan, held: loan.held - 1}});
+  },
+  settleSpent: (state, rules) => {
+    const {loan, first} = state;
+    if (loan.reply !== 'taken' || loan.grantAge < 0) return state;
+    const spent = Math.max(0, loan.open - loan.held);
+    const level = first.level - (rules.deductBeforeSend ? 0 : spent);
+    return {
+      ...state,
+      first: {...first, level: Math.max(0, level)},
+      loan: {...loan, open: loan.open - spent},
+    };
+  },
+  settleReturned: (state, rules) => {
+    const {loan, first} = state;
+    if (loan.reply !== 'taken' || loan.grantAge < 0) return state;
+    if (loan.held === 0 || loan.held !== loan.open) return state;
+    const back = rules.deductBeforeSend ? loan.held : 0;
+    const level = Math.min(BURST, first.level + back);
+    const returned = {...loan, held: 0, open: 0};
+    return {...state, first: {...first, level}, loan: returned};
+  },
+  restart: (state, rules) => ({
+    ...state,
+    first: {
+      ...START.first,
+      level: rules.emptyAfterRestart ? 0 : BURST,
+      closedFor: rules.closedAfterRestart ? LOAN_TICKS : 0,
+      knowsNext: false,
+    },
+    loan: {...state.loan, grantAge: -1, open: 0},
+  }),
+  settleNext: state =>
+    state.settledFor >= 0 ? state : {...state, settledFor: 0},
+  spendSecond: state =>
+    state.secondLevel === 0
+      ? state
+      : spend({...state, secondLevel: state.secondLevel - 1}),
+} as const satisfies Readonly<Record<string, Step>>;
+
+/** The specification with the given rules. */
+export function escrow(
+  rules: EscrowRules,
+): Specification<EscrowState, EscrowEvent> {
+  const types = Object.keys(HANDLERS) as (keyof typeof HANDLERS)[];
+  return {
+    name: 'escrow',
+    start: START,
+    events: types.map(type => ({type})),
+    step: (state, event) => {
+      if (state.allowance < 0) return state;
+      const step: Step = HANDLERS[event.type];
+      return step(state, rules);
+    },
+    violation: state =>
+      state.allowance < 0 ? 'more than the burst and rate' : undefined,
+  };
+}
+
+/** The rules, all but one. */
+export function rulesWithout(left: string | undefined): EscrowRules {
+  const entries = ESCROW_RULES.map(rule => [rule, rule !== left] as const);
+  return Object.fromEntries(entries) as unknown as EscrowRules;
+}
--- a/spec/specifications.feature
+++ b/spec/specifications.feature
@@ -31,3 +31,23 @@
       | vouchNeeded    |
       | waitAfterMove  |
       | waitAfterStart |
+
+  Scenario: The escrow of rates is safe
+    When "escrow" is explored
+    Then no state is unsafe
+
+  Scenario Outline: The escrow of rates needs each of its rules
+    When "escrow" is explored without the rule "<rule>"
+    Then an unsafe state is found
+
+    Examples:
+      | rule               |
+      | deductBeforeSend   |
+      | countLent          |
+      | expireLoans        |
+      | closedAfterRestart |
+      | emptyAfterRestart  |
+      | takeOnce           |
+      | vouchNeeded        |
+      | vouchFromSend      |
+      | shrinkBeforeGrow   |
--- a/spec/steps/specification_steps.ts
+++ b/spec/steps/specification_steps.ts
@@ -2,6 +2,7 @@
 import {Then, When} from '@cucumber/cucumber';
 import assert from 'node:assert/strict';
 import {configurationOrder} from '../configuration_order.js';
+import {escrow, rulesWithout} from '../escrow.js';
 import {ejectionFloor} from '../ejection_floor.js';
 import {explore, type Exploration} from '../explore.js';
 
@@ -13,6 +14,7 @@
 type Explorer = (without: string | undefined) => Exploration;
 
 const EXPLORERS: Readonly<Record<string, Explorer>> = {
+  escrow: without => explore(escrow(rulesWithout(without))),
   'configuration order': without =>
     explore(
       configurationOrder({
