--- a/bench/demo.ts
+++ b/bench/demo.ts
@@ -2,8 +2,9 @@
  * A tour of a small fleet, for newcomers: one line for each thing that
  * happens. It starts every process itself, and ends and removes them all.
  */
+import path from 'node:path';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {Fleet, until} from '../features/support/fleet.js';
+import {Fleet, READER_TOKEN, until} from '../features/support/fleet.js';
 
 const DOMAINS = ['vn-south-1', 'vn-south-2', 'vn-south-3'] as const;
 const DAEMONS = ['d1', 'd2', 'd3', 'd4', 'd5', 'd6'] as const;
@@ -76,8 +77,8 @@
 }
 
 async function configure(): Promise<Readonly<Record<string, string>>> {
-  const accepted = (await fleet.applySheet('d1', SHEET)).trim();
-  say(`The planners' sheet was applied: ${accepted}.`);
+  const output = (await fleet.applySheet('d1', SHEET)).trim();
+  say(`The planners' sheet was applied: ${output.split('\n').at(-1)}`);
   const canTho = await fleet.issueKey('d1', 'can-tho');
   const daLat = await fleet.issueKey('d1', 'da-lat');
   await until('all daemons serve', allServe(daLat), SETTLE_MS);
@@ -165,6 +166,19 @@
   say(`A request that was open meanwhile: ${(await open).status}.`);
 }
 
+async function showReport(): Promise<void> {
+  const tokenFile = fleet.writeFile('reader.token', READER_TOKEN);
+  const {administration} = fleet.daemon('d1').addresses;
+  const page = path.resolve('dist/burn.html');
+  const result = await fleet.run([
+    ...['report', 'burn', '--admin', administration],
+    ...['--token-file', tokenFile, '--html', page],
+  ]);
+  say('The report on service-level burn, from the counts of all daemons:');
+  say(result.stdout.trimEnd().replaceAll(/^/gm, '  | '));
+  say(`The same as a page with plots: ${page}`);
+}
+
 async function main(): Promise<void> {
   try {
     await startFleet();
@@ -173,10 +187,14 @@
     await showGrayFailure(canTho);
     await showStoreOutage(canTho);
     await showPlannedStop(canTho);
+    await showReport();
   } finally {
     await fleet.stop();
     say('Every process was ended.');
   }
 }
 
+// A reader that goes away must not leave processes behind.
+process.stdout.on('error', () => void fleet.stop().then(() => process.exit(1)));
+process.on('SIGINT', () => void fleet.stop().then(() => process.exit(130)));
 void main();
--- a/src/gate/gate.ts
+++ b/src/gate/gate.ts
@@ -149,8 +149,6 @@
 
   async #exchange(work: Work, instance: Instance): Promise<Outcome> {
     const leftMs = Math.max(1, work.deadlineAtMs - performance.now());
-    const deadline = new AbortController();
-    const timer = setTimeout(() => deadline.abort(), leftMs);
     let refusal: NotRunReason | undefined;
     const observation = this.#options.health.observe(
       candidacyOf(instance),
@@ -162,7 +160,8 @@
         path: work.path,
         headers: work.headers,
         body: work.body && observedBody(work.body, observation),
-        signal: AbortSignal.any([work.signal, deadline.signal]),
+        signal: work.signal,
+        headersTimeoutMs: leftMs,
         mayStart: () => {
           refusal = startRefusalOf(work, instance);
           if (!work.body || work.body.whole) observation.sent();
@@ -177,12 +176,10 @@
       const outcome = outcomeOf(err, {
         refusal,
         isCancelled: work.signal.aborted,
-        isOverdue: deadline.signal.aborted,
+        isOverdue: err.timedOut,
       });
       observation.ended(SAMPLE_OF[outcome.reason] ?? 'cancelled');
       return outcome;
-    } finally {
-      clearTimeout(timer);
     }
   }
 }
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -5,15 +5,21 @@
  */
 import {randomUUID} from 'node:crypto';
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {pipeline} from 'node:stream/promises';
-import type {Customer, Route} from '../configuration/records.js';
+import type {Customer} from '../configuration/records.js';
 import type {Tables} from '../configuration/tables.js';
 import {reasonOf} from '../errors/failure.js';
 import type {Answered, NotRun, Outcome, Unknown, Work} from '../gate/work.js';
 import type {Claims} from '../idempotency/claims.js';
+import {sendBody} from '../http/send_body.js';
 import type {Logger} from '../log/logger.js';
 import type {Metrics} from '../metrics/metrics.js';
 import type {RateLimiter, RateToken} from '../rates/limiter.js';
+import type {BurnCounter} from '../report/counter.js';
+import {
+  verdictOfOutcome,
+  verdictOfRefusal,
+  type Verdict,
+} from '../report/verdict.js';
 import {decideAccess, type Denied, type Granted} from './access.js';
 import {attempt} from './attempts.js';
 import type {Backups} from './backups.js';
@@ -35,6 +41,8 @@
   readonly gates: Gates;
   readonly backups: Backups;
   readonly claims: Claims;
+  /** Counts what each request meant for the service level. */
+  readonly burn: Pick<BurnCounter, 'count'>;
   readonly log: Logger;
   readonly metrics: Metrics;
 }
@@ -60,6 +68,8 @@
   readonly req: IncomingMessage;
   readonly res: ServerResponse;
   readonly requestId: string;
+  /** Monotonic clock, milliseconds. */
+  readonly arrivedAtMs: number;
   readonly refuse: (name: RefusalName, detail?: RefusalDetail) => void;
 }
 
@@ -84,6 +94,7 @@
       req,
       res,
       requestId,
+      arrivedAtMs: performance.now(),
       refuse: (name, detail) => refuse(res, name, {requestId, ...detail}),
     };
     if (this.#leaving) res.setHeader('connection', 'close');
@@ -97,8 +108,7 @@
   }
 
   async #serve(visit: Visit): Promise<void> {
-    const {req} = visit;
-    const arrivedAtMs = performance.now();
+    const {req, arrivedAtMs} = visit;
     if (!isServable(req)) return visit.refuse('bad-request');
     const access = this.#access(req);
     if (!access.granted) return this.#deny(visit, access);
@@ -112,7 +122,7 @@
     const admission = customer && (await this.#options.limiter.admit(customer));
     if (admission && !admission.admitted) {
       const {reason, retryAfterMs} = admission;
-      this.#count(route, customer, reason);
+      this.#count(access, reason, verdictOfRefusal(reason));
       return visit.refuse(reason, {retryAfterMs});
     }
     const key = keyOf(req);
@@ -149,7 +159,7 @@
 
   /** Claims the idempotency key if there is one, runs, and answers. */
   async #run(visit: Visit, work: Work, access: Granted): Promise<void> {
-    const {route, customer} = access;
+    const {customer} = access;
     const wanted = wantedClaim(visit.req, work, access);
     if (wanted === 'invalid') {
       work.token?.giveBack();
@@ -159,7 +169,11 @@
     const claim = wanted && (await claims.claim(wanted.scope, wanted.key));
     if (claim && claim.verdict !== 'run') {
       work.token?.giveBack();
-      this.#count(route, customer, `key-${claim.verdict}`);
+      this.#count(
+        access,
+        `key-${claim.verdict}`,
+        claim.verdict === 'seen' ? 'repeated' : 'refused',
+      );
       if (claim.verdict === 'unsure') return visit.refuse('key-unsure', claim);
       return visit.refuse('key-reused', {first: claim.first});
     }
@@ -171,7 +185,7 @@
     );
     if (outcome.kind === 'not-run') work.token?.giveBack();
     claim?.settle(settlementOf(outcome));
-    this.#count(route, customer, outcome.kind);
+    this.#count(access, outcome.kind, this.#verdictOf(visit, access, outcome));
     // The key may have been withdrawn while the request waited.
     const now = outcome.kind === 'not-run' ? this.#access(visit.req) : access;
     if (!now.granted) return this.#deny(visit, now);
@@ -202,19 +216,25 @@
     try {
       if (this.#leaving) res.setHeader('connection', 'close');
       res.writeHead(answer.status, [...returnedHeaders(answer.headers)]);
-      await pipeline(answer.body, res);
+      await sendBody(answer.body, res);
     } catch {
       answer.body.destroy();
       res.destroy();
     }
   }
 
-  #count(route: Route, customer: Customer | undefined, outcome: string): void {
-    this.#options.metrics.count('requests', {
-      service: route.service,
-      customer: customer?.id ?? 'open',
-      outcome,
-    });
+  #verdictOf(visit: Visit, {route}: Granted, outcome: Outcome): Verdict {
+    const elapsedMs = performance.now() - visit.arrivedAtMs;
+    const service = this.#options.tables().service(route.service);
+    const objectiveMs = service?.objectiveLatencyMs ?? Infinity;
+    return verdictOfOutcome(outcome, elapsedMs, objectiveMs);
+  }
+
+  #count(access: Granted, outcome: string, verdict: Verdict): void {
+    const {service} = access.route;
+    const customer = access.customer?.id ?? 'open';
+    this.#options.metrics.count('requests', {service, customer, outcome});
+    this.#options.burn.count(service, customer, verdict);
   }
 }
 
