--- a/src/gate/exchange.ts
+++ b/src/gate/exchange.ts
@@ -7,6 +7,9 @@
 import {reasonOf} from '../errors/failure.js';
 import type {RequestBody} from './body.js';
 
+/** Status of an interim answer: the work has started. */
+const PROCESSING = 102;
+
 /** What is sent. */
 export interface ExchangeRequest {
   readonly method: string;
@@ -18,6 +21,8 @@
   readonly headersTimeoutMs: number;
   /** Called right before the first byte; false stops the exchange. */
   readonly mayStart: () => boolean;
+  /** Called when the other side tells that the work has started. */
+  readonly onProcessing?: () => void;
 }
 
 /** The answer of the other side. */
@@ -89,6 +94,7 @@
   }
 
   onResponseStart(controller: Controller, status: number): void {
+    if (status === PROCESSING) this.#request.onProcessing?.();
     if (status < 200) return;
     clearTimeout(this.#timer);
     const headers = (controller.rawHeaders ?? []) as readonly Buffer[];
--- a/src/gate/remote_gate.ts
+++ b/src/gate/remote_gate.ts
@@ -119,6 +119,7 @@
       signal: work.signal,
       headersTimeoutMs: Math.max(1, leftMs),
       mayStart: () => true,
+      onProcessing: () => work.token?.confirm(),
     });
     const index = answer.headers.findIndex(
       (field, i) => i % 2 === 0 && field.toLowerCase() === OUTCOME_FIELD,
