Confirm claims beside a forgetful holder, and prove at most once

Cause: exploring the specification found that a key could run twice when both holders crash while two attempts claim it, each attempt having heard one holder before its crash and the other after. Ruled out: refusing whenever one holder is forgetful, since one crash would then refuse half of the keys.

An attempt that hears of a forgetful holder now asks both again whether its claim still stands.

--- /dev/null
+++ b/features/steps/callers_steps.ts
@@ -0,0 +1,213 @@
+/** Steps of callers at the edge of what the interface allows. */
+import {Given, Then, When} from '@cucumber/cucumber';
+import assert from 'node:assert/strict';
+import {readFileSync} from 'node:fs';
+import {request as httpRequest} from 'node:http';
+import {Readable} from 'node:stream';
+import {until} from '../support/fleet.js';
+import {sendBytes} from '../support/raw.js';
+import {runsOfAll} from '../support/runs.js';
+import type {World} from '../support/world.js';
+
+const MB = 1024 * 1024;
+const SETTLE_MS = 10_000;
+const LONG_FIELD_BYTES = 20_000;
+
+/** What came on the wire, and the memory of daemons before. */
+const received = new WeakMap<World, string>();
+const memoryBefore = new WeakMap<World, ReadonlyMap<string, number>>();
+
+function callersOf(world: World, daemon: string): string {
+  return world.fleet.daemon(daemon).addresses.callers;
+}
+
+function keyOf(world: World, customer: string): string {
+  return world.keys.get(customer) ?? '';
+}
+
+function memoryOf(world: World): ReadonlyMap<string, number> {
+  const entries = [...world.fleet.daemons].map(([id, {process: proc}]) => {
+    const status = readFileSync(`/proc/${proc.pid}/status`, 'utf8');
+    const kilobytes = Number(/VmHWM:\s+(\d+)/.exec(status)?.[1]);
+    return [id, kilobytes * 1024] as const;
+  });
+  return new Map(entries);
+}
+
+When(
+  'these bytes with the key of {string} are sent to daemon {string}: {string}',
+  async function (this: World, customer: string, daemon: string, text: string) {
+    const bytes = text
+      .replaceAll('\\r', '\r')
+      .replaceAll('\\n', '\n')
+      .replaceAll('\\u0000', '\u0000')
+      .replaceAll('KEY', keyOf(this, customer))
+      .replaceAll('LONG', 'x'.repeat(LONG_FIELD_BYTES));
+    const isWhole = (got: string) => got.includes('\r\n\r\n');
+    const address = callersOf(this, daemon);
+    received.set(this, await sendBytes(address, bytes, isWhole));
+  },
+);
+
+Then(
+  'the first status on the wire is {int}',
+  function (this: World, status: number) {
+    const text = received.get(this) ?? '';
+    assert.equal(text.split(' ')[1], String(status), text);
+  },
+);
+
+Then('nothing ran', async function (this: World) {
+  assert.deepEqual(await runsOfAll(this), []);
+});
+
+Given(
+  'the instances keep the bytes that they receive',
+  async function (this: World) {
+    const all = [...this.fleet.instances.values()];
+    await Promise.all(
+      all.map(({address}) => fetch(`http://${address}/keep-bytes`)),
+    );
+  },
+);
+
+When(
+  '{string} sends its key in every place that it can to daemon {string}',
+  async function (this: World, customer: string, daemon: string) {
+    const key = keyOf(this, customer);
+    const headers = {
+      'x-api-key': key,
+      authorization: `Bearer ${key}`,
+      cookie: `session=${key}`,
+      'x-other': `before ${key} after`,
+      connection: 'x-drop',
+      'x-drop': '1',
+    };
+    const {hostname, port} = new URL(`http://${callersOf(this, daemon)}`);
+    const options = {hostname, port, path: '/intake/key', headers};
+    const status = await new Promise<number>((resolve, reject) => {
+      const req = httpRequest(options, res => {
+        res.resume();
+        resolve(res.statusCode ?? 0);
+      });
+      req.on('error', reject);
+      req.end();
+    });
+    this.answers = [{status, headers: new Headers(), text: ''}];
+  },
+);
+
+Then(
+  'no instance has seen the key of {string}',
+  async function (this: World, customer: string) {
+    const key = encodeURIComponent(keyOf(this, customer));
+    const all = [...this.fleet.instances.values()].map(async ({address}) => {
+      const seenOf = async (text: string) => {
+        const res = await fetch(`http://${address}/seen?text=${text}`);
+        return ((await res.json()) as {seen: boolean}).seen;
+      };
+      assert.equal(await seenOf('x-request-id'), true);
+      // The question itself holds the key, so it is asked last and once.
+      assert.equal(await seenOf(key), false);
+    });
+    await Promise.all(all);
+  },
+);
+
+When(
+  '{string} pipelines {int} requests of differing length to daemon {string}',
+  async function (this: World, customer: string, count: number, id: string) {
+    const bytes = Array.from({length: count}, (_, index) =>
+      [
+        `GET /intake/p${index} HTTP/1.1`,
+        'Host: a',
+        `X-Api-Key: ${keyOf(this, customer)}`,
+        `X-Echo: e${index}`,
+        `X-Work-Ms: ${((index * 7) % 5) * 20}`,
+        `X-Answer-Bytes: ${((index * 3) % 4) * 3000}`,
+        '\r\n',
+      ].join('\r\n'),
+    ).join('');
+    const isWhole = (text: string) =>
+      (text.match(/"padding":"x*"\}/g) ?? []).length === count;
+    const text = await sendBytes(callersOf(this, id), bytes, isWhole);
+    received.set(this, text);
+  },
+);
+
+Then('each pipelined answer belongs to its request', function (this: World) {
+  const text = received.get(this) ?? '';
+  const echoes = [...text.matchAll(/"echo":"e(\d+)"/g)].map(m => Number(m[1]));
+  assert.deepEqual(echoes, [...echoes.keys()]);
+  assert.ok(echoes.length > 0, text);
+});
+
+When(
+  '{string} uploads {int} MB to {string} at daemon {string}',
+  async function (
+    this: World,
+    customer: string,
+    megabytes: number,
+    path: string,
+    daemon: string,
+  ) {
+    memoryBefore.set(this, memoryOf(this));
+    const chunk = Buffer.alloc(MB, 'x');
+    const body = Readable.from(
+      Array.from({length: megabytes}).map(() => chunk),
+    );
+    const init = {
+      method: 'POST',
+      headers: {'x-api-key': keyOf(this, customer)},
+      body: Readable.toWeb(body),
+      duplex: 'half',
+    };
+    this.answers = [await this.request(daemon, path, init as RequestInit)];
+  },
+);
+
+Then(
+  'the instance received all {int} MB',
+  async function (this: World, megabytes: number) {
+    const [run] = await runsOfAll(this);
+    assert.equal(run?.bodyBytes, megabytes * MB);
+  },
+);
+
+Then(
+  'no daemon grew by more than {int} MB',
+  function (this: World, megabytes: number) {
+    const before = memoryBefore.get(this) ?? new Map<string, number>();
+    const grown = [...memoryOf(this)].map(([id, bytes]) => {
+      return [id, Math.round((bytes - (before.get(id) ?? 0)) / MB)] as const;
+    });
+    process.stdout.write(`\npeak memory grew by ${JSON.stringify(grown)} MB\n`);
+    grown.forEach(([, growth]) => assert.ok(growth <= megabytes));
+  },
+);
+
+When(
+  '{string} goes away while {string} runs at daemon {string}',
+  async function (this: World, customer: string, path: string, daemon: string) {
+    const gone = new AbortController();
+    const headers = {'x-api-key': keyOf(this, customer), 'x-work-ms': '1500'};
+    const init = {headers, signal: gone.signal};
+    const sent = this.request(daemon, path, init).catch(() => undefined);
+    const runs = async () => (await runsOfAll(this)).length > 0;
+    await until('it runs', runs, SETTLE_MS);
+    gone.abort();
+    await sent;
+  },
+);
+
+Then(
+  'the run of {string} never finishes',
+  async function (this: World, path: string) {
+    await new Promise(resolve => setTimeout(resolve, 2000));
+    const runs = (await runsOfAll(this)).filter(run => run.path === path);
+    assert.deepEqual(
+      runs.map(run => run.finished),
+      [false],
+    );
+  },
+);
--- a/features/steps/fleet_steps.ts
+++ b/features/steps/fleet_steps.ts
@@ -23,22 +23,31 @@
 Given(
   'an instance {string} of {string} behind daemon {string}',
   async function (this: World, id: string, service: string, daemon: string) {
+    const before = await slotsKnown(this, service);
     await this.fleet.startInstance({id, service, daemons: [daemon]});
     await until(
-      `all daemons know ${service}`,
+      `all daemons know ${id}`,
       async () => {
-        const all = await Promise.all(
-          [...this.fleet.daemons.keys()].map(d => this.fleet.status(d)),
-        );
-        return all.every(status =>
-          status.members.some(member => (member.slots[service] ?? 0) > 0),
-        );
+        const after = await slotsKnown(this, service);
+        return after.every((slots, index) => slots > (before[index] ?? 0));
       },
       SETTLE_MS,
     );
   },
 );
 
+/** Slots of a service in the whole fleet, as each daemon sees it. */
+async function slotsKnown(
+  world: World,
+  service: string,
+): Promise<readonly number[]> {
+  const ids = [...world.fleet.daemons.keys()];
+  const all = await Promise.all(ids.map(id => world.fleet.status(id)));
+  return all.map(({members}) =>
+    members.reduce((sum, member) => sum + (member.slots[service] ?? 0), 0),
+  );
+}
+
 Given('the sheet:', async function (this: World, text: string) {
   const file = this.fleet.writeFile('sheet.csv', `\uFEFF${text}\r\n`);
   const {settingsFile} = this.fleet.daemon('d1');
--- a/features/support/process.ts
+++ b/features/support/process.ts
@@ -46,6 +46,10 @@
     return new TestProcess(child, firstLine, errors);
   }
 
+  get pid(): number {
+    return this.#child.pid ?? 0;
+  }
+
   get running(): boolean {
     return this.#child.exitCode === null && this.#child.signalCode === null;
   }
--- /dev/null
+++ b/spec/at_most_once.ts
@@ -0,0 +1,196 @@
+/**
+ * Specification of idempotency keys: two routers try the same key at its two
+ * holders, one holder after the other. Replies and releases get lost, and
+ * holders crash at any moment and come back without a memory. Within the
+ * retention time no key runs twice.
+ */
+import type {Specification} from './explore.js';
+
+const ATTEMPTS = [0, 1] as const;
+const HOLDERS = [0, 1] as const;
+
+type Reply = 'none' | 'fresh' | 'forgetful' | 'silent';
+
+interface Attempt {
+  readonly replies: readonly Reply[];
+  /** Holders that confirmed that the claim still stands. */
+  readonly confirmed: number;
+  readonly state: 'claiming' | 'ran' | 'refused';
+}
+
+/** A state of the specification. */
+export interface ClaimState {
+  /** The attempt that each holder remembers, or -1. */
+  readonly entries: readonly number[];
+  readonly forgetful: readonly boolean[];
+  readonly attempts: readonly Attempt[];
+}
+
+/** An event of the specification. */
+export type ClaimEvent =
+  | {
+      readonly type: 'claim';
+      readonly attempt: number;
+      readonly replyLost: boolean;
+    }
+  | {readonly type: 'confirm'; readonly attempt: number}
+  | {readonly type: 'decide'; readonly attempt: number}
+  | {
+      readonly type: 'release';
+      readonly attempt: number;
+      readonly holder: number;
+    }
+  | {readonly type: 'crash'; readonly holder: number};
+
+/** Rules that a mutant leaves out. */
+export interface ClaimRules {
+  /** The key is claimed at both holders. */
+  readonly claimBoth: boolean;
+  /** At least one holder must have a whole memory. */
+  readonly memory: boolean;
+  /** A silent holder refuses. */
+  readonly silence: boolean;
+  /** Beside a forgetful holder, both confirm that the claim stands. */
+  readonly confirm: boolean;
+  /** Only what surely did not run is released. */
+  readonly releaseNotRun: boolean;
+}
+
+const NEW: Attempt = {
+  replies: ['none', 'none'],
+  confirmed: 0,
+  state: 'claiming',
+};
+
+const START: ClaimState = {
+  entries: [-1, -1],
+  forgetful: [false, false],
+  attempts: [NEW, NEW],
+};
+
+const EVENTS: readonly ClaimEvent[] = [
+  ...ATTEMPTS.flatMap(attempt => [
+    {type: 'claim' as const, attempt, replyLost: false},
+    {type: 'claim' as const, attempt, replyLost: true},
+    {type: 'confirm' as const, attempt},
+    {type: 'decide' as const, attempt},
+    ...HOLDERS.map(holder => ({type: 'release' as const, attempt, holder})),
+  ]),
+  ...HOLDERS.map(holder => ({type: 'crash' as const, holder})),
+];
+
+function change(
+  state: ClaimState,
+  index: number,
+  by: Partial<Attempt>,
+): ClaimState {
+  const attempt = {...(state.attempts[index] ?? NEW), ...by};
+  return {...state, attempts: state.attempts.with(index, attempt)};
+}
+
+/** Ends an attempt; what it heard no longer matters. */
+function finish(
+  state: ClaimState,
+  index: number,
+  how: 'ran' | 'refused',
+): ClaimState {
+  return change(state, index, {...NEW, state: how});
+}
+
+function claim(
+  state: ClaimState,
+  index: number,
+  replyLost: boolean,
+): ClaimState {
+  const {replies, state: phase} = state.attempts[index] ?? NEW;
+  const holder = replies.indexOf('none');
+  if (phase !== 'claiming' || holder < 0) return state;
+  const known: Reply = state.forgetful[holder] ? 'forgetful' : 'fresh';
+  const reply = replyLost ? 'silent' : known;
+  const heard = change(state, index, {replies: replies.with(holder, reply)});
+  if ((state.entries[holder] ?? -1) < 0) {
+    return {...heard, entries: state.entries.with(holder, index)};
+  }
+  return replyLost ? heard : finish(state, index, 'refused');
+}
+
+function confirm(state: ClaimState, index: number): ClaimState {
+  const {replies, confirmed, state: phase} = state.attempts[index] ?? NEW;
+  const isDue = !replies.includes('none') && confirmed < HOLDERS.length;
+  if (phase !== 'claiming' || !isDue) return state;
+  if (state.entries[confirmed] !== index) {
+    return finish(state, index, 'refused');
+  }
+  return change(state, index, {confirmed: confirmed + 1});
+}
+
+function mayRun(attempt: Attempt, rules: ClaimRules): boolean {
+  const {replies, confirmed} = attempt;
+  const needsConfirming = rules.confirm && replies.includes('forgetful');
+  if (needsConfirming && confirmed < HOLDERS.length) return false;
+  if (rules.silence && replies.includes('silent')) return false;
+  return !rules.memory || replies.includes('fresh');
+}
+
+function decide(
+  state: ClaimState,
+  index: number,
+  rules: ClaimRules,
+): ClaimState {
+  const attempt = state.attempts[index] ?? NEW;
+  const asked = attempt.replies.filter(reply => reply !== 'none').length;
+  const needed = rules.claimBoth ? HOLDERS.length : 1;
+  if (attempt.state !== 'claiming' || asked < needed) return state;
+  return finish(state, index, mayRun(attempt, rules) ? 'ran' : 'refused');
+}
+
+/** A release reaches a holder; one that is lost changes nothing. */
+function release(
+  state: ClaimState,
+  index: number,
+  holder: number,
+  rules: ClaimRules,
+): ClaimState {
+  const {state: phase} = state.attempts[index] ?? NEW;
+  const isReleased = phase === 'refused' || !rules.releaseNotRun;
+  if (!isReleased || phase === 'claiming') return state;
+  if (state.entries[holder] !== index) return state;
+  return {...state, entries: state.entries.with(holder, -1)};
+}
+
+/** It may crash again: that changes nothing but its entry. */
+function crash(state: ClaimState, holder: number): ClaimState {
+  return {
+    ...state,
+    entries: state.entries.with(holder, -1),
+    forgetful: state.forgetful.with(holder, true),
+  };
+}
+
+/** The specification with the given rules. */
+export function atMostOnce(
+  rules: ClaimRules,
+): Specification<ClaimState, ClaimEvent> {
+  const handlers = {
+    claim: (s: ClaimState, e: ClaimEvent & {type: 'claim'}) =>
+      claim(s, e.attempt, e.replyLost),
+    confirm: (s: ClaimState, e: ClaimEvent & {type: 'confirm'}) =>
+      confirm(s, e.attempt),
+    decide: (s: ClaimState, e: ClaimEvent & {type: 'decide'}) =>
+      decide(s, e.attempt, rules),
+    release: (s: ClaimState, e: ClaimEvent & {type: 'release'}) =>
+      release(s, e.attempt, e.holder, rules),
+    crash: (s: ClaimState, e: ClaimEvent & {type: 'crash'}) =>
+      crash(s, e.holder),
+  };
+  return {
+    name: 'at most once',
+    start: START,
+    events: EVENTS,
+    step: (state, event) => handlers[event.type](state, event as never),
+    violation: state => {
+      const ran = state.attempts.filter(attempt => attempt.state === 'ran');
+      return ran.length > 1 ? 'a key ran twice' : undefined;
+    },
+  };
+}
--- a/spec/specifications.feature
+++ b/spec/specifications.feature
@@ -14,3 +14,19 @@
       | rule        |
       | onlyForward |
       | compare     |
+
+  Scenario: At most once is safe
+    When "at most once" is explored
+    Then no state is unsafe
+
+  Scenario Outline: At most once needs each of its rules
+    When "at most once" is explored without the rule "<rule>"
+    Then an unsafe state is found
+
+    Examples:
+      | rule          |
+      | claimBoth     |
+      | memory        |
+      | silence       |
+      | confirm       |
+      | releaseNotRun |
--- a/spec/steps/specification_steps.ts
+++ b/spec/steps/specification_steps.ts
@@ -1,6 +1,7 @@
 /** Steps that explore specifications, whole or with a rule left out. */
 import {Then, When} from '@cucumber/cucumber';
 import assert from 'node:assert/strict';
+import {atMostOnce} from '../at_most_once.js';
 import {configurationOrder} from '../configuration_order.js';
 import {explore, type Exploration} from '../explore.js';
 
@@ -12,6 +13,16 @@
 type Explorer = (without: string | undefined) => Exploration;
 
 const EXPLORERS: Readonly<Record<string, Explorer>> = {
+  'at most once': without =>
+    explore(
+      atMostOnce({
+        claimBoth: without !== 'claimBoth',
+        memory: without !== 'memory',
+        silence: without !== 'silence',
+        confirm: without !== 'confirm',
+        releaseNotRun: without !== 'releaseNotRun',
+      }),
+    ),
   'configuration order': without =>
     explore(
       configurationOrder({
--- a/src/idempotency/claims.ts
+++ b/src/idempotency/claims.ts
@@ -45,6 +45,9 @@
     links.handle('idempotency.claim', ({name, attempt}) =>
       ledger.claim(name, attempt),
     );
+    links.handle('idempotency.confirm', ({name, attempt}) => ({
+      holds: ledger.holds(name, attempt),
+    }));
     links.handle('idempotency.settle', ({name, attempt, settlement}) => ({
       known: ledger.settle(name, attempt, settlement),
     }));
@@ -65,8 +68,13 @@
         .forEach(holder => this.#settle(holder, name, attempt, settlement));
     const verdict = decideClaim(answers, holders.length);
     if (verdict.verdict === 'run') return {verdict: 'run', settle};
+    const isConfirmed =
+      verdict.verdict === 'confirm' &&
+      (await this.#confirm(name, attempt, holders));
+    if (isConfirmed) return {verdict: 'run', settle};
     settle('released');
-    return verdict;
+    if (verdict.verdict !== 'confirm') return verdict;
+    return {verdict: 'unsure', retryAfterMs: SILENT_RETRY_MS};
   }
 
   /** Asks one holder after the other; ends early if one refuses. */
@@ -84,6 +92,26 @@
     return answers;
   }
 
+  /** True if the claim stands at every holder. */
+  async #confirm(
+    name: string,
+    attempt: string,
+    holders: readonly GenerationMember[],
+  ): Promise<boolean> {
+    const {selfId, ledger, links} = this.#options;
+    const answers = holders.map(async ({id, peersAddress}) => {
+      if (id === selfId) return ledger.holds(name, attempt);
+      const body = {name, attempt};
+      const kind = 'idempotency.confirm';
+      const asked = links.call(peersAddress, kind, body, CLAIM_TIMEOUT_MS);
+      return asked.then(
+        ({holds}) => holds,
+        () => false,
+      );
+    });
+    return (await Promise.all(answers)).every(holds => holds);
+  }
+
   async #askOne(
     holder: GenerationMember,
     name: string,
--- a/src/idempotency/ledger.ts
+++ b/src/idempotency/ledger.ts
@@ -57,6 +57,11 @@
     return {answer: 'fresh', forgetfulMs};
   }
 
+  /** True if the claim of an attempt stands. */
+  holds(name: string, attempt: string): boolean {
+    return this.#entries.get(name)?.attempt === attempt;
+  }
+
   /** Notes how an attempt ended; false if it isn't known. */
   settle(name: string, attempt: string, settlement: Settlement): boolean {
     const entry = this.#entries.get(name);
--- a/src/idempotency/messages.ts
+++ b/src/idempotency/messages.ts
@@ -27,6 +27,11 @@
     {readonly name: string; readonly attempt: string},
     ClaimAnswer
   >;
+  /** Asks whether the claim of an attempt still stands. */
+  readonly 'idempotency.confirm': Exchange<
+    {readonly name: string; readonly attempt: string},
+    {readonly holds: boolean}
+  >;
   /** Tells what became of the attempt. */
   readonly 'idempotency.settle': Exchange<
     {
--- a/src/idempotency/rules.ts
+++ b/src/idempotency/rules.ts
@@ -3,7 +3,9 @@
  * asked. Each key has two holders, which both record every attempt before it
  * runs. So one holder that remembers the whole retention time, and doesn't
  * know the key, is proof that it did not run; a holder that was restarted
- * proves nothing, and one that is silent may know better.
+ * proves nothing, and one that is silent may know better. If one of the two
+ * proves nothing, both must confirm afterwards that the claim still stands:
+ * else two attempts could each have claimed one before it crashed.
  */
 import type {ClaimAnswer, FirstRun} from './messages.js';
 
@@ -13,6 +15,7 @@
 /** What follows from the answers of the holders. */
 export type Verdict =
   | {readonly verdict: 'run'}
+  | {readonly verdict: 'confirm'}
   | {readonly verdict: 'seen'; readonly first: FirstRun}
   | {readonly verdict: 'unsure'; readonly retryAfterMs: number};
 
@@ -35,5 +38,6 @@
   }
   const forgetfulMs = Math.min(...fresh.map(answer => answer.forgetfulMs));
   if (forgetfulMs > 0) return {verdict: 'unsure', retryAfterMs: forgetfulMs};
-  return {verdict: 'run'};
+  const isSure = fresh.every(answer => answer.forgetfulMs === 0);
+  return {verdict: isSure ? 'run' : 'confirm'};
 }
--- a/src/router/attempts.ts
+++ b/src/router/attempts.ts
@@ -6,6 +6,7 @@
 import type {NotRun, Outcome, Work} from '../gate/work.js';
 import type {RateToken} from '../rates/limiter.js';
 import type {Candidate} from './gates.js';
+import {mayGoAgain} from './retry_rule.js';
 
 /** What trying needs. */
 export interface AttemptOptions {
@@ -44,10 +45,3 @@
 function worse(before: Outcome, now: Outcome): Outcome {
   return before.kind === 'unknown' && now.kind === 'not-run' ? before : now;
 }
-
-function mayGoAgain(outcome: Outcome, work: Work): boolean {
-  if (outcome.kind === 'answered' || work.signal.aborted) return false;
-  if (work.body?.replayable === false) return false;
-  if (performance.now() >= work.deadlineAtMs) return false;
-  return outcome.kind === 'not-run' || work.idempotent;
-}
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -145,7 +145,10 @@
     if (claim && claim.verdict !== 'run') {
       work.token?.giveBack();
       this.#count(route, customer, `key-${claim.verdict}`);
-      if (claim.verdict === 'unsure') return visit.refuse('key-unsure', claim);
+      if (claim.verdict === 'unsure') {
+        const {retryAfterMs} = claim;
+        return visit.refuse('key-unsure', {retryAfterMs});
+      }
       return visit.refuse('key-reused', {first: claim.first});
     }
     const outcome = await this.#attempt(work, customer).catch(
