--- a/features/steps/fleet_steps.ts
+++ b/features/steps/fleet_steps.ts
@@ -1,22 +1,20 @@
 /** Steps that start a fleet and configure it. */
 import {Given} from '@cucumber/cucumber';
 import assert from 'node:assert/strict';
-import {until} from '../support/fleet.js';
+import {until, type InstancePlan} from '../support/fleet.js';
 import type {World} from '../support/world.js';
 
 const SETTLE_MS = 10_000;
 
-/** Waits until every daemon knows of slots of a service. */
-async function untilKnown(world: World, service: string): Promise<void> {
+/** Starts an instance and waits until all daemons know of its slots. */
+async function startKnown(world: World, plan: InstancePlan): Promise<void> {
+  const before = await slotsKnown(world, plan.service);
+  await world.fleet.startInstance(plan);
   await until(
-    `all daemons know ${service}`,
+    `all daemons know ${plan.id}`,
     async () => {
-      const all = await Promise.all(
-        [...world.fleet.daemons.keys()].map(d => world.fleet.status(d)),
-      );
-      return all.every(status =>
-        status.members.some(member => (member.slots[service] ?? 0) > 0),
-      );
+      const after = await slotsKnown(world, plan.service);
+      return after.every((slots, index) => slots > (before[index] ?? 0));
     },
     SETTLE_MS,
   );
@@ -39,8 +37,7 @@
 Given(
   'an instance {string} of {string} behind daemon {string}',
   async function (this: World, id: string, service: string, daemon: string) {
-    await this.fleet.startInstance({id, service, daemons: [daemon]});
-    await untilKnown(this, service);
+    await startKnown(this, {id, service, daemons: [daemon]});
   },
 );
 
@@ -55,12 +52,22 @@
     daemon: string,
   ) {
     const daemons = [daemon];
-    const plan = {id, service, slots, serviceMs, daemons};
-    await this.fleet.startInstance(plan);
-    await untilKnown(this, service);
+    await startKnown(this, {id, service, slots, serviceMs, daemons});
   },
 );
 
+/** Slots of a service in the whole fleet, as each daemon sees it. */
+async function slotsKnown(
+  world: World,
+  service: string,
+): Promise<readonly number[]> {
+  const ids = [...world.fleet.daemons.keys()];
+  const all = await Promise.all(ids.map(id => world.fleet.status(id)));
+  return all.map(({members}) =>
+    members.reduce((sum, member) => sum + (member.slots[service] ?? 0), 0),
+  );
+}
+
 Given('the sheet:', async function (this: World, text: string) {
   const file = this.fleet.writeFile('sheet.csv', `\uFEFF${text}\r\n`);
   const result = await this.fleet.operate('d1', ['apply', file]);
