--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -31,7 +31,7 @@
     Given the store goes away as it takes the next head
     When an operator sends change "change-0001" to "can-tho" through daemon "d1"
     Then the answer is 503 and the change is called "unknown"
-    Given the store works again
+    Given the store is back
     When an operator sends change "change-0001" to "can-tho" through daemon "d2"
     Then the change is accepted as a repeated one
     And revision 2 is in force everywhere within 12 s
--- a/features/steps/configuration_steps.ts
+++ b/features/steps/configuration_steps.ts
@@ -1,7 +1,6 @@
 /** Steps of operators who change the configuration, and what comes of it. */
 import {After, Given, Then, When} from '@cucumber/cucumber';
 import assert from 'node:assert/strict';
-import {setTimeout as sleep} from 'node:timers/promises';
 import {OPERATOR_TOKEN, until, type CommandResult} from '../support/fleet.js';
 import {RevisionLog} from '../support/revision_log.js';
 import type {World} from '../support/world.js';
@@ -75,14 +74,6 @@
   await this.fleet.setFaults(this.fleet.storeAddress, {staleReads: true});
 });
 
-Given('the store is away', async function (this: World) {
-  await this.fleet.setFaults(this.fleet.storeAddress, {outage: true});
-});
-
-Given('the store works again', async function (this: World) {
-  await this.fleet.setFaults(this.fleet.storeAddress, {});
-});
-
 Given(
   'a daemon {string} of the mutant {string}',
   async function (this: World, id: string, mutant: string) {
@@ -134,10 +125,6 @@
   },
 );
 
-When('{int} s pass', async (seconds: number) => {
-  await sleep(seconds * 1000);
-});
-
 When(
   '{int} operators change the rate of {string} at once through all daemons',
   async function (this: ChangeWorld, count: number, customer: string) {
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -22,7 +22,6 @@
 import {Ledger} from '../idempotency/ledger.js';
 import {Health} from '../health/health.js';
 import {createCallersServer, drainCallers} from '../http/callers.js';
-import {Health} from '../health/health.js';
 import {close, listen} from '../http/listener.js';
 import type {Logger} from '../log/logger.js';
 import {FleetAuthority} from '../member/fleet_authority.js';
@@ -285,7 +284,6 @@
       log: log.for('administration'),
       isReady: () => keeper.tables().revision > 0,
       status: {
-        health: () => parts.health.status(),
         generation: () => generations.current()?.number ?? 0,
         vouched: () => vouches.current() !== undefined,
         health: () => parts.health.status(),
