--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -21,7 +21,6 @@
 import {Holders} from '../idempotency/holders.js';
 import {Ledger} from '../idempotency/ledger.js';
 import {createCallersServer, drainCallers} from '../http/callers.js';
-import {Health} from '../health/health.js';
 import {close, listen} from '../http/listener.js';
 import type {Logger} from '../log/logger.js';
 import {FleetAuthority} from '../member/fleet_authority.js';
