--- /dev/null
+++ b/features/overload.feature
@@ -0,0 +1,11 @@
+Feature: Overload is refused early
+  Work that would wait in vain is refused at once as not run, with the time
+  after which coming back helps; work that is taken is served.
+
+  Scenario: More requests than can be served in time
+    Given 1 instances of a service with floor 0, each behind its own daemon
+    And instances "ledger-1" have the faults "{\"serviceMs\":200}"
+    And 12 requests are sent one after the other
+    When 60 requests are sent at once
+    Then each was answered 200, or refused as busy within 150 ms with a time to come back
+    And at least 15 of them were answered 200
--- a/features/steps/health_steps.ts
+++ b/features/steps/health_steps.ts
@@ -4,7 +4,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {until} from '../support/fleet.js';
 import {HealthWatch, SteadyLoad} from '../support/health_watch.js';
-import type {World} from '../support/world.js';
+import type {CallerAnswer, World} from '../support/world.js';
 
 interface HealthWorld extends World {
   watch?: HealthWatch;
@@ -267,3 +267,58 @@
     await Promise.all(others.map(to => this.fleet.network.cutOneWay(from, to)));
   },
 );
+
+interface TimedAnswer extends CallerAnswer {
+  readonly tookMs: number;
+}
+
+interface OverloadWorld extends HealthWorld {
+  timed?: readonly TimedAnswer[];
+}
+
+async function sendTimed(world: World): Promise<TimedAnswer> {
+  const startedAtMs = performance.now();
+  const answer = await world.request('d1', '/ledger/balances');
+  return {...answer, tookMs: performance.now() - startedAtMs};
+}
+
+Given(
+  '{int} requests are sent one after the other',
+  async function (this: OverloadWorld, count: number) {
+    for (let sent = 0; sent < count; sent += 1) await sendTimed(this);
+  },
+);
+
+When(
+  '{int} requests are sent at once',
+  async function (this: OverloadWorld, count: number) {
+    const sends = Array.from({length: count}, () => sendTimed(this));
+    this.timed = await Promise.all(sends);
+  },
+);
+
+Then(
+  'each was answered 200, or refused as busy within {int} ms with a time to come back',
+  function (this: OverloadWorld, boundMs: number) {
+    const refused = (this.timed ?? []).filter(({status}) => status !== 200);
+    const slowest = Math.max(...refused.map(({tookMs}) => tookMs));
+    process.stdout.write(
+      `\n${refused.length} refused, the last after ${Math.round(slowest)} ms\n`,
+    );
+    assert.ok(refused.length > 0, 'nothing was refused');
+    refused.forEach(({status, text, headers, tookMs}) => {
+      assert.equal(status, 503);
+      assert.match(text, /"ran":"no"/);
+      assert.ok(Number(headers.get('retry-after')) >= 1);
+      assert.ok(tookMs <= boundMs, `${tookMs} ms`);
+    });
+  },
+);
+
+Then(
+  'at least {int} of them were answered 200',
+  function (this: OverloadWorld, bound: number) {
+    const served = (this.timed ?? []).filter(({status}) => status === 200);
+    assert.ok(served.length >= bound, `${served.length} served`);
+  },
+);
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -20,7 +20,6 @@
 import {Claims} from '../idempotency/claims.js';
 import {Holders} from '../idempotency/holders.js';
 import {Ledger} from '../idempotency/ledger.js';
-import {Health} from '../health/health.js';
 import {createCallersServer, drainCallers} from '../http/callers.js';
 import {Health} from '../health/health.js';
 import {close, listen} from '../http/listener.js';
@@ -296,7 +295,6 @@
       log: log.for('administration'),
       isReady: () => keeper.tables().revision > 0,
       status: {
-        health: () => parts.health.status(),
         generation: () => generations.current()?.number ?? 0,
         vouched: () => vouches.current() !== undefined,
         health: () => parts.health.status(),
--- a/src/gate/fair_queue.ts
+++ b/src/gate/fair_queue.ts
@@ -58,8 +58,11 @@
     return run;
   }
 
+  /** One customer's line; without a customer, the first of each line. */
   filter(options: Readonly<Partial<FairOptions>>): Run[] {
-    return this.#lines.get(options.customer ?? '') ?? [];
+    const {customer} = options;
+    if (customer !== undefined) return this.#lines.get(customer) ?? [];
+    return [...this.#lines.values()].flatMap(line => line.slice(0, 1));
   }
 
   setPriority(): void {
--- a/src/gate/gate.ts
+++ b/src/gate/gate.ts
@@ -11,18 +11,13 @@
   type SampleKind,
 } from '../health/view.js';
 import type {Logger} from '../log/logger.js';
+import {Capacity, type SlotCounts} from './capacity.js';
 import {exchange, ExchangeError} from './exchange.js';
 import {Instances, mayReceiveWork, type Instance} from './instances.js';
 import type {ReserveReply} from './messages.js';
 import {observedBody} from './observed_body.js';
 import {Reservations} from './reservations.js';
-import {
-  Slots,
-  type Slot,
-  type SlotCounts,
-  type SlotLimits,
-  type SlotRequest,
-} from './slots.js';
+import {Slots, type Slot, type SlotLimits, type SlotRequest} from './slots.js';
 import {
   notRun,
   type GateDoor,
@@ -48,6 +43,7 @@
 export class Gate implements GateDoor {
   readonly instances: Instances;
   readonly #options: GateOptions;
+  readonly #capacity: Capacity;
   readonly #slots: Slots;
   #toldCounts = '';
   readonly #reservations = new Reservations();
@@ -56,13 +52,14 @@
   constructor(options: GateOptions) {
     this.#options = options;
     this.instances = new Instances(() => this.resize());
-    this.#slots = new Slots(this.instances, options.health, options);
+    this.#capacity = new Capacity(this.instances, options.health);
+    this.#slots = new Slots(this.instances, this.#capacity, options);
   }
 
   /** Fits queues to what instances may have now, and tells the others. */
   resize(): void {
     this.#slots.resize();
-    const counts = this.#slots.counts();
+    const counts = this.#capacity.counts();
     const text = JSON.stringify(counts);
     if (text !== this.#toldCounts) this.#options.onSlots(counts);
     this.#toldCounts = text;
@@ -86,19 +83,17 @@
 
   /** Free slots minus waiting work of a service; above zero means room. */
   room(service: string): number {
-    return this.#slots.free(service) - this.#slots.waiting(service);
+    return this.#capacity.free(service) - this.#slots.waiting(service);
   }
 
   /** True if an instance may be given work, now or after a wait. */
   hasSlots(service: string): boolean {
-    return this.#slots.limit(service) > 0;
+    return this.#capacity.limit(service) > 0;
   }
 
   /** True if an instance that isn't full should get a trial request. */
   isTrialDue(service: string): boolean {
-    return this.instances
-      .inService(service)
-      .some(({id}) => this.#options.health.isTrialDue(id));
+    return this.#capacity.isTrialDue(service);
   }
 
   async run(work: Work): Promise<Outcome> {
--- a/src/gate/slots.ts
+++ b/src/gate/slots.ts
@@ -4,10 +4,10 @@
  * it is cancelled, overdue or too old, not when a slot becomes free.
  */
 import PQueue from 'p-queue';
-import {candidacyOf} from '../health/health.js';
-import type {Grade, HealthView} from '../health/view.js';
+import type {Capacity, Choice} from './capacity.js';
+import {DrainEstimate} from './drain_estimate.js';
 import {FairQueue, Place, type FairOptions} from './fair_queue.js';
-import {mayReceiveWork, type Instance, type Instances} from './instances.js';
+import type {Instance, Instances} from './instances.js';
 import {notRun, type NotRun} from './work.js';
 
 /** A slot of an instance; it is held until it is released. */
@@ -17,30 +17,13 @@
 }
 
 /** Who wants a slot, and until when. */
-export interface SlotRequest {
-  readonly service: string;
+export interface SlotRequest extends Choice {
   readonly customer: string | undefined;
   /** Monotonic clock, milliseconds. */
   readonly deadlineAtMs: number;
   readonly signal: AbortSignal;
-  /** It may be sent again if it fails, and so may go to a sick instance. */
-  readonly mayBeTrial?: boolean;
-}
-
-/** Slots of one gate, by service. */
-export interface SlotCounts {
-  /** Of instances with full trust. */
-  readonly full: Readonly<Record<string, number>>;
-  /** Of instances that are chosen only when the others are busy. */
-  readonly spare: Readonly<Record<string, number>>;
 }
 
-const GRADE_ORDER: Readonly<Record<Grade, number>> = {
-  full: 1,
-  reduced: 2,
-  ejected: 3,
-};
-
 /** Bounds of the queues. */
 export interface SlotLimits {
   readonly maxQueueMs: number;
@@ -53,19 +36,23 @@
   readonly instance: string;
 }
 
+/** Waits are estimates: work that would just make it is refused as well. */
+const SAFE_SHARE = 0.8;
+
 type ServiceQueue = PQueue<FairQueue, FairOptions>;
 
 /** The slots and queues of one gate. */
 export class Slots {
   readonly #instances: Instances;
-  readonly #health: HealthView;
+  readonly #capacity: Capacity;
   readonly #limits: SlotLimits;
   readonly #queues = new Map<string, ServiceQueue>();
   readonly #held = new Set<Held>();
+  readonly #drains = new Map<string, DrainEstimate>();
 
-  constructor(instances: Instances, health: HealthView, limits: SlotLimits) {
+  constructor(instances: Instances, capacity: Capacity, limits: SlotLimits) {
     this.#instances = instances;
-    this.#health = health;
+    this.#capacity = capacity;
     this.#limits = limits;
   }
 
@@ -74,35 +61,6 @@
     return this.#queues.get(service)?.size ?? 0;
   }
 
-  /** Free slots of instances with full trust. */
-  free(service: string): number {
-    return this.#instances
-      .inService(service)
-      .filter(({id}) => this.#health.grade(id) === 'full')
-      .reduce((sum, i) => sum + Math.max(0, this.#limitOf(i) - i.busy), 0);
-  }
-
-  /** Requests that instances may hold at once by their grades. */
-  limit(service: string): number {
-    return this.#instances
-      .inService(service)
-      .reduce((sum, instance) => sum + this.#limitOf(instance), 0);
-  }
-
-  /** Slots that instances may have by their grades. */
-  counts(): SlotCounts {
-    const countOf = (grade: Grade) =>
-      this.#instances
-        .all()
-        .filter(mayReceiveWork)
-        .filter(({id}) => this.#health.grade(id) === grade)
-        .reduce<Record<string, number>>((sums, {announcement}) => {
-          const sum = sums[announcement.service] ?? 0;
-          return {...sums, [announcement.service]: sum + announcement.slots};
-        }, {});
-    return {full: countOf('full'), spare: countOf('reduced')};
-  }
-
   /** Resolves when nothing waits and every slot is released. */
   async idle(): Promise<void> {
     const queues = [...this.#queues.values()];
@@ -124,6 +82,11 @@
     const leftMs = request.deadlineAtMs - performance.now();
     if (leftMs <= 0) return Promise.resolve(notRun('deadline'));
     const overdue = leftMs <= this.#limits.maxQueueMs ? 'deadline' : 'busy';
+    const boundMs = Math.min(leftMs, this.#limits.maxQueueMs);
+    const retryAfterMs = this.#waitMs(service, customer);
+    if (retryAfterMs > boundMs * SAFE_SHARE) {
+      return Promise.resolve({...notRun('busy'), retryAfterMs});
+    }
     return new Promise(resolve => {
       const place = new Place();
       const settle = (result: Slot | NotRun) => {
@@ -136,10 +99,7 @@
         settle(refusal);
       };
       const onAbort = () => giveUp(notRun('cancelled'));
-      const timer = setTimeout(
-        () => giveUp(notRun(overdue)),
-        Math.min(leftMs, this.#limits.maxQueueMs),
-      );
+      const timer = setTimeout(() => giveUp(notRun(overdue)), boundMs);
       signal.addEventListener('abort', onAbort, {once: true});
       const run = () => this.#hold(request, avoid, settle);
       void queue.add(run, {customer, place});
@@ -158,18 +118,20 @@
     settle: (result: Slot | NotRun) => void,
   ): Promise<void> {
     const {service} = request;
-    const instance = this.#choose(request, avoid);
+    const instance = this.#capacity.choose(request, avoid);
     if (!instance) {
       const there = this.#instances.inService(service).length > 0;
       settle(notRun(there ? 'busy' : 'no-instance'));
       return Promise.resolve();
     }
     const held = {service, instance: instance.id};
+    const sinceMs = performance.now();
     this.#held.add(held);
     this.#instances.occupy(instance.id, 1);
     return new Promise(resolve => {
       const release = () => {
         this.#held.delete(held);
+        this.#drainOf(service).add(performance.now() - sinceMs);
         this.#instances.occupy(instance.id, -1);
         this.resize();
         resolve();
@@ -178,26 +140,22 @@
     });
   }
 
-  /** The best grade first, in it the instance with the most free slots. */
-  #choose(
-    request: SlotRequest,
-    avoid: ReadonlySet<string>,
-  ): Instance | undefined {
-    const isTrial = request.mayBeTrial ?? false;
-    const orderOf = (i: Instance) =>
-      isTrial && this.#health.isTrialDue(i.id)
-        ? 0
-        : GRADE_ORDER[this.#health.grade(i.id)];
-    const freeOf = (i: Instance) =>
-      i.announcement.slots - i.busy - this.#health.foreignLoad(candidacyOf(i));
-    return this.#instances
-      .inService(request.service)
-      .filter(i => !avoid.has(i.id) && i.busy < this.#limitOf(i, isTrial))
-      .toSorted((a, b) => orderOf(a) - orderOf(b) || freeOf(b) - freeOf(a))[0];
+  /** How long new work of a customer will wait, in milliseconds. */
+  #waitMs(service: string, customer: string): number {
+    const queue = this.#queueOf(service);
+    if (queue.pending < queue.concurrency) return 0;
+    const turns = (queue.sizeBy({customer}) + 1) * queue.sizeBy({});
+    const ahead = Math.min(queue.size, turns);
+    const slots = this.#capacity.limit(service);
+    return this.#drainOf(service).waitMs(ahead, slots);
   }
 
-  #limitOf(instance: Instance, isTrial = false): number {
-    return this.#health.limit(candidacyOf(instance), isTrial);
+  #drainOf(service: string): DrainEstimate {
+    const known = this.#drains.get(service);
+    if (known) return known;
+    const drain = new DrainEstimate();
+    this.#drains.set(service, drain);
+    return drain;
   }
 
   #queueOf(service: string): ServiceQueue {
@@ -215,7 +173,7 @@
    */
   #fit(queue: ServiceQueue, service: string): void {
     const instances = this.#instances.inService(service);
-    const slots = this.limit(service);
+    const slots = this.#capacity.limit(service);
     const ids = new Set(instances.map(instance => instance.id));
     const elsewhere = [...this.#held].filter(
       held => held.service === service && !ids.has(held.instance),
