--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -33,6 +33,9 @@
 import {EscrowLimiter} from '../rates/escrow.js';
 import {Backups} from '../router/backups.js';
 import {GateRecords} from '../router/gate_records.js';
+import {objectivesOf} from '../report/burn.js';
+import {BurnCounter} from '../report/counter.js';
+import {Handover} from '../report/handover.js';
 import {Gates} from '../router/gates.js';
 import {RetryBudget} from '../router/retry_budget.js';
 import {Router} from '../router/router.js';
@@ -70,6 +73,8 @@
   readonly gate: Gate;
   readonly gates: Gates;
   readonly backups: Backups;
+  readonly burn: BurnCounter;
+  readonly handover: Handover;
   readonly ledger: Ledger;
   readonly claims: Claims;
 }
@@ -121,6 +126,7 @@
     parts.authority.start();
     parts.limiter.start();
     parts.gate.start();
+    parts.handover.start();
     parts.health.start();
     parts.ledger.start();
     this.#options.log.info(`Listening for callers on ${bound.callers}.`);
@@ -140,6 +146,7 @@
     await parts.gate.stop();
     await parts.health.stop();
     await parts.gates.stop();
+    await parts.handover.handOver();
     parts.watcher.stop();
     parts.spread.stop();
     parts.limiter.stop();
@@ -223,6 +230,14 @@
       onSlots: ({full, spare}) =>
         membership.update({slots: full, spareSlots: spare}),
     });
+    const {id, incarnation} = membership.self();
+    const burn = new BurnCounter(id, incarnation);
+    const handover = new Handover({
+      counter: burn,
+      links,
+      membership,
+      log: log.for('report'),
+    });
     const clocks = new PeerClocks(links);
     const records = new GateRecords();
     const budget = new RetryBudget();
@@ -267,6 +282,8 @@
       gate,
       gates,
       backups,
+      burn,
+      handover,
       ledger,
       claims,
     };
@@ -302,6 +319,10 @@
         watchesStore: () => watcher.isWatcher(),
       },
       onDrain,
+      burn: () => ({
+        ...parts.handover.answer(),
+        objectives: objectivesOf(keeper.tables().services()),
+      }),
     });
   }
 
@@ -315,6 +336,7 @@
       limiter: parts.limiter,
       gates: parts.gates,
       backups: parts.backups,
+      burn: parts.burn,
       claims: parts.claims,
       log: log.for('router'),
       metrics,
