--- a/features/burn.feature
+++ b/features/burn.feature
@@ -6,10 +6,10 @@
     Given a fleet of three daemons that counts
     When 8 requests of "can-tho" are served by daemon "d1"
     And instance "ledger-1" fails every request
-    And "can-tho" requests "/ledger/x" from daemon "d2" 4 times at once
+    And 40 requests of "can-tho" are failed by daemon "d2"
     And "da-lat" requests "/ledger/x" from daemon "d3" 30 times at once
     Then the report counts 8 "good" requests of "can-tho"
-    And the report counts 4 "failed" requests of "can-tho"
+    And the report counts 40 "failed" requests of "can-tho"
     And the report counts more than 20 "overRate" requests of "da-lat"
     And the report names "can-tho" first among those who spent the budget
     And the report names "failed" first among the causes
--- a/features/steps/burn_steps.ts
+++ b/features/steps/burn_steps.ts
@@ -115,17 +115,25 @@
   await until('all daemons serve', () => allServe(this), SETTLE_MS);
 });
 
+const STATUS_OF: Readonly<Record<string, number>> = {served: 200, failed: 500};
+
 When(
-  '{int} requests of {string} are served by daemon {string}',
-  async function (this: World, count: number, customer: string, id: string) {
+  '{int} requests of {string} are {word} by daemon {string}',
+  async function (
+    this: World,
+    count: number,
+    customer: string,
+    outcome: string,
+    id: string,
+  ) {
     const headers = {'x-api-key': this.keys.get(customer) ?? ''};
-    let served = 0;
+    let found = 0;
     await until(
-      `${count} requests were served`,
+      `${count} requests were ${outcome}`,
       async () => {
         const {status} = await this.request(id, '/ledger/x', {headers});
-        if (status === 200) served += 1;
-        return served === count;
+        if (status === STATUS_OF[outcome]) found += 1;
+        return found === count;
       },
       SETTLE_MS,
     );
