--- a/features/steps/health_steps.ts
+++ b/features/steps/health_steps.ts
@@ -157,10 +157,6 @@
   },
 );
 
-When('{int} ms pass', async function (this: HealthWorld, ms: number) {
-  await sleep(ms);
-});
-
 Then(
   'instance {string} is doubted within {int} ms',
   async function (this: HealthWorld, id: string, boundMs: number) {
@@ -210,6 +206,10 @@
   },
 );
 
+Then('no instance is ejected at the moment', function (this: HealthWorld) {
+  assert.deepEqual(watchOf(this).samples.at(-1)?.ejected, []);
+});
+
 Then('no healthy instance was ejected', function (this: HealthWorld) {
   const wrong = watchOf(this)
     .samples.flatMap(sample => sample.ejected)
@@ -243,3 +243,23 @@
   this.watch?.stop();
   await this.load?.stop();
 });
+
+When(
+  'the probes of instances {string} answer {int}',
+  async function (this: HealthWorld, list: string, probeStatus: number) {
+    const instances = list.split(' ').map(id => this.fleet.instance(id));
+    await Promise.all(
+      instances.map(({address}) =>
+        this.fleet.setFaults(address, {probeStatus}),
+      ),
+    );
+  },
+);
+
+When(
+  'what {string} sends to all others is lost',
+  async function (this: HealthWorld, from: string) {
+    const others = [...this.fleet.daemons.keys()].filter(id => id !== from);
+    await Promise.all(others.map(to => this.fleet.network.cutOneWay(from, to)));
+  },
+);
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -31,10 +31,13 @@
 import type {Metrics} from '../metrics/metrics.js';
 import {HttpStore} from '../platform/http_store.js';
 import {EscrowLimiter} from '../rates/escrow.js';
+import {Backups} from '../router/backups.js';
+import {GateRecords} from '../router/gate_records.js';
 import {objectivesOf} from '../report/burn.js';
 import {BurnCounter} from '../report/counter.js';
 import {Handover} from '../report/handover.js';
 import {Gates} from '../router/gates.js';
+import {RetryBudget} from '../router/retry_budget.js';
 import {Router} from '../router/router.js';
 import type {Settings} from '../settings/schema.js';
 
@@ -69,6 +72,7 @@
   readonly health: Health;
   readonly gate: Gate;
   readonly gates: Gates;
+  readonly backups: Backups;
   readonly burn: BurnCounter;
   readonly handover: Handover;
   readonly ledger: Ledger;
@@ -235,11 +239,17 @@
       log: log.for('report'),
     });
     const clocks = new PeerClocks(links);
+    const records = new GateRecords();
+    const budget = new RetryBudget();
+    const {metrics} = this.#options;
+    const backups = new Backups({budget, records, metrics});
     const gates = new Gates({
       own: gate,
       membership,
       links,
       clocks,
+      records,
+      budget,
       secret,
       dial,
     });
@@ -271,6 +281,7 @@
       health,
       gate,
       gates,
+      backups,
       burn,
       handover,
       ledger,
@@ -324,6 +335,7 @@
       areKeysFresh: () => parts.freshness.isFresh(),
       limiter: parts.limiter,
       gates: parts.gates,
+      backups: parts.backups,
       burn: parts.burn,
       claims: parts.claims,
       log: log.for('router'),
