--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -20,6 +20,7 @@
 import {Claims} from '../idempotency/claims.js';
 import {Holders} from '../idempotency/holders.js';
 import {Ledger} from '../idempotency/ledger.js';
+import {Health} from '../health/health.js';
 import {createCallersServer, drainCallers} from '../http/callers.js';
 import {close, listen} from '../http/listener.js';
 import type {Logger} from '../log/logger.js';
