Specify the witnesses, and let no late answer count

Exploring the specification showed a fault: a witness took a generation in, restarted, recovered from the two others before they had it, and was still counted by the open call; then two of three vouched for the old one after the new one had settled. Ruled out: recovery from the store, which is read without lag and written before the call.

A holder that was slow once is asked again after 250 ms, not after 1 s, and a request waits for no further refill after 100 ms.

--- a/spec/specifications.feature
+++ b/spec/specifications.feature
@@ -51,3 +51,20 @@
       | vouchNeeded        |
       | vouchFromSend      |
       | shrinkBeforeGrow   |
+
+  Scenario: Vouches of witnesses are safe
+    When "witnesses" is explored
+    Then no state is unsafe
+
+  Scenario Outline: Vouches of witnesses need each of their rules
+    When "witnesses" is explored without the rule "<rule>"
+    Then an unsafe state is found
+
+    Examples:
+      | rule                |
+      | recoverFirst        |
+      | freshRead           |
+      | recoverFromMajority |
+      | askRecovered        |
+      | waitForOpenCalls    |
+      | vouchByMajority     |
--- a/spec/steps/specification_steps.ts
+++ b/spec/steps/specification_steps.ts
@@ -5,6 +5,7 @@
 import {escrow, rulesWithout} from '../escrow.js';
 import {ejectionFloor} from '../ejection_floor.js';
 import {explore, type Exploration} from '../explore.js';
+import {witnesses, witnessRulesWithout} from '../witnesses.js';
 
 interface SpecificationWorld {
   exploration: Exploration | undefined;
@@ -15,6 +16,7 @@
 
 const EXPLORERS: Readonly<Record<string, Explorer>> = {
   escrow: without => explore(escrow(rulesWithout(without))),
+  witnesses: without => explore(witnesses(witnessRulesWithout(without))),
   'configuration order': without =>
     explore(
       configurationOrder({
--- a/src/member/witness.ts
+++ b/src/member/witness.ts
@@ -14,7 +14,11 @@
 import type {GenerationKeeper} from './generation_keeper.js';
 import type {Links} from './links.js';
 import {mayVouch} from './vouch_rules.js';
-import type {WitnessCalls, WitnessKind} from './witness_calls.js';
+import {
+  WITNESS_CALL_TIMEOUT_MS,
+  type WitnessCalls,
+  type WitnessKind,
+} from './witness_calls.js';
 import type {WitnessWord} from './witness_messages.js';
 
 /** What the store knows, read without lag. */
@@ -38,6 +42,11 @@
 };
 
 const RETRY_PAUSE_MS = 500;
+/**
+ * A call that the process before this one answered may still be counting
+ * answers; until it is over the other witnesses may not know what it tells.
+ */
+const OPEN_CALLS_MS = 2 * WITNESS_CALL_TIMEOUT_MS;
 const VOUCH_NOTHING = {};
 
 /** The witness of one daemon; every daemon can become one. */
@@ -45,6 +54,7 @@
   readonly #options: WitnessOptions;
   readonly #stopped = new AbortController();
   readonly #handlers: Handlers;
+  readonly #startedAtMs = performance.now();
   #revision = 0;
   #recovered = false;
   #readyFor = 0;
@@ -128,7 +138,8 @@
   async #recoverFromPeers(): Promise<boolean> {
     const {keeper, calls} = this.#options;
     const generation = keeper.current();
-    if (!generation) return false;
+    const ageMs = performance.now() - this.#startedAtMs;
+    if (!generation || ageMs < OPEN_CALLS_MS) return false;
     const others = witnessesOf(generation).filter(w => !calls.isSelf(w));
     const needed = majorityOf(generation.witnesses.length);
     const words = await this.#askReady(others, generation.number);
--- a/src/member/witness_calls.ts
+++ b/src/member/witness_calls.ts
@@ -34,7 +34,8 @@
   readonly word: ReplyOf<Kind>;
 }
 
-const CALL_TIMEOUT_MS = 900;
+/** An answer that comes later than this counts for nothing. */
+export const WITNESS_CALL_TIMEOUT_MS = 900;
 
 /** Calls witnesses over links, and the own one directly. */
 export class WitnessCalls {
@@ -62,7 +63,12 @@
     }
     const {peersAddress} = witness;
     const {links} = this.#options;
-    const word = await links.call(peersAddress, kind, body, CALL_TIMEOUT_MS);
+    const word = await links.call(
+      peersAddress,
+      kind,
+      body,
+      WITNESS_CALL_TIMEOUT_MS,
+    );
     return {witness, sentAtMs, word};
   }
 
@@ -88,6 +94,9 @@
       if (needed === 0) resolve([]);
       const ask = async (witness: GenerationMember) => {
         const answer = await this.call(witness, kind, body);
+        // A process that was paused may find a late answer before its timer.
+        const tookMs = performance.now() - answer.sentAtMs;
+        if (tookMs > WITNESS_CALL_TIMEOUT_MS) return;
         if (agrees(answer.word)) words.push(answer.word);
         if (words.length === needed) resolve([...words]);
       };
--- a/src/rates/account.ts
+++ b/src/rates/account.ts
@@ -41,6 +41,8 @@
 const DEMAND_DECAY_MS = 1000;
 const MAX_ROUNDS = 2;
 const MAX_TRIES = 2;
+/** After this no further refill is waited for. */
+const MAX_WAIT_MS = 100;
 /** Amounts below this aren't worth a message. */
 const LEAST_ASK_MICROS = 10_000;
 const LEAST_REFUSAL_MS = 25;
@@ -86,11 +88,13 @@
   /** A token, or why there is none; waits for one refill or two. */
   async admit(): Promise<Admission> {
     this.#noteDemand();
+    const startMs = performance.now();
     for (let tries = 0; tries < MAX_TRIES; tries += 1) {
       const nowMs = performance.now();
       const token = this.pocket.take(nowMs);
       if (token) return {admitted: true, token};
       if (this.#refusal && nowMs < this.#refusal.untilMs) break;
+      if (nowMs - startMs > MAX_WAIT_MS) break;
       this.#waiting += 1;
       this.#refilling ??= this.#refill().finally(() => {
         this.#refilling = undefined;
--- a/src/rates/holder_view.ts
+++ b/src/rates/holder_view.ts
@@ -5,7 +5,7 @@
 import type {DrawReply} from './messages.js';
 import type {Holder} from './shares.js';
 
-const SILENT_RETRY_MS = 1000;
+const SILENT_RETRY_MS = 250;
 
 /** A borrower's view of one holder of one customer. */
 export class HolderView {
