--- a/spec/steps/specification_steps.ts
+++ b/spec/steps/specification_steps.ts
@@ -6,6 +6,7 @@
 import {escrow, ESCROW_RULES} from '../escrow.js';
 import {ejectionFloor} from '../ejection_floor.js';
 import {explore, rulesWithout, type Exploration} from '../explore.js';
+import {witnesses, WITNESS_RULES} from '../witnesses.js';
 
 interface SpecificationWorld {
   exploration: Exploration | undefined;
@@ -35,6 +36,8 @@
   escrow: without => explore(escrow(rulesWithout(ESCROW_RULES, without))),
   'at most once': without =>
     explore(atMostOnce(rulesWithout(CLAIM_RULES, without))),
+  witnesses: without =>
+    explore(witnesses(rulesWithout(WITNESS_RULES, without))),
   'configuration order': without =>
     explore(configurationOrder(rulesWithout(ORDER_RULES, without))),
   'ejection floor': without =>
