--- /dev/null
+++ b/features/leaving.feature
@@ -0,0 +1,48 @@
+Feature: Leaving backend servers and planned stops
+  A backend server that drains gets no new work after a few seconds. A planned
+  stop of a daemon cuts no request in flight, and a rolling restart of all
+  daemons loses none.
+
+  Background:
+    Given a store and 3 daemons in 3 failure domains
+    And an instance "desk-1" of "liquidity-desk" that announces to "d1,d2,d3"
+    And an instance "desk-2" of "liquidity-desk" that announces to "d2,d3,d1"
+    And an instance "desk-3" of "liquidity-desk" that announces to "d3,d1,d2"
+    And the sheet:
+      """
+      kind;id;name;ratePerSecond;burst;floor;path;service;deadlineMs
+      customer;can-tho;Công ty Cần Thơ;1000;500;;;;
+      service;liquidity-desk;;;;1;;;
+      route;desk;;;;;/desk;liquidity-desk;20000
+      service;nobody;;;;0;;;
+      route;nobody;;;;;/nobody;nobody;1000
+      """
+    And a key for "can-tho"
+    And the rate of "can-tho" is known everywhere
+
+  Scenario: A draining instance gets no new work
+    Given "can-tho" keeps posting to "/desk/run"
+    When instance "desk-1" starts to drain
+    And 2 s have passed
+    And the runs of "desk-1" are counted
+    And 2 s have passed
+    Then "desk-1" has run nothing since
+    And every post was answered with 200
+
+  Scenario: A planned stop finishes slow answers and uploads
+    When "can-tho" starts slow requests and uploads at every daemon
+    And daemon "d1" is told to stop
+    Then every slow request and upload is answered with 200
+    And daemon "d1" has ended with 0
+
+  Scenario: With the waiting left out the stop would cut requests
+    Given daemon "m" runs the mutant "cut_at_stop"
+    When "can-tho" starts slow requests and uploads at every daemon
+    And daemon "m" is told to stop
+    Then some slow request or upload is cut
+
+  Scenario: A rolling restart of all daemons loses no request
+    Given "can-tho" keeps posting to "/desk/run"
+    When all daemons are restarted one after the other
+    Then every post was answered with 200
+    And no request ran twice and none that was told "no" ran
--- a/features/steps/callers_steps.ts
+++ b/features/steps/callers_steps.ts
@@ -100,14 +100,15 @@
 Then(
   'no instance has seen the key of {string}',
   async function (this: World, customer: string) {
-    const key = encodeURIComponent(keyOf(this, customer));
+    const key = keyOf(this, customer);
     const all = [...this.fleet.instances.values()].map(async ({address}) => {
       const seenOf = async (text: string) => {
-        const res = await fetch(`http://${address}/seen?text=${text}`);
+        // The question must not hold the key itself.
+        const hex = Buffer.from(text).toString('hex');
+        const res = await fetch(`http://${address}/seen?hex=${hex}`);
         return ((await res.json()) as {seen: boolean}).seen;
       };
       assert.equal(await seenOf('x-request-id'), true);
-      // The question itself holds the key, so it is asked last and once.
       assert.equal(await seenOf(key), false);
     });
     await Promise.all(all);
--- a/features/support/process.ts
+++ b/features/support/process.ts
@@ -1,5 +1,6 @@
 /** One process of a test: started by us, watched, and ended by its id. */
 import {spawn, type ChildProcess} from 'node:child_process';
+import {readFileSync} from 'node:fs';
 import {createInterface} from 'node:readline';
 
 /** Options of {@link TestProcess.start}. */
@@ -7,9 +8,11 @@
   readonly script: string;
   readonly args: readonly string[];
   readonly env?: Readonly<Record<string, string>>;
+  readonly nodeArgs?: readonly string[];
 }
 
 const READY_TIMEOUT_MS = 20_000;
+const CLOCK_TICK_MS = 10;
 
 /** A process that printed its first line. */
 export class TestProcess {
@@ -29,7 +32,8 @@
 
   /** Starts a script and waits for its first line of output. */
   static async start(options: ProcessOptions): Promise<TestProcess> {
-    const child = spawn(process.execPath, [options.script, ...options.args], {
+    const {nodeArgs = [], script, args} = options;
+    const child = spawn(process.execPath, [...nodeArgs, script, ...args], {
       stdio: ['ignore', 'pipe', 'pipe'],
       env: {...process.env, NODE_OPTIONS: '', ...options.env},
     });
@@ -46,6 +50,7 @@
     return new TestProcess(child, firstLine, errors);
   }
 
+  /** The process id. */
   get pid(): number {
     return this.#child.pid ?? 0;
   }
@@ -54,6 +59,13 @@
     return this.#child.exitCode === null && this.#child.signalCode === null;
   }
 
+  /** Processor time used so far by all threads, in milliseconds. */
+  get processorMs(): number {
+    const text = readFileSync(`/proc/${this.#child.pid}/stat`, 'utf8');
+    const fields = text.slice(text.lastIndexOf(')') + 2).split(' ');
+    return (Number(fields[11]) + Number(fields[12])) * CLOCK_TICK_MS;
+  }
+
   signal(signal: NodeJS.Signals): void {
     this.#child.kill(signal);
   }
--- a/src/configuration/keeper.ts
+++ b/src/configuration/keeper.ts
@@ -2,67 +2,75 @@
  * Keeps the newest configuration that this daemon has seen. The revision
  * only grows: an older one from any source is dropped.
  */
-import {setTimeout as sleep} from 'node:timers/promises';
-import {reasonOf} from '../errors/failure.js';
 import type {Logger} from '../log/logger.js';
-import type {Store} from '../platform/store.js';
-import {readSnapshot, type Snapshot} from './snapshot.js';
+import {mayReplace} from './forward.js';
+import {allRecords, EMPTY_STATE, type ConfigurationState} from './state.js';
 import {EMPTY_TABLES, MapTables, type Tables} from './tables.js';
 
-const WATCH_WAIT_MS = 10_000;
-const RETRY_PAUSE_MS = 500;
+/** Told of each revision that comes into force. */
+export type RevisionListener = (revision: number) => void;
 
-/** Follows the store and holds the tables of the newest revision. */
+/**
+ * The configuration of this daemon. A process that has just started may only
+ * find an old revision, while a newer one was in force here before: nothing
+ * comes into force until the loaded revision is vouched for.
+ */
 export class ConfigurationKeeper {
-  readonly #store: Store;
   readonly #log: Logger;
-  readonly #stopped = new AbortController();
+  readonly #listeners: RevisionListener[] = [];
+  #state: ConfigurationState = EMPTY_STATE;
   #tables: Tables = EMPTY_TABLES;
-  #snapshot: Snapshot = {revision: 0, records: []};
+  #isConfirmed = false;
 
-  constructor(store: Store, log: Logger) {
-    this.#store = store;
+  constructor(log: Logger) {
     this.#log = log;
   }
 
-  start(): void {
-    void this.#follow();
+  /** What is in force; revision 0 until the first one is. */
+  tables(): Tables {
+    return this.#tables;
+  }
+
+  /** The newest state that was loaded. */
+  state(): ConfigurationState {
+    return this.#state;
   }
 
-  stop(): void {
-    this.#stopped.abort();
+  /** Revision of the newest state that was loaded. */
+  revision(): number {
+    return this.#state.revision;
   }
 
-  tables(): Tables {
-    return this.#tables;
+  /** Calls `listener` after each revision that was loaded. */
+  onRevision(listener: RevisionListener): void {
+    this.#listeners.push(listener);
   }
 
-  snapshot(): Snapshot {
-    return this.#snapshot;
+  /** Whether a state of this revision would be taken. */
+  wants(revision: number): boolean {
+    return mayReplace(this.#state.revision, revision);
   }
 
-  /** Takes in a snapshot if it is newer than the one in force. */
-  offer(snapshot: Snapshot): void {
-    if (snapshot.revision <= this.#snapshot.revision) return;
-    this.#snapshot = snapshot;
-    this.#tables = new MapTables(snapshot.revision, snapshot.records);
-    this.#log.info(`Revision ${snapshot.revision} is in force.`);
+  /** Takes a state if it is newer than the one that was loaded. */
+  offer(state: ConfigurationState): boolean {
+    if (!this.wants(state.revision)) return false;
+    this.#state = state;
+    if (this.#isConfirmed) this.#enforce();
+    this.#listeners.forEach(listener => listener(state.revision));
+    return true;
   }
 
-  async #follow(): Promise<void> {
-    const {signal} = this.#stopped;
-    while (!signal.aborted) {
-      await this.#round(signal).catch(async (err: unknown) => {
-        if (signal.aborted) return;
-        this.#log.warn(`The store did not answer: ${reasonOf(err)}.`);
-        await sleep(RETRY_PAUSE_MS);
-      });
-    }
+  /** Tells which revision is vouched for, so that it may come into force. */
+  confirm(vouchedRevision: number): void {
+    if (this.#isConfirmed || this.#state.revision < vouchedRevision) return;
+    this.#isConfirmed = true;
+    this.#enforce();
   }
 
-  async #round(signal: AbortSignal): Promise<void> {
-    const {snapshot, version} = await readSnapshot(this.#store);
-    this.offer(snapshot);
-    await this.#store.watch('configuration/', version, WATCH_WAIT_MS, signal);
+  #enforce(): void {
+    const {revision} = this.#state;
+    if (revision === 0) return;
+    this.#tables = new MapTables(revision, allRecords(this.#state));
+    this.#log.info(`Revision ${revision} is in force.`);
   }
 }
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -5,18 +5,26 @@
  */
 import {randomUUID} from 'node:crypto';
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {pipeline} from 'node:stream/promises';
-import type {Customer, Route} from '../configuration/records.js';
+import type {Customer} from '../configuration/records.js';
 import type {Tables} from '../configuration/tables.js';
 import {reasonOf} from '../errors/failure.js';
 import type {Answered, NotRun, Outcome, Unknown, Work} from '../gate/work.js';
 import type {Claims} from '../idempotency/claims.js';
+import {sendBody} from '../http/send_body.js';
 import type {Logger} from '../log/logger.js';
 import type {Metrics} from '../metrics/metrics.js';
 import type {RateLimiter, RateToken} from '../rates/limiter.js';
-import {decideAccess, type Granted} from './access.js';
+import type {BurnCounter} from '../report/counter.js';
+import {
+  verdictOfOutcome,
+  verdictOfRefusal,
+  type Verdict,
+} from '../report/verdict.js';
+import {decideAccess, type Denied, type Granted} from './access.js';
 import {attempt} from './attempts.js';
+import type {Backups} from './backups.js';
 import type {Gates} from './gates.js';
+import {GuardedToken} from './guarded_token.js';
 import {carriesKey, keyOf, returnedHeaders} from './headers.js';
 import {settlementOf, wantedClaim} from './keyed.js';
 import {receiveBody} from './receive.js';
@@ -27,9 +35,14 @@
 /** Options of {@link Router}. */
 export interface RouterOptions {
   readonly tables: () => Tables;
+  /** Whether keys can be relied upon at this moment. */
+  readonly areKeysFresh: () => boolean;
   readonly limiter: RateLimiter;
   readonly gates: Gates;
+  readonly backups: Backups;
   readonly claims: Claims;
+  /** Counts what each request meant for the service level. */
+  readonly burn: Pick<BurnCounter, 'count'>;
   readonly log: Logger;
   readonly metrics: Metrics;
 }
@@ -55,6 +68,8 @@
   readonly req: IncomingMessage;
   readonly res: ServerResponse;
   readonly requestId: string;
+  /** Monotonic clock, milliseconds. */
+  readonly arrivedAtMs: number;
   readonly refuse: (name: RefusalName, detail?: RefusalDetail) => void;
 }
 
@@ -79,6 +94,7 @@
       req,
       res,
       requestId,
+      arrivedAtMs: performance.now(),
       refuse: (name, detail) => refuse(res, name, {requestId, ...detail}),
     };
     if (this.#leaving) res.setHeader('connection', 'close');
@@ -92,33 +108,32 @@
   }
 
   async #serve(visit: Visit): Promise<void> {
-    const {req} = visit;
-    const arrivedAtMs = performance.now();
+    const {req, arrivedAtMs} = visit;
     if (!isServable(req)) return visit.refuse('bad-request');
     const access = this.#access(req);
-    if (!access.granted) return visit.refuse(access.refusal);
+    if (!access.granted) return this.#deny(visit, access);
     const {route, customer} = access;
     const deadlineAtMs = arrivedAtMs + route.deadlineMs;
     const received = await receiveBody(req, deadlineAtMs);
     if ('failure' in received) return visit.refuse(received.failure);
     // The key may have been withdrawn while a slow body came.
     const still = received.body ? this.#access(req) : access;
-    if (!still.granted) return visit.refuse(still.refusal);
+    if (!still.granted) return this.#deny(visit, still);
     const admission = customer && (await this.#options.limiter.admit(customer));
     if (admission && !admission.admitted) {
       const {reason, retryAfterMs} = admission;
-      this.#count(route, customer, reason);
+      this.#count(access, reason, verdictOfRefusal(reason));
       return visit.refuse(reason, {retryAfterMs});
     }
     const key = keyOf(req);
     const {requestId, res} = visit;
     const {body} = received;
-    const token = admission?.token;
+    const token = admission && this.#guard(admission.token, req);
     const detail = {requestId, route, customer, key, body, deadlineAtMs, token};
     await this.#run(visit, makeWork(req, res, detail), access);
   }
 
-  #access(req: IncomingMessage) {
+  #access(req: IncomingMessage): Granted | Denied {
     const tables = this.#options.tables();
     const refused = (refusal: RefusalName) => {
       return {granted: false, refusal} as const;
@@ -129,12 +144,22 @@
     if (!target || carriesKey(req.url ?? '', key)) {
       return refused('bad-request');
     }
-    return decideAccess(tables, target.host, target.path, key);
+    const {host, path} = target;
+    return decideAccess(tables, {host, path, key}, this.#options.areKeysFresh);
+  }
+
+  #guard(token: RateToken, req: IncomingMessage): RateToken {
+    return new GuardedToken(token, () => this.#access(req).granted);
+  }
+
+  #deny(visit: Visit, {refusal}: Denied): void {
+    const isStale = refusal === 'keys-stale';
+    visit.refuse(refusal, isStale ? {retryAfterMs: RETRY_AFTER_MS} : undefined);
   }
 
   /** Claims the idempotency key if there is one, runs, and answers. */
   async #run(visit: Visit, work: Work, access: Granted): Promise<void> {
-    const {route, customer} = access;
+    const {customer} = access;
     const wanted = wantedClaim(visit.req, work, access);
     if (wanted === 'invalid') {
       work.token?.giveBack();
@@ -144,7 +169,11 @@
     const claim = wanted && (await claims.claim(wanted.scope, wanted.key));
     if (claim && claim.verdict !== 'run') {
       work.token?.giveBack();
-      this.#count(route, customer, `key-${claim.verdict}`);
+      this.#count(
+        access,
+        `key-${claim.verdict}`,
+        claim.verdict === 'seen' ? 'repeated' : 'refused',
+      );
       if (claim.verdict === 'unsure') {
         const {retryAfterMs} = claim;
         return visit.refuse('key-unsure', {retryAfterMs});
@@ -159,19 +188,21 @@
     );
     if (outcome.kind === 'not-run') work.token?.giveBack();
     claim?.settle(settlementOf(outcome));
-    this.#count(route, customer, outcome.kind);
+    this.#count(access, outcome.kind, this.#verdictOf(visit, access, outcome));
+    // The key may have been withdrawn while the request waited.
+    const now = outcome.kind === 'not-run' ? this.#access(visit.req) : access;
+    if (!now.granted) return this.#deny(visit, now);
     await this.#finish(visit, outcome);
   }
 
   #attempt(work: Work, customer: Customer | undefined): Promise<Outcome> {
-    const {gates, limiter} = this.#options;
+    const {gates, limiter, backups} = this.#options;
     const draw = async (): Promise<RateToken | undefined> => {
       const admission = customer && (await limiter.admit(customer));
       return admission?.admitted ? admission.token : undefined;
     };
-    const next = (tried: ReadonlySet<string>) =>
-      gates.next(work.service, tried);
-    return attempt(work, {next, draw});
+    const next = (tried: ReadonlySet<string>) => gates.next(work, tried);
+    return attempt(work, {next, draw, backups});
   }
 
   async #finish(visit: Visit, outcome: Outcome): Promise<void> {
@@ -188,19 +219,25 @@
     try {
       if (this.#leaving) res.setHeader('connection', 'close');
       res.writeHead(answer.status, [...returnedHeaders(answer.headers)]);
-      await pipeline(answer.body, res);
+      await sendBody(answer.body, res);
     } catch {
       answer.body.destroy();
       res.destroy();
     }
   }
 
-  #count(route: Route, customer: Customer | undefined, outcome: string): void {
-    this.#options.metrics.count('requests', {
-      service: route.service,
-      customer: customer?.id ?? 'open',
-      outcome,
-    });
+  #verdictOf(visit: Visit, {route}: Granted, outcome: Outcome): Verdict {
+    const elapsedMs = performance.now() - visit.arrivedAtMs;
+    const service = this.#options.tables().service(route.service);
+    const objectiveMs = service?.objectiveLatencyMs ?? Infinity;
+    return verdictOfOutcome(outcome, elapsedMs, objectiveMs);
+  }
+
+  #count(access: Granted, outcome: string, verdict: Verdict): void {
+    const {service} = access.route;
+    const customer = access.customer?.id ?? 'open';
+    this.#options.metrics.count('requests', {service, customer, outcome});
+    this.#options.burn.count(service, customer, verdict);
   }
 }
 
