--- a/features/callers.feature
+++ b/features/callers.feature
@@ -11,8 +11,11 @@
       customer;can-tho;Công ty Cần Thơ;1000;500;;;;
       service;statement-intake;;;;1;;;
       route;intake;;;;;/intake;statement-intake;60000
+      service;nobody;;;;0;;;
+      route;nobody;;;;;/nobody;nobody;1000
       """
     And a key for "can-tho"
+    And the rate of "can-tho" is known everywhere
 
   Scenario Outline: Ambiguous requests are refused on the wire
     When these bytes with the key of "can-tho" are sent to daemon "d1": "<bytes>"
--- /dev/null
+++ b/features/steps/leaving_steps.ts
@@ -0,0 +1,188 @@
+/** Steps in which backend servers and daemons leave while requests run. */
+import {Given, Then, When} from '@cucumber/cucumber';
+import assert from 'node:assert/strict';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {until} from '../support/fleet.js';
+import {Posting} from '../support/posting.js';
+import {runsOfAll} from '../support/runs.js';
+import type {World} from '../support/world.js';
+
+const SETTLE_MS = 20_000;
+const SLOW_MS = 4000;
+const CHUNKS = 20;
+const RETRY_MS = 100;
+
+const loads = new WeakMap<World, Posting>();
+const counted = new WeakMap<World, number>();
+const slow = new WeakMap<World, Promise<readonly number[]>>();
+const ends = new WeakMap<World, Promise<number | null>>();
+
+async function countRuns(world: World, instance: string): Promise<number> {
+  const {address} = world.fleet.instance(instance);
+  const res = await fetch(`http://${address}/ran`);
+  return ((await res.json()) as readonly unknown[]).length;
+}
+
+/**
+ * The status of the answer; zero stands for a connection that was cut. What
+ * is refused before the stop was not in flight, and is sent again.
+ */
+async function statusOf(
+  world: World,
+  send: () => Promise<{status: number}>,
+): Promise<number> {
+  const status = await send().then(
+    answer => answer.status,
+    () => 0,
+  );
+  if (status !== 503 || ends.has(world)) return status;
+  await sleep(RETRY_MS);
+  return statusOf(world, send);
+}
+
+function slowUpload(): ReadableStream<Uint8Array> {
+  let left = CHUNKS;
+  return new ReadableStream({
+    async pull(controller) {
+      await sleep(SLOW_MS / CHUNKS);
+      left -= 1;
+      controller.enqueue(new Uint8Array(10_000));
+      if (left === 0) controller.close();
+    },
+  });
+}
+
+Given(
+  'an instance {string} of {string} that announces to {string}',
+  async function (this: World, id: string, service: string, list: string) {
+    const daemons = list.split(',');
+    await this.fleet.startInstance({id, service, daemons});
+    await until(
+      `${id} is announced`,
+      async () => {
+        const {self, members} = await this.fleet.status(daemons[0] ?? '');
+        const own = members.find(member => member.id === self.id);
+        return (own?.slots[service] ?? 0) > 0;
+      },
+      SETTLE_MS,
+    );
+  },
+);
+
+Given(
+  '{string} keeps posting to {string}',
+  function (this: World, customer: string, path: string) {
+    loads.set(this, new Posting(this, customer, path));
+  },
+);
+
+When(
+  'instance {string} starts to drain',
+  async function (this: World, id: string) {
+    const {address} = this.fleet.instance(id);
+    await this.fleet.setFaults(address, {draining: true});
+  },
+);
+
+When('{int} s have passed', async (seconds: number) => {
+  await sleep(seconds * 1000);
+});
+
+When(
+  'the runs of {string} are counted',
+  async function (this: World, instance: string) {
+    const count = await countRuns(this, instance);
+    assert.ok(count > 0, 'it ran nothing before');
+    counted.set(this, count);
+  },
+);
+
+Then(
+  '{string} has run nothing since',
+  async function (this: World, instance: string) {
+    assert.equal(await countRuns(this, instance), counted.get(this));
+  },
+);
+
+Then('every post was answered with 200', async function (this: World) {
+  const results = (await loads.get(this)?.end()) ?? {};
+  process.stdout.write(`\nposts: ${JSON.stringify(results)}\n`);
+  assert.deepEqual(Object.keys(results), ['200']);
+});
+
+When(
+  '{string} starts slow requests and uploads at every daemon',
+  async function (this: World, customer: string) {
+    const key = this.keys.get(customer) ?? '';
+    const daemons = [...this.fleet.daemons.keys()];
+    const sent = daemons.flatMap(daemon => {
+      const headers = {'x-api-key': key, 'x-work-ms': String(SLOW_MS)};
+      const upload = () => {
+        const body = slowUpload();
+        const init = {method: 'POST', headers: {'x-api-key': key}, body};
+        const duplex = 'half';
+        const path = '/desk/upload';
+        return this.request(daemon, path, {...init, duplex} as RequestInit);
+      };
+      return [
+        statusOf(this, () => this.request(daemon, '/desk/slow', {headers})),
+        statusOf(this, upload),
+      ];
+    });
+    slow.set(this, Promise.all(sent));
+    const all = async () => {
+      const runs = await runsOfAll(this);
+      return runs.length >= daemons.length * 2;
+    };
+    await until('they run', all, SETTLE_MS);
+  },
+);
+
+When('daemon {string} is told to stop', function (this: World, id: string) {
+  ends.set(this, this.fleet.daemon(id).process.end('SIGTERM'));
+});
+
+Then(
+  'every slow request and upload is answered with 200',
+  async function (this: World) {
+    const statuses = (await slow.get(this)) ?? [];
+    assert.ok(statuses.length > 0);
+    assert.deepEqual(
+      statuses.filter(status => status !== 200),
+      [],
+    );
+  },
+);
+
+Then('some slow request or upload is cut', async function (this: World) {
+  const statuses = (await slow.get(this)) ?? [];
+  assert.ok(statuses.includes(0), String(statuses));
+});
+
+Then(
+  'daemon {string} has ended with {int}',
+  async function (this: World, _id: string, code: number) {
+    assert.equal(await ends.get(this), code);
+  },
+);
+
+When(
+  'all daemons are restarted one after the other',
+  async function (this: World) {
+    for (const id of [...this.fleet.daemons.keys()]) {
+      const code = await this.fleet.daemon(id).process.end('SIGTERM');
+      assert.equal(code, 0, `${id} ended with ${code}`);
+      await this.fleet.restartDaemon(id);
+      const headers = {'x-api-key': [...this.keys.values()][0] ?? ''};
+      await until(
+        `${id} serves again`,
+        async () => {
+          const answer = await this.request(id, '/desk/again', {headers});
+          return answer.status === 200;
+        },
+        SETTLE_MS,
+      );
+      loads.get(this)?.use(id);
+    }
+  },
+);
--- a/src/gate/instances.ts
+++ b/src/gate/instances.ts
@@ -32,8 +32,8 @@
 /** How long an announcement holds without a renewal. */
 export const ANNOUNCEMENT_TTL_MS = 3000;
 
-/** How long a daemon that leaves keeps an instance that is still busy. */
-const KEEP_BUSY_MS = 3000;
+/** How long an instance that was sent away still gets work from here. */
+const HANDOVER_MS = 1000;
 
 const CONNECT_TIMEOUT_MS = 500;
 const KEEP_ALIVE_MS = 4000;
@@ -43,7 +43,8 @@
   readonly #instances = new Map<string, Instance>();
   readonly #onChange: () => void;
   #timer: NodeJS.Timeout | undefined;
-  #leftAtMs = Infinity;
+  readonly #sentAway = new Map<string, NodeJS.Timeout>();
+  #isLeaving = false;
 
   constructor(onChange: () => void) {
     this.#onChange = onChange;
@@ -55,35 +56,36 @@
 
   async stop(): Promise<void> {
     clearInterval(this.#timer);
+    this.#sentAway.forEach(timer => clearTimeout(timer));
     const all = [...this.#instances.values()];
     await Promise.all(all.map(instance => instance.dispatcher.close()));
   }
 
   /**
-   * From now on every instance counts as draining, and is sent away as soon
-   * as it has no work of this daemon's any more.
+   * From now on every instance is sent away when it renews. It gets work from
+   * here until others have surely heard of it.
    */
   leave(): void {
-    this.#leftAtMs = performance.now();
-    this.all().forEach(({id, announcement}) => this.#put(id, announcement));
+    this.#isLeaving = true;
   }
 
   /** Takes in or renews an instance; false if it is to announce elsewhere. */
   announce(id: string, announcement: Announcement): boolean {
-    const leftForMs = performance.now() - this.#leftAtMs;
-    const busy = this.#instances.get(id)?.busy ?? 0;
-    if (leftForMs >= 0 && (busy === 0 || leftForMs > KEEP_BUSY_MS)) {
-      this.withdraw(id);
-      return false;
-    }
-    this.#put(id, announcement);
-    return true;
+    if (this.#isLeaving) this.#sendAway(id);
+    else this.#put(id, announcement);
+    return !this.#isLeaving;
   }
 
-  #put(id: string, said: Announcement): void {
-    const isLeaving = this.#leftAtMs < Infinity;
-    const draining = said.draining || isLeaving;
-    const announcement = {...said, draining};
+  #sendAway(id: string): void {
+    if (this.#sentAway.has(id)) return;
+    const retire = () => {
+      const instance = this.#instances.get(id);
+      if (instance) this.#put(id, {...instance.announcement, draining: true});
+    };
+    this.#sentAway.set(id, setTimeout(retire, HANDOVER_MS));
+  }
+
+  #put(id: string, announcement: Announcement): void {
     const last = this.#instances.get(id);
     const same = last?.announcement.address === announcement.address;
     if (last && !same) void last.dispatcher.close();
--- a/src/http/callers.ts
+++ b/src/http/callers.ts
@@ -1,6 +1,5 @@
 /** The server that callers connect to: strict on the wire, bounded in time. */
 import {createServer, type IncomingMessage, type Server} from 'node:http';
-import {Server as TcpServer} from 'node:net';
 import type {Duplex} from 'node:stream';
 
 /** A caller's header fields must have come by then. */
@@ -26,17 +25,6 @@
   return server;
 }
 
-/**
- * Takes no new connections and resolves when the open ones have ended. Idle
- * ones aren't closed, since a request may be on its way on any of them; they
- * end by their timeout or after their next answer.
- */
-export function drainCallers(server: Server): Promise<void> {
-  return new Promise(resolve => {
-    TcpServer.prototype.close.call(server, () => resolve());
-  });
-}
-
 function refuseConnect(_req: IncomingMessage, socket: Duplex): void {
   socket.on('error', () => socket.destroy());
   socket.end(
--- a/src/router/gates.ts
+++ b/src/router/gates.ts
@@ -54,12 +54,15 @@
     if (mayUseOwn && this.#isTrial(work)) return this.#own();
     const full: SlotsOf = member => member.slots[service] ?? 0;
     const spare: SlotsOf = member => member.spareSlots?.[service] ?? 0;
-    const others = this.#others(tried);
+    const others = this.#others(tried, 'alive');
     const other = this.#draw(others, service, full);
     if (other) return this.#remoteTo(other);
     if (mayUseOwn && own.hasSlots(service)) return this.#own();
     const sparing = this.#draw(others, service, spare);
-    return sparing && this.#remoteTo(sparing);
+    if (sparing) return this.#remoteTo(sparing);
+    // Until its instances are heard of elsewhere, one that leaves still helps.
+    const leaving = this.#draw(this.#others(tried, 'leaving'), service, full);
+    return leaving && this.#remoteTo(leaving);
   }
 
   async stop(): Promise<void> {
@@ -73,13 +76,16 @@
     return budget.has(service) && own.isTrialDue(service);
   }
 
-  #others(tried: ReadonlySet<string>): readonly MemberRecord[] {
+  #others(
+    tried: ReadonlySet<string>,
+    state: MemberRecord['state'],
+  ): readonly MemberRecord[] {
     const {membership} = this.#options;
     const self = membership.self().id;
     return membership
       .members()
       .filter(member => member.id !== self && !tried.has(member.id))
-      .filter(member => member.state === 'alive');
+      .filter(member => member.state === state);
   }
 
   /** The roomier of two drawn at random. */
