Put in force only what a majority of the witnesses knows

Cause: a specification of what comes into force showed two ways back. A daemon that put a revision in force before the witnesses knew it could restart beside a stale peer and go back to the one before. And after a restart a revision below the vouched one was taken, although a newer one may have been in force here.

A revision now waits until it is vouched for, and after a start nothing below the first vouch comes into force. Watchers repeat to the witnesses what the writer may have died before telling them.

--- a/features/steps/health_steps.ts
+++ b/features/steps/health_steps.ts
@@ -157,7 +157,7 @@
   },
 );
 
-When('{int} ms pass', async function (this: HealthWorld, ms: number) {
+When('{int} ms pass', async (ms: number) => {
   await sleep(ms);
 });
 
--- a/spec/specifications.feature
+++ b/spec/specifications.feature
@@ -31,3 +31,16 @@
       | vouchNeeded    |
       | waitAfterMove  |
       | waitAfterStart |
+
+  Scenario: Configuration in force is safe
+    When "configuration in force" is explored
+    Then no state is unsafe
+
+  Scenario Outline: Configuration in force needs each of its rules
+    When "configuration in force" is explored without the rule "<rule>"
+    Then an unsafe state is found
+
+    Examples:
+      | rule        |
+      | vouchedOnly |
+      | floor       |
--- a/spec/steps/specification_steps.ts
+++ b/spec/steps/specification_steps.ts
@@ -1,6 +1,7 @@
 /** Steps that explore specifications, whole or with a rule left out. */
 import {Then, When} from '@cucumber/cucumber';
 import assert from 'node:assert/strict';
+import {configurationForce} from '../configuration_force.js';
 import {configurationOrder} from '../configuration_order.js';
 import {ejectionFloor} from '../ejection_floor.js';
 import {explore, type Exploration} from '../explore.js';
@@ -13,6 +14,13 @@
 type Explorer = (without: string | undefined) => Exploration;
 
 const EXPLORERS: Readonly<Record<string, Explorer>> = {
+  'configuration in force': without =>
+    explore(
+      configurationForce({
+        vouchedOnly: without !== 'vouchedOnly',
+        floor: without !== 'floor',
+      }),
+    ),
   'configuration order': without =>
     explore(
       configurationOrder({
--- a/src/configuration/acceptance.ts
+++ b/src/configuration/acceptance.ts
@@ -39,6 +39,7 @@
     const {revision} = outcome.state;
     spread.compareNow();
     const assured = await vouches.raise({revision}).catch(() => false);
+    if (assured) keeper.confirm(revision);
     if (outcome.change && !outcome.repeated) {
       log.info(`${request.by}: ${request.action}, revision ${revision}.`);
     }
--- a/src/configuration/freshness.ts
+++ b/src/configuration/freshness.ts
@@ -11,9 +11,11 @@
 /** Options of {@link KeyFreshness}. */
 export interface KeyFreshnessOptions {
   readonly vouches: Pick<Vouches, 'current'>;
-  readonly keeper: Pick<ConfigurationKeeper, 'revision' | 'confirm'>;
-  /** Called while this daemon is behind what is vouched for. */
+  readonly keeper: ConfigurationKeeper;
+  /** Called at an interval while this daemon is behind the vouch. */
   readonly onBehind: () => void;
+  /** Called at an interval while it is ahead of it. */
+  readonly onAhead: () => void;
 }
 
 const CHECK_INTERVAL_MS = 250;
@@ -37,22 +39,27 @@
     clearInterval(this.#timer);
   }
 
-  /** Decides at the moment of the call, by the monotonic clock. */
+  /**
+   * Decides at the moment of the call, by the monotonic clock. Puts what is
+   * vouched for in force first: look at the tables after it.
+   */
   isFresh(): boolean {
     const {vouches, keeper} = this.#options;
     const nowMs = performance.now();
     const vouched = vouches.current()?.revision;
-    const isBehind = vouched !== undefined && vouched > keeper.revision();
+    if (vouched !== undefined) keeper.confirm(vouched);
+    const inForce = keeper.tables().revision;
+    const isBehind = vouched !== undefined && vouched > inForce;
     this.#behindSinceMs = isBehind ? (this.#behindSinceMs ?? nowMs) : undefined;
     const behindForMs = nowMs - (this.#behindSinceMs ?? nowMs);
     return areKeysFresh(vouched !== undefined, behindForMs);
   }
 
   #check(): void {
-    const {vouches, keeper} = this.#options;
+    const {vouches, keeper, onBehind, onAhead} = this.#options;
     this.isFresh();
-    const vouch = vouches.current();
-    if (vouch) keeper.confirm(vouch.revision);
-    if (this.#behindSinceMs !== undefined) this.#options.onBehind();
+    const vouched = vouches.current()?.revision;
+    if (this.#behindSinceMs !== undefined) onBehind();
+    if (vouched !== undefined && vouched < keeper.revision()) onAhead();
   }
 }
--- a/src/configuration/keeper.ts
+++ b/src/configuration/keeper.ts
@@ -3,24 +3,29 @@
  * only grows: an older one from any source is dropped.
  */
 import type {Logger} from '../log/logger.js';
-import {mayReplace} from './forward.js';
+import {mayEnforce, mayReplace, type VouchedRevisions} from './forward.js';
 import {allRecords, EMPTY_STATE, type ConfigurationState} from './state.js';
 import {EMPTY_TABLES, MapTables, type Tables} from './tables.js';
 
-/** Told of each revision that comes into force. */
+const MAX_WAITING = 16;
+
+/** Told of each revision that was loaded. */
 export type RevisionListener = (revision: number) => void;
 
 /**
- * The configuration of this daemon. A process that has just started may only
- * find an old revision, while a newer one was in force here before: nothing
- * comes into force until the loaded revision is vouched for.
+ * The configuration of this daemon. A revision comes into force only once it
+ * is vouched for: from then on a majority of the witnesses knows it, so that
+ * no restart, stale peer or lagging store can bring an older one back. Until
+ * then a loaded state waits.
  */
 export class ConfigurationKeeper {
   readonly #log: Logger;
   readonly #listeners: RevisionListener[] = [];
   #state: ConfigurationState = EMPTY_STATE;
   #tables: Tables = EMPTY_TABLES;
-  #isConfirmed = false;
+  /** Loaded but not yet vouched for, the oldest first. */
+  #waiting: readonly ConfigurationState[] = [];
+  #vouched: VouchedRevisions | undefined;
 
   constructor(log: Logger) {
     this.#log = log;
@@ -55,22 +60,31 @@
   offer(state: ConfigurationState): boolean {
     if (!this.wants(state.revision)) return false;
     this.#state = state;
-    if (this.#isConfirmed) this.#enforce();
+    // The oldest stay, so that a steady flow of changes can't starve them.
+    this.#waiting = [...this.#waiting.slice(0, MAX_WAITING - 1), state];
+    this.#enforce();
     this.#listeners.forEach(listener => listener(state.revision));
     return true;
   }
 
-  /** Tells which revision is vouched for, so that it may come into force. */
+  /** Tells up to which revision a majority of the witnesses vouches. */
   confirm(vouchedRevision: number): void {
-    if (this.#isConfirmed || this.#state.revision < vouchedRevision) return;
-    this.#isConfirmed = true;
+    const {floor, highest} = this.#vouched ?? {
+      floor: vouchedRevision,
+      highest: -1,
+    };
+    if (vouchedRevision <= highest) return;
+    this.#vouched = {floor, highest: vouchedRevision};
     this.#enforce();
   }
 
   #enforce(): void {
-    const {revision} = this.#state;
-    if (revision === 0) return;
-    this.#tables = new MapTables(revision, allRecords(this.#state));
-    this.#log.info(`Revision ${revision} is in force.`);
+    const next = this.#waiting
+      .filter(state => mayEnforce(state.revision, this.#vouched))
+      .at(-1);
+    if (!next) return;
+    this.#waiting = this.#waiting.filter(s => s.revision > next.revision);
+    this.#tables = new MapTables(next.revision, allRecords(next));
+    this.#log.info(`Revision ${next.revision} is in force.`);
   }
 }
--- a/src/configuration/store_watcher.ts
+++ b/src/configuration/store_watcher.ts
@@ -27,11 +27,13 @@
 const WATCH_WAIT_MS = 3000;
 const RETRY_PAUSE_MS = 500;
 const IDLE_PAUSE_MS = 1000;
+const TELL_INTERVAL_MS = 1000;
 
 /** Watches the store while it is this daemon's turn. */
 export class StoreWatcher {
   readonly #options: StoreWatcherOptions;
   readonly #stopped = new AbortController();
+  #toldAtMs = -TELL_INTERVAL_MS;
 
   constructor(options: StoreWatcherOptions) {
     this.#options = options;
@@ -45,6 +47,19 @@
     this.#stopped.abort();
   }
 
+  /**
+   * Tells the witnesses of the newest revision, at most once a second: the
+   * writer may have died before it did.
+   */
+  tellWitnesses(): void {
+    const {keeper, vouches} = this.#options;
+    const nowMs = performance.now();
+    if (nowMs - this.#toldAtMs < TELL_INTERVAL_MS || !this.isWatcher()) return;
+    this.#toldAtMs = nowMs;
+    const revision = keeper.revision();
+    vouches.raise({revision}).catch(() => false);
+  }
+
   /** Whether this daemon is among the watchers of its failure domain. */
   isWatcher(): boolean {
     const {membership} = this.#options;
@@ -87,11 +102,8 @@
 
   /** Heads that are not newer are not worth loading. */
   async #take(head: Head): Promise<void> {
-    const {store, keeper, vouches} = this.#options;
-    const {revision} = head;
-    if (!keeper.wants(revision)) return;
-    // The writer may have died before it told the witnesses.
-    void vouches.raise({revision}).catch(() => false);
+    const {store, keeper} = this.#options;
+    if (!keeper.wants(head.revision)) return;
     const read = readShardFrom(store);
     keeper.offer(await loadState(keeper.state(), head, read));
   }
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -199,6 +199,7 @@
       vouches,
       keeper,
       onBehind: () => spread.compareNow(),
+      onAhead: () => watcher.tellWitnesses(),
     });
     const health: Health = new Health({
       instances: () => gate.instances.all(),
--- a/src/router/access.ts
+++ b/src/router/access.ts
@@ -37,7 +37,7 @@
 export function decideAccess(
   tables: Tables,
   {host, path, key}: AccessRequest,
-  areKeysFresh: () => boolean,
+  areKeysFresh: boolean,
 ): Granted | Denied {
   const routes = tables.routes(host, path);
   const best = routes[0];
@@ -46,7 +46,7 @@
   const open = candidates.find(route => route.access === 'open');
   if (open) return {granted: true, route: open, customer: undefined};
   if (key === undefined) return {granted: false, refusal: 'key-missing'};
-  if (!areKeysFresh()) return {granted: false, refusal: 'keys-stale'};
+  if (!areKeysFresh) return {granted: false, refusal: 'keys-stale'};
   const record = tables.key(digestOf(key), Date.now());
   const customer = record && tables.customer(record.customer);
   if (!customer) return {granted: false, refusal: 'key-unknown'};
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -122,6 +122,8 @@
   }
 
   #access(req: IncomingMessage): Granted | Denied {
+    // It may put a newer revision in force, so the tables come after it.
+    const areKeysFresh = this.#options.areKeysFresh();
     const tables = this.#options.tables();
     const refused = (refusal: RefusalName) => {
       return {granted: false, refusal} as const;
@@ -133,7 +135,7 @@
       return refused('bad-request');
     }
     const {host, path} = target;
-    return decideAccess(tables, {host, path, key}, this.#options.areKeysFresh);
+    return decideAccess(tables, {host, path, key}, areKeysFresh);
   }
 
   #guard(token: RateToken, req: IncomingMessage): RateToken {
