Keep the configuration in packed records

Cause: tables of objects in maps take 135 MB for 210,000 customers, as many keys, and 86,000 routes; the whole control of a daemon may take 32 MB.

Each shard now holds its records in one buffer, packed without field names and found by binary search over hashes. The id of a key is the beginning of its digest, so that one index serves both, and routes have one index of their own over all shards. A change packs again only the shards that it touches.

Ruled out: one index over all records of all shards; it would be sorted again at each change.

--- a/src/admin/keys_api.ts
+++ b/src/admin/keys_api.ts
@@ -11,6 +11,7 @@
 import {issueKey, keysOf, removeRecord} from '../configuration/edits.js';
 import type {ConfigurationKeeper} from '../configuration/keeper.js';
 import {keySchema, type Key} from '../configuration/records.js';
+import {keyIdOf} from '../configuration/packed_records.js';
 import {Failure} from '../errors/failure.js';
 import {parseObject, readBytes, sendJson} from './answers.js';
 import {identify, sendAccepted} from './changes.js';
@@ -25,7 +26,6 @@
 
 const MAX_BODY_BYTES = 4096;
 const KEY_BYTES = 24;
-const ID_LENGTH = 16;
 
 /** `digest` is of a key that the client made itself and never sends. */
 const issueSchema = z.strictObject({
@@ -61,7 +61,6 @@
     sendJson(res, 200, {revision: state.revision, items: shown, next});
   }
 
-  /** The id follows from the change id, so a repeated request finds it. */
   async issue(
     req: PolkaRequest,
     res: ServerResponse,
@@ -71,10 +70,10 @@
     const bytes = await readBytes(req, MAX_BODY_BYTES);
     const asked = parseIssue(parseObject(bytes, `key of ${customer}`));
     const identity = identify(req, bytes);
-    const id = sha256Of(identity.changeId).slice(0, ID_LENGTH);
     const made = asked.digest === undefined ? makeKey() : undefined;
     const digest = asked.digest ?? sha256Of(made ?? '');
     const {expiresAt} = asked;
+    const id = keyIdOf(digest);
     const key: Key = {kind: 'key', id, customer, digest, expiresAt};
     const accepted = await this.#options.acceptance.accept({
       ...identity,
@@ -83,12 +82,14 @@
       edit: issueKey(key),
       retryRaces: true,
     });
-    const shown = accepted.repeated ? undefined : made;
+    if (accepted.repeated && made !== undefined) {
+      return sendAccepted(res, identity, accepted, {customer});
+    }
     sendAccepted(res, identity, accepted, {
       id,
       customer,
       expiresAt,
-      key: shown,
+      key: made,
     });
   }
 
--- a/src/configuration/archive.ts
+++ b/src/configuration/archive.ts
@@ -12,6 +12,7 @@
   type Change,
   type Head,
 } from './changes.js';
+import {PackedRecords} from './packed_records.js';
 import {parseShard, type ConfigurationState, type Shard} from './state.js';
 
 /** The head and the store's version of it. */
@@ -91,7 +92,7 @@
   stamp: string,
   readShard: ReadShard,
 ): Promise<Shard> {
-  if (stamp === '') return {stamp, records: new Map()};
+  if (stamp === '') return {stamp, records: PackedRecords.empty};
   const text = await readShard(index, stamp);
   if (text === undefined) throw new Failure('shardMissing', {index, stamp});
   return parseShard(stamp, text);
--- a/src/configuration/edits.ts
+++ b/src/configuration/edits.ts
@@ -74,6 +74,11 @@
     if (!findRecord(state, 'customer', key.customer)) {
       throw new Failure('recordMissing', {record});
     }
+    const last = findRecord(state, 'key', key.id);
+    if (last && last.digest !== key.digest) {
+      const reason = 'another key has this id; issue one more';
+      throw new Failure('preconditionFailed', {record: key.id, reason});
+    }
     return {put: [key], removed: []};
   };
 }
--- a/src/configuration/keeper.ts
+++ b/src/configuration/keeper.ts
@@ -4,8 +4,8 @@
  */
 import type {Logger} from '../log/logger.js';
 import {mayEnforce, mayReplace, type VouchedRevisions} from './forward.js';
-import {allRecords, EMPTY_STATE, type ConfigurationState} from './state.js';
-import {EMPTY_TABLES, MapTables, type Tables} from './tables.js';
+import {EMPTY_STATE, type ConfigurationState} from './state.js';
+import {EMPTY_TABLES, PackedTables, type Tables} from './tables.js';
 
 const MAX_WAITING = 16;
 
@@ -84,7 +84,7 @@
       .at(-1);
     if (!next) return;
     this.#waiting = this.#waiting.filter(s => s.revision > next.revision);
-    this.#tables = new MapTables(next.revision, allRecords(next));
+    this.#tables = new PackedTables(next);
     this.#log.info(`Revision ${next.revision} is in force.`);
   }
 }
--- a/src/configuration/spread.ts
+++ b/src/configuration/spread.ts
@@ -12,7 +12,7 @@
 import {applyChanges} from './changes.js';
 import type {ConfigurationKeeper} from './keeper.js';
 import type {Comparison} from './messages.js';
-import type {ConfigurationState} from './state.js';
+import {shardText, type ConfigurationState} from './state.js';
 
 /** Options of {@link Spread}. */
 export interface SpreadOptions {
@@ -43,7 +43,7 @@
     links.handle('configuration.shard', ({index, stamp}) => {
       const shard = keeper.state().shards[index];
       if (shard?.stamp !== stamp) return {};
-      return {text: JSON.stringify([...shard.records.values()])};
+      return {text: shardText(shard)};
     });
     keeper.onRevision(() => this.compareNow());
   }
--- a/src/configuration/state.ts
+++ b/src/configuration/state.ts
@@ -5,13 +5,16 @@
  */
 import {createHash} from 'node:crypto';
 import type {Change} from './changes.js';
+import {PackedRecords, recordKey} from './packed_records.js';
 import type {ConfigurationRecord, RecordKind} from './records.js';
 
-/** The records of one shard, by record key. */
+export {recordKey};
+
+/** The records of one shard. */
 export interface Shard {
   /** Empty for a shard that never had a record. */
   readonly stamp: string;
-  readonly records: ReadonlyMap<string, ConfigurationRecord>;
+  readonly records: PackedRecords;
 }
 
 /** All records of one revision. A state never changes. */
@@ -32,7 +35,7 @@
 /** Fixed for ever: the first byte of a hash picks the shard. */
 export const SHARD_COUNT = 256;
 
-const EMPTY_SHARD: Shard = {stamp: '', records: new Map()};
+const EMPTY_SHARD: Shard = {stamp: '', records: PackedRecords.empty};
 
 /** The state before the first change. */
 export const EMPTY_STATE: ConfigurationState = {
@@ -41,11 +44,6 @@
   changes: [],
 };
 
-/** The key of a record, unique over all kinds. */
-export function recordKey(kind: RecordKind, id: string): string {
-  return `${kind}/${id}`;
-}
-
 /** The shard that a record key belongs to. */
 export function shardOf(key: string): number {
   return createHash('md5').update(key).digest()[0] ?? 0;
@@ -66,7 +64,7 @@
 export function allRecords(
   state: ConfigurationState,
 ): readonly ConfigurationRecord[] {
-  return state.shards.flatMap(shard => [...shard.records.values()]);
+  return state.shards.flatMap(shard => shard.records.values());
 }
 
 /** Every record of one kind. */
@@ -83,15 +81,12 @@
 /** A shard from the JSON text that the store or a peer holds. */
 export function parseShard(stamp: string, text: string): Shard {
   const records = JSON.parse(text) as readonly ConfigurationRecord[];
-  const entries = records.map(
-    record => [recordKey(record.kind, record.id), record] as const,
-  );
-  return {stamp, records: new Map(entries)};
+  return {stamp, records: PackedRecords.from(records)};
 }
 
 /** The JSON text of a shard. */
 export function shardText(shard: Shard): string {
-  return JSON.stringify([...shard.records.values()]);
+  return JSON.stringify(shard.records.values());
 }
 
 /**
@@ -106,7 +101,7 @@
   const edited = new Map<number, Map<string, ConfigurationRecord>>();
   const recordsAt = (key: string) => {
     const index = shardOf(key);
-    const records = edited.get(index) ?? new Map(shards[index]?.records);
+    const records = edited.get(index) ?? mapOf(shards[index]);
     edited.set(index, records);
     return records;
   };
@@ -117,10 +112,17 @@
   });
   return shards.map((shard, index) => {
     const records = edited.get(index);
-    return records ? {stamp: stampOf(index), records} : shard;
+    if (!records) return shard;
+    const packed = PackedRecords.from([...records.values()]);
+    return {stamp: stampOf(index), records: packed};
   });
 }
 
+function mapOf(shard: Shard | undefined): Map<string, ConfigurationRecord> {
+  const records = shard?.records.values() ?? [];
+  return new Map(records.map(r => [recordKey(r.kind, r.id), r]));
+}
+
 /** The edit without what is already as it asks for. */
 export function pruneEdit(state: ConfigurationState, edit: Edit): Edit {
   const has = (key: string) => state.shards[shardOf(key)]?.records.get(key);
--- a/src/configuration/tables.ts
+++ b/src/configuration/tables.ts
@@ -1,15 +1,17 @@
 /**
  * The tables that the hot path looks things up in, made from one revision of
  * the configuration: customers, keys by digest, services, routes by host and
- * path. A set of tables never changes; a new revision makes a new one.
+ * path. A set of tables never changes; a new revision makes a new one, which
+ * shares with the last one whatever did not change.
  */
-import type {
-  ConfigurationRecord,
-  Customer,
-  Key,
-  Route,
-  Service,
-} from './records.js';
+import {firstIndexOf, hashOf, keyIdOf, trimSlash} from './packed_records.js';
+import type {Customer, Key, Route, Service} from './records.js';
+import {
+  EMPTY_STATE,
+  findRecord,
+  recordsOf,
+  type ConfigurationState,
+} from './state.js';
 
 /** Read access to one revision of the configuration. */
 export interface Tables {
@@ -24,34 +26,33 @@
   routes(host: string, path: string): readonly Route[];
 }
 
-/** Tables in plain maps. */
-export class MapTables implements Tables {
+const INDEX_BITS = 24;
+const INDEX_MASK = (1 << INDEX_BITS) - 1;
+
+/** Tables over the packed records of a state. */
+export class PackedTables implements Tables {
   readonly revision: number;
-  readonly #customers: ReadonlyMap<string, Customer>;
-  readonly #keys: ReadonlyMap<string, Key>;
+  readonly #state: ConfigurationState;
   readonly #services: ReadonlyMap<string, Service>;
-  readonly #routes: ReadonlyMap<string, readonly Route[]>;
-
-  constructor(revision: number, records: readonly ConfigurationRecord[]) {
-    this.revision = revision;
-    const ofKind = <Kind extends ConfigurationRecord['kind']>(kind: Kind) =>
-      records.filter(
-        (r): r is Extract<ConfigurationRecord, {kind: Kind}> => r.kind === kind,
-      );
-    this.#customers = new Map(ofKind('customer').map(c => [c.id, c]));
-    this.#keys = new Map(ofKind('key').map(k => [k.digest, k]));
-    this.#services = new Map(ofKind('service').map(s => [s.id, s]));
-    this.#routes = groupRoutes(ofKind('route'));
+  readonly #routes: RouteIndex;
+
+  constructor(state: ConfigurationState) {
+    this.revision = state.revision;
+    this.#state = state;
+    const services = state.shards.flatMap(shard => shard.records.services);
+    this.#services = new Map(services.map(s => [s.id, s]));
+    this.#routes = new RouteIndex(state);
   }
 
   customer(id: string): Customer | undefined {
-    return this.#customers.get(id);
+    return findRecord(this.#state, 'customer', id);
   }
 
   key(digest: string, nowMs: number): Key | undefined {
-    const key = this.#keys.get(digest);
-    const expired = key?.expiresAt !== undefined && key.expiresAt <= nowMs;
-    return expired ? undefined : key;
+    const key = findRecord(this.#state, 'key', keyIdOf(digest));
+    if (key?.digest !== digest) return undefined;
+    const isOver = key.expiresAt !== undefined && key.expiresAt <= nowMs;
+    return isOver ? undefined : key;
   }
 
   service(id: string): Service | undefined {
@@ -63,37 +64,64 @@
   }
 
   customers(): readonly Customer[] {
-    return [...this.#customers.values()];
+    return recordsOf(this.#state, 'customer');
   }
 
   routes(host: string, path: string): readonly Route[] {
     return prefixesOf(path).flatMap(prefix => [
-      ...(this.#routes.get(`${host} ${prefix}`) ?? []),
-      ...(this.#routes.get(`* ${prefix}`) ?? []),
+      ...this.#routes.find(host, prefix),
+      ...this.#routes.find('*', prefix),
     ]);
   }
 }
 
-/** Tables of a daemon that has no configuration yet. */
-export const EMPTY_TABLES: Tables = new MapTables(0, []);
+/** Finds routes by their host and path, in two typed arrays. */
+class RouteIndex {
+  readonly #state: ConfigurationState;
+  /** Ascending. */
+  readonly #hashes: Uint32Array;
+  /** Shard and index within it, packed into one number. */
+  readonly #places: Uint32Array;
 
-function routeKey(route: Route): string {
-  return `${route.host} ${trimSlash(route.path)}`;
-}
+  constructor(state: ConfigurationState) {
+    this.#state = state;
+    const entries = BigUint64Array.from(
+      state.shards.flatMap(({records}, shard) =>
+        [...records.routeHashes].map((hash, nth) => {
+          const index = records.routeIndexes[nth] ?? 0;
+          const place = shard * (INDEX_MASK + 1) + index;
+          return (BigInt(hash) << 32n) | BigInt(place);
+        }),
+      ),
+    ).sort();
+    this.#hashes = Uint32Array.from(entries, entry => Number(entry >> 32n));
+    this.#places = Uint32Array.from(entries, e => Number(e & 0xffffffffn));
+  }
 
-function trimSlash(path: string): string {
-  return path.length > 1 && path.endsWith('/') ? path.slice(0, -1) : path;
-}
+  /** The routes of exactly this host and path. */
+  find(host: string, path: string): readonly Route[] {
+    const hash = hashOf(`${host} ${path}`);
+    const found: Route[] = [];
+    let at = firstIndexOf(this.#hashes, hash);
+    while (this.#hashes[at] === hash) {
+      const route = this.#routeAt(this.#places[at] ?? 0);
+      const isSame = route?.host === host && trimSlash(route.path) === path;
+      if (route && isSame) found.push(route);
+      at += 1;
+    }
+    return found;
+  }
 
-function groupRoutes(
-  routes: readonly Route[],
-): ReadonlyMap<string, readonly Route[]> {
-  return routes.reduce((groups, route) => {
-    const key = routeKey(route);
-    return groups.set(key, [...(groups.get(key) ?? []), route]);
-  }, new Map<string, readonly Route[]>());
+  #routeAt(place: number): Route | undefined {
+    const records = this.#state.shards[place >>> INDEX_BITS]?.records;
+    const record = records?.at(place & INDEX_MASK);
+    return record?.kind === 'route' ? record : undefined;
+  }
 }
 
+/** Tables of a daemon that has no configuration yet. */
+export const EMPTY_TABLES: Tables = new PackedTables(EMPTY_STATE);
+
 /** `/a/b` gives `/a/b`, `/a`, `/`: the longest first. */
 function prefixesOf(path: string): readonly string[] {
   const segments = path.split('/').filter(segment => segment !== '');
