--- a/features/steps/fleet_steps.ts
+++ b/features/steps/fleet_steps.ts
@@ -1,11 +1,25 @@
 /** Steps that start a fleet and configure it. */
 import {Given} from '@cucumber/cucumber';
 import assert from 'node:assert/strict';
-import {until} from '../support/fleet.js';
+import {until, type InstancePlan} from '../support/fleet.js';
 import type {World} from '../support/world.js';
 
 const SETTLE_MS = 10_000;
 
+/** Starts an instance and waits until all daemons know of its slots. */
+async function startKnown(world: World, plan: InstancePlan): Promise<void> {
+  const before = await slotsKnown(world, plan.service);
+  await world.fleet.startInstance(plan);
+  await until(
+    `all daemons know ${plan.id}`,
+    async () => {
+      const after = await slotsKnown(world, plan.service);
+      return after.every((slots, index) => slots > (before[index] ?? 0));
+    },
+    SETTLE_MS,
+  );
+}
+
 Given(
   'a store and {int} daemons in {int} failure domains',
   async function (this: World, daemons: number, domains: number) {
@@ -23,22 +37,37 @@
 Given(
   'an instance {string} of {string} behind daemon {string}',
   async function (this: World, id: string, service: string, daemon: string) {
-    await this.fleet.startInstance({id, service, daemons: [daemon]});
-    await until(
-      `all daemons know ${service}`,
-      async () => {
-        const all = await Promise.all(
-          [...this.fleet.daemons.keys()].map(d => this.fleet.status(d)),
-        );
-        return all.every(status =>
-          status.members.some(member => (member.slots[service] ?? 0) > 0),
-        );
-      },
-      SETTLE_MS,
-    );
+    await startKnown(this, {id, service, daemons: [daemon]});
   },
 );
 
+Given(
+  'an instance {string} of {string} with {int} slots and {int} ms behind {string}',
+  async function (
+    this: World,
+    id: string,
+    service: string,
+    slots: number,
+    serviceMs: number,
+    daemon: string,
+  ) {
+    const daemons = [daemon];
+    await startKnown(this, {id, service, slots, serviceMs, daemons});
+  },
+);
+
+/** Slots of a service in the whole fleet, as each daemon sees it. */
+async function slotsKnown(
+  world: World,
+  service: string,
+): Promise<readonly number[]> {
+  const ids = [...world.fleet.daemons.keys()];
+  const all = await Promise.all(ids.map(id => world.fleet.status(id)));
+  return all.map(({members}) =>
+    members.reduce((sum, member) => sum + (member.slots[service] ?? 0), 0),
+  );
+}
+
 Given('the sheet:', async function (this: World, text: string) {
   const file = this.fleet.writeFile('sheet.csv', `\uFEFF${text}\r\n`);
   const result = await this.fleet.operate('d1', ['apply', file]);
--- a/features/steps/rate_steps.ts
+++ b/features/steps/rate_steps.ts
@@ -1,7 +1,6 @@
 /** Steps that load the fleet and look at what started at the instances. */
 import {Given, Then, When} from '@cucumber/cucumber';
 import assert from 'node:assert/strict';
-import {setTimeout as sleep} from 'node:timers/promises';
 import {until} from '../support/fleet.js';
 import {Load, tally, worstWindow, type LoadAnswer} from '../support/load.js';
 import type {World} from '../support/world.js';
@@ -36,6 +35,7 @@
   perSecond: number,
   daemons: string,
   atOnce: number,
+  path = '/ledger/balances',
 ): void {
   const known = loads.get(world) ?? new Map<string, Load>();
   loads.set(world, known);
@@ -43,7 +43,7 @@
     targets: daemons
       .split(' ')
       .map(id => world.fleet.daemon(id).addresses.callers),
-    path: '/ledger/balances',
+    path,
     key: world.keys.get(customer) ?? '',
     perSecond,
     atOnce,
@@ -68,14 +68,6 @@
   return excess;
 }
 
-Given('the store is away', async function (this: World) {
-  await this.fleet.setFaults(this.fleet.storeAddress, {outage: true});
-});
-
-Given('the store is back', async function (this: World) {
-  await this.fleet.setFaults(this.fleet.storeAddress, {});
-});
-
 Given(
   '{string} is served through {string}',
   async function (this: World, customer: string, daemons: string) {
@@ -126,9 +118,18 @@
   },
 );
 
-When('{int} s pass', async (seconds: number) => {
-  await sleep(seconds * 1000);
-});
+When(
+  '{string} sends {int} requests a second for {string} through {string}',
+  function (
+    this: World,
+    customer: string,
+    rate: number,
+    path: string,
+    daemons: string,
+  ) {
+    startLoad(this, customer, rate, daemons, 1, path);
+  },
+);
 
 When('all load ends', async function (this: World) {
   const all = [...(loads.get(this)?.values() ?? [])];
--- a/spec/explore.ts
+++ b/spec/explore.ts
@@ -67,3 +67,12 @@
         : `${spec.violation(unsafe)}: ${JSON.stringify(unsafe)}`,
   };
 }
+
+/** All rules of a specification, but for the one that a mutant leaves out. */
+export function rulesWithout<Rule extends string>(
+  rules: readonly Rule[],
+  leftOut: string | undefined,
+): Readonly<Record<Rule, boolean>> {
+  const kept = rules.map(rule => [rule, rule !== leftOut]);
+  return Object.fromEntries(kept) as Record<Rule, boolean>;
+}
--- a/spec/specifications.feature
+++ b/spec/specifications.feature
@@ -44,3 +44,39 @@
       | rule        |
       | vouchedOnly |
       | floor       |
+
+  Scenario: The escrow of rates is safe
+    When "escrow" is explored
+    Then no state is unsafe
+
+  Scenario Outline: The escrow of rates needs each of its rules
+    When "escrow" is explored without the rule "<rule>"
+    Then an unsafe state is found
+
+    Examples:
+      | rule               |
+      | deductBeforeSend   |
+      | countLent          |
+      | expireLoans        |
+      | closedAfterRestart |
+      | emptyAfterRestart  |
+      | takeOnce           |
+      | vouchNeeded        |
+      | vouchFromSend      |
+      | shrinkBeforeGrow   |
+
+  Scenario: At most once is safe
+    When "at most once" is explored
+    Then no state is unsafe
+
+  Scenario Outline: At most once needs each of its rules
+    When "at most once" is explored without the rule "<rule>"
+    Then an unsafe state is found
+
+    Examples:
+      | rule          |
+      | claimBoth     |
+      | memory        |
+      | silence       |
+      | confirm       |
+      | releaseNotRun |
--- a/src/admin/administration.ts
+++ b/src/admin/administration.ts
@@ -16,6 +16,7 @@
 import {KeysApi} from './keys_api.js';
 import {KIND_OF_PATH, RecordsApi, type RecordsPath} from './records_api.js';
 import {SheetApi} from './sheet_api.js';
+import type {BurnDocument} from '../report/collect.js';
 
 /** Options of {@link Administration}. */
 export interface AdministrationOptions {
@@ -27,6 +28,8 @@
   readonly store: Store;
   readonly log: Logger;
   readonly isReady: () => boolean;
+  /** What this daemon counted for the report. */
+  readonly burn: () => BurnDocument;
   /** Parts that add to the status, by name. */
   readonly status: Readonly<Record<string, () => unknown>>;
   /** Begins a planned stop. */
@@ -52,6 +55,10 @@
         '/v1/status',
         this.#reader((_req, res) => this.#status(res)),
       )
+      .get(
+        '/v1/burn',
+        this.#reader((_req, res) => sendJson(res, 200, options.burn())),
+      )
       .get(
         '/v1/audit',
         this.#reader((q, s) => sendAudit(options.store, q, s)),
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -31,7 +31,13 @@
 import type {Metrics} from '../metrics/metrics.js';
 import {HttpStore} from '../platform/http_store.js';
 import {EscrowLimiter} from '../rates/escrow.js';
+import {Backups} from '../router/backups.js';
+import {GateRecords} from '../router/gate_records.js';
+import {objectivesOf} from '../report/burn.js';
+import {BurnCounter} from '../report/counter.js';
+import {Handover} from '../report/handover.js';
 import {Gates} from '../router/gates.js';
+import {RetryBudget} from '../router/retry_budget.js';
 import {Router} from '../router/router.js';
 import type {Settings} from '../settings/schema.js';
 
@@ -66,6 +72,9 @@
   readonly health: Health;
   readonly gate: Gate;
   readonly gates: Gates;
+  readonly backups: Backups;
+  readonly burn: BurnCounter;
+  readonly handover: Handover;
   readonly ledger: Ledger;
   readonly claims: Claims;
 }
@@ -117,6 +126,7 @@
     parts.authority.start();
     parts.limiter.start();
     parts.gate.start();
+    parts.handover.start();
     parts.health.start();
     parts.ledger.start();
     this.#options.log.info(`Listening for callers on ${bound.callers}.`);
@@ -136,6 +146,7 @@
     await parts.gate.stop();
     await parts.health.stop();
     await parts.gates.stop();
+    await parts.handover.handOver();
     parts.watcher.stop();
     parts.spread.stop();
     parts.limiter.stop();
@@ -220,12 +231,26 @@
       onSlots: ({full, spare}) =>
         membership.update({slots: full, spareSlots: spare}),
     });
+    const {id, incarnation} = membership.self();
+    const burn = new BurnCounter(id, incarnation);
+    const handover = new Handover({
+      counter: burn,
+      links,
+      membership,
+      log: log.for('report'),
+    });
     const clocks = new PeerClocks(links);
+    const records = new GateRecords();
+    const budget = new RetryBudget();
+    const {metrics} = this.#options;
+    const backups = new Backups({budget, records, metrics});
     const gates = new Gates({
       own: gate,
       membership,
       links,
       clocks,
+      records,
+      budget,
       secret,
       dial,
     });
@@ -257,6 +282,9 @@
       health,
       gate,
       gates,
+      backups,
+      burn,
+      handover,
       ledger,
       claims,
     };
@@ -292,6 +320,10 @@
         watchesStore: () => watcher.isWatcher(),
       },
       onDrain,
+      burn: () => ({
+        ...parts.handover.answer(),
+        objectives: objectivesOf(keeper.tables().services()),
+      }),
     });
   }
 
@@ -304,6 +336,8 @@
       areKeysFresh: () => parts.freshness.isFresh(),
       limiter: parts.limiter,
       gates: parts.gates,
+      backups: parts.backups,
+      burn: parts.burn,
       claims: parts.claims,
       log: log.for('router'),
       metrics,
--- a/src/gate/gate.ts
+++ b/src/gate/gate.ts
@@ -11,18 +11,13 @@
   type SampleKind,
 } from '../health/view.js';
 import type {Logger} from '../log/logger.js';
+import {Capacity, type SlotCounts} from './capacity.js';
 import {exchange, ExchangeError} from './exchange.js';
 import {Instances, mayReceiveWork, type Instance} from './instances.js';
 import type {ReserveReply} from './messages.js';
 import {observedBody} from './observed_body.js';
 import {Reservations} from './reservations.js';
-import {
-  Slots,
-  type Slot,
-  type SlotCounts,
-  type SlotLimits,
-  type SlotRequest,
-} from './slots.js';
+import {Slots, type Slot, type SlotLimits, type SlotRequest} from './slots.js';
 import {
   notRun,
   type GateDoor,
@@ -48,6 +43,7 @@
 export class Gate implements GateDoor {
   readonly instances: Instances;
   readonly #options: GateOptions;
+  readonly #capacity: Capacity;
   readonly #slots: Slots;
   #toldCounts = '';
   readonly #reservations = new Reservations();
@@ -56,13 +52,14 @@
   constructor(options: GateOptions) {
     this.#options = options;
     this.instances = new Instances(() => this.resize());
-    this.#slots = new Slots(this.instances, options.health, options);
+    this.#capacity = new Capacity(this.instances, options.health);
+    this.#slots = new Slots(this.instances, this.#capacity, options);
   }
 
   /** Fits queues to what instances may have now, and tells the others. */
   resize(): void {
     this.#slots.resize();
-    const counts = this.#slots.counts();
+    const counts = this.#capacity.counts();
     const text = JSON.stringify(counts);
     if (text !== this.#toldCounts) this.#options.onSlots(counts);
     this.#toldCounts = text;
@@ -86,14 +83,17 @@
 
   /** Free slots minus waiting work of a service; above zero means room. */
   room(service: string): number {
-    return this.#slots.free(service) - this.#slots.waiting(service);
+    return this.#capacity.free(service) - this.#slots.waiting(service);
+  }
+
+  /** True if an instance may be given work, now or after a wait. */
+  hasSlots(service: string): boolean {
+    return this.#capacity.limit(service) > 0;
   }
 
   /** True if an instance that isn't full should get a trial request. */
   isTrialDue(service: string): boolean {
-    return this.instances
-      .inService(service)
-      .some(({id}) => this.#options.health.isTrialDue(id));
+    return this.#capacity.isTrialDue(service);
   }
 
   async run(work: Work): Promise<Outcome> {
@@ -125,7 +125,8 @@
     const instances = this.instances.inService(work.service);
     const left = instances.filter(instance => !avoid.has(instance.id));
     if (left.length === 0) return notRun('no-instance');
-    return this.#slots.take(work, avoid);
+    const mayBeTrial = work.idempotent && (work.body?.whole ?? true);
+    return this.#slots.take({...work, mayBeTrial}, avoid);
   }
 
   /** Holds the slot until the answer's body has ended. */
@@ -143,8 +144,6 @@
 
   async #exchange(work: Work, instance: Instance): Promise<Outcome> {
     const leftMs = Math.max(1, work.deadlineAtMs - performance.now());
-    const deadline = new AbortController();
-    const timer = setTimeout(() => deadline.abort(), leftMs);
     let refusal: NotRunReason | undefined;
     const observation = this.#options.health.observe(
       candidacyOf(instance),
@@ -156,7 +155,8 @@
         path: work.path,
         headers: work.headers,
         body: work.body && observedBody(work.body, observation),
-        signal: AbortSignal.any([work.signal, deadline.signal]),
+        signal: work.signal,
+        headersTimeoutMs: leftMs,
         mayStart: () => {
           refusal = startRefusalOf(work, instance);
           if (!work.body || work.body.whole) observation.sent();
@@ -171,12 +171,10 @@
       const outcome = outcomeOf(err, {
         refusal,
         isCancelled: work.signal.aborted,
-        isOverdue: deadline.signal.aborted,
+        isOverdue: err.timedOut,
       });
       observation.ended(SAMPLE_OF[outcome.reason] ?? 'cancelled');
       return outcome;
-    } finally {
-      clearTimeout(timer);
     }
   }
 }
--- a/src/gate/hop_server.ts
+++ b/src/gate/hop_server.ts
@@ -1,6 +1,6 @@
 /** The side of the gate that takes work from routers on other VMs. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {pipeline} from 'node:stream/promises';
+import {sendBody} from '../http/send_body.js';
 import {isOwnClock, readOwnClock} from '../member/peer_clocks.js';
 import {streamedBody} from './body.js';
 import {
@@ -14,14 +14,14 @@
 import type {Links} from '../member/links.js';
 import type {Gate} from './gate.js';
 import type {RateToken} from '../rates/limiter.js';
-import {notRun, type GateDoor, type Outcome, type Work} from './work.js';
+import {notRun, type Outcome, type Work} from './work.js';
 
 const SECRET_FIELD = 'x-chicorycourse-secret';
 const OWN_FIELDS: ReadonlySet<string> = new Set([WORK_FIELD, SECRET_FIELD]);
 
 /** Handles one request of another daemon's router. */
 export async function serveHop(
-  gate: GateDoor,
+  gate: Gate,
   secret: string,
   req: IncomingMessage,
   res: ServerResponse,
@@ -33,15 +33,20 @@
     return;
   }
   const gone = new AbortController();
-  res.on('close', () => gone.abort());
+  res.on('close', () => {
+    if (!res.writableFinished) gone.abort();
+  });
   const hop = decodeField<HopWork>(field);
   if (!isOwnClock(hop)) {
     // The times are of a process that ran here before: nothing can be said.
     const outcome = notRun('token-expired');
-    return reply(outcome, hop.attempt, res);
+    return reply(outcome, {attempt: hop.attempt}, res);
   }
-  const outcome = await gate.run(workOf(hop, req, gone.signal));
-  await reply(outcome, hop.attempt, res);
+  const work = workOf(hop, req, gone.signal);
+  const token = tokenOf(hop, () => res.writeProcessing());
+  const outcome = await gate.run({...work, token});
+  const room = gate.room(hop.service);
+  await reply(outcome, {attempt: hop.attempt, room}, res);
 }
 
 /** Lets routers on other VMs reserve slots. */
@@ -70,14 +75,14 @@
     customer: hop.customer,
     idempotent: hop.idempotent,
     deadlineAtMs: hop.deadlineAtMs,
-    token: tokenOf(hop),
+    token: undefined,
     signal,
     reservation: hop.reservation,
   };
 }
 
 /** The token that the router handed over; it is spent here or not at all. */
-function tokenOf(hop: HopWork): RateToken | undefined {
+function tokenOf(hop: HopWork, onSpent: () => void): RateToken | undefined {
   const expiresAtMs = hop.tokenExpiresAtMs;
   if (expiresAtMs === undefined) return undefined;
   let spent = false;
@@ -86,6 +91,7 @@
     spend: () => {
       if (spent || performance.now() >= expiresAtMs) return false;
       spent = true;
+      onSpent();
       return true;
     },
     giveBack: () => undefined,
@@ -105,7 +111,7 @@
 
 async function reply(
   outcome: Outcome,
-  attempt: string,
+  detail: Pick<HopOutcome, 'attempt' | 'room'>,
   res: ServerResponse,
 ): Promise<void> {
   if (outcome.kind !== 'answered') {
@@ -114,18 +120,24 @@
       outcome.kind === 'not-run' ? outcome.retryAfterMs : undefined;
     res.writeHead(503, [
       OUTCOME_FIELD,
-      encodeField({kind, attempt, reason, retryAfterMs, clock: readOwnClock()}),
+      encodeField({
+        ...detail,
+        kind,
+        reason,
+        retryAfterMs,
+        clock: readOwnClock(),
+      }),
     ]);
     res.end();
     return;
   }
   const {kind, instance} = outcome;
   const clock = readOwnClock();
-  const told: HopOutcome = {kind, attempt, instance, clock};
+  const told: HopOutcome = {...detail, kind, instance, clock};
   const headers = outcome.headers.filter((_, index) => {
     const name = outcome.headers[index - (index % 2)] ?? '';
     return name.toLowerCase() !== OUTCOME_FIELD;
   });
   res.writeHead(outcome.status, [...headers, OUTCOME_FIELD, encodeField(told)]);
-  await pipeline(outcome.body, res).catch(() => res.destroy());
+  await sendBody(outcome.body, res);
 }
--- a/src/gate/remote_gate.ts
+++ b/src/gate/remote_gate.ts
@@ -37,6 +37,8 @@
   readonly clock: GateClock;
   /** Reserves a slot at that gate; throws if it can't be reached. */
   readonly reserve: (work: Work, timeoutMs: number) => Promise<ReserveReply>;
+  /** Called with the room that the gate told with an outcome. */
+  readonly onRoom: (service: string, room: number) => void;
 }
 
 const CONNECT_TIMEOUT_MS = 500;
@@ -49,11 +51,13 @@
   readonly #secret: string;
   readonly #clock: GateClock;
   readonly #reserve: RemoteGateOptions['reserve'];
+  readonly #onRoom: RemoteGateOptions['onRoom'];
 
   constructor(options: RemoteGateOptions) {
     this.#secret = options.secret;
     this.#clock = options.clock;
     this.#reserve = options.reserve;
+    this.#onRoom = options.onRoom;
     this.#pool = new Pool(`http://${options.address}`, {
       pipelining: 1,
       connect: {timeout: CONNECT_TIMEOUT_MS},
@@ -88,27 +92,19 @@
   }
 
   async #exchangeInTime(work: Work, hop: HopWork): Promise<Outcome> {
-    const leftMs = work.deadlineAtMs - performance.now() + ANSWER_GRACE_MS;
-    const deadline = new AbortController();
-    const timer = setTimeout(() => deadline.abort(), Math.max(1, leftMs));
     try {
-      return await this.#exchange(work, hop, deadline.signal);
+      return await this.#exchange(work, hop);
     } catch (err) {
       if (!(err instanceof ExchangeError)) throw err;
       if (!err.started) return notRun('connect-failed');
       if (work.signal.aborted) return {kind: 'unknown', reason: 'cancelled'};
-      const reason = deadline.signal.aborted ? 'timeout' : 'connection-lost';
+      const reason = err.timedOut ? 'timeout' : 'connection-lost';
       return {kind: 'unknown', reason};
-    } finally {
-      clearTimeout(timer);
     }
   }
 
-  async #exchange(
-    work: Work,
-    hop: HopWork,
-    deadline: AbortSignal,
-  ): Promise<Outcome> {
+  async #exchange(work: Work, hop: HopWork): Promise<Outcome> {
+    const leftMs = work.deadlineAtMs - performance.now() + ANSWER_GRACE_MS;
     const answer = await exchange(this.#pool, {
       method: work.method,
       path: work.path,
@@ -120,8 +116,10 @@
         encodeField(hop),
       ],
       body: work.body,
-      signal: AbortSignal.any([work.signal, deadline]),
+      signal: work.signal,
+      headersTimeoutMs: Math.max(1, leftMs),
       mayStart: () => true,
+      onProcessing: () => work.token?.confirm(),
     });
     const index = answer.headers.findIndex(
       (field, i) => i % 2 === 0 && field.toLowerCase() === OUTCOME_FIELD,
@@ -133,6 +131,7 @@
       return {kind: 'unknown', reason: 'connection-lost'};
     }
     if (outcome.clock) this.#clock.note(outcome.clock);
+    if (outcome.room !== undefined) this.#onRoom(work.service, outcome.room);
     if (outcome.kind !== 'answered') {
       answer.body.resume();
       return outcome as NotRun | Unknown;
--- a/src/wire/messages.ts
+++ b/src/wire/messages.ts
@@ -8,6 +8,7 @@
 import type {IdempotencyMessages} from '../idempotency/messages.js';
 import type {ClockMessages} from '../member/clock_messages.js';
 import type {MemberMessages} from '../member/messages.js';
+import type {ReportMessages} from '../report/messages.js';
 import type {WitnessMessages} from '../member/witness_messages.js';
 import type {RateMessages} from '../rates/messages.js';
 
@@ -23,6 +24,7 @@
     ClockMessages,
     ConfigurationMessages,
     GateMessages,
+    ReportMessages,
     HealthMessages,
     IdempotencyMessages,
     MemberMessages,
