--- a/features/steps/configuration_steps.ts
+++ b/features/steps/configuration_steps.ts
@@ -110,14 +110,6 @@
   },
 );
 
-When(
-  'daemon {string} is killed and started again',
-  async function (this: World, id: string) {
-    await this.fleet.daemon(id).process.end('SIGKILL');
-    await this.fleet.restartDaemon(id);
-  },
-);
-
 When(
   'a daemon {string} is started in failure domain {string}',
   async function (this: World, id: string, failureDomain: string) {
--- a/spec/steps/specification_steps.ts
+++ b/spec/steps/specification_steps.ts
@@ -2,6 +2,7 @@
 import {Then, When} from '@cucumber/cucumber';
 import assert from 'node:assert/strict';
 import {atMostOnce} from '../at_most_once.js';
+import {configurationForce} from '../configuration_force.js';
 import {configurationOrder} from '../configuration_order.js';
 import {escrow, ESCROW_RULES} from '../escrow.js';
 import {ejectionFloor} from '../ejection_floor.js';
@@ -15,6 +16,7 @@
 /** Explores a specification without the named rule, or with all. */
 type Explorer = (without: string | undefined) => Exploration;
 
+const FORCE_RULES = ['vouchedOnly', 'floor'] as const;
 const ORDER_RULES = ['onlyForward', 'compare'] as const;
 const FLOOR_RULES = [
   'permitNeeded',
@@ -38,6 +40,8 @@
     explore(atMostOnce(rulesWithout(CLAIM_RULES, without))),
   witnesses: without =>
     explore(witnesses(rulesWithout(WITNESS_RULES, without))),
+  'configuration in force': without =>
+    explore(configurationForce(rulesWithout(FORCE_RULES, without))),
   'configuration order': without =>
     explore(configurationOrder(rulesWithout(ORDER_RULES, without))),
   'ejection floor': without =>
