--- a/bench/deployments.ts
+++ b/bench/deployments.ts
@@ -39,6 +39,11 @@
   readonly lagMs: number;
 }
 
+interface Problem {
+  readonly ran?: Seen['ran'];
+  readonly type?: string;
+}
+
 /** A caller: tries another daemon only if the first one can't be reached. */
 class Caller {
   readonly #bench: BenchFleet;
@@ -66,7 +71,7 @@
     turn: number,
     arrival: Arrival,
     requestId: string,
-  ): Promise<Pick<Seen, 'status' | 'ran'>> {
+  ): Promise<Pick<Seen, 'status' | 'ran' | 'refusal'>> {
     const {service, customer, workMs} = arrival;
     const pool = this.#pools[turn % this.#pools.length] as Pool;
     try {
@@ -84,15 +89,16 @@
             : null,
       });
       const text = await answer.body.text();
-      const {ran = 'yes'} = JSON.parse(text) as Partial<Seen>;
-      return {status: answer.statusCode, ran};
+      const {ran = 'yes', type = ''} = JSON.parse(text) as Problem;
+      const refusal = type.replace('urn:chicorycourse:refusal:', '');
+      return {status: answer.statusCode, ran, refusal};
     } catch (err) {
       const code = (err as {code?: string}).code;
       const isLast = turn >= this.#turn + this.#pools.length;
       if (code === 'ECONNREFUSED' && !isLast) {
         return this.#sendTo(turn + 1, arrival, requestId);
       }
-      return {status: 0, ran: 'unknown'};
+      return {status: 0, ran: 'unknown', refusal: code ?? 'connection'};
     }
   }
 
--- a/bench/lib/tally.ts
+++ b/bench/lib/tally.ts
@@ -9,6 +9,8 @@
   readonly status: number;
   /** What the refusal said, if it was one. */
   readonly ran: 'yes' | 'no' | 'unknown';
+  /** The name of the refusal, or empty. */
+  readonly refusal: string;
   readonly tookMs: number;
 }
 
@@ -33,6 +35,8 @@
   readonly failed: number;
   readonly refusedWithin: number;
   readonly refusedWithinShare: number;
+  /** Those, by the name of the refusal. */
+  readonly refusedBecause: Readonly<Record<string, number>>;
   readonly unknown: number;
   readonly worstCustomer: CustomerResult | undefined;
   readonly surgingCustomer: CustomerResult | undefined;
@@ -76,6 +80,10 @@
       .length,
     refusedWithin: refused.length,
     refusedWithinShare: refused.length / Math.max(1, steady.length),
+    refusedBecause: refused.reduce<Record<string, number>>(
+      (sums, {refusal}) => ({...sums, [refusal]: (sums[refusal] ?? 0) + 1}),
+      {},
+    ),
     unknown: seen.filter(({ran}) => ran === 'unknown').length,
     worstCustomer: results[0],
     surgingCustomer:
