--- a/features/rates.feature
+++ b/features/rates.feature
@@ -52,7 +52,7 @@
       And daemon "d3" is killed
       And daemon "d2" is started again
       And daemon "d3" is started again
-      And 5 s pass
+      And 10 s pass
       And all load ends
       Then "hue" started at most 60 + 5 a second in every window
       And at least 30 requests of "hue" were served
@@ -144,6 +144,6 @@
       And daemon "d3" is killed
       And daemon "d2" is started again
       And daemon "d3" is started again
-      And 5 s pass
+      And 10 s pass
       And all load ends
       Then "hue" started more than 60 + 5 a second in some window
--- a/src/rates/escrow.ts
+++ b/src/rates/escrow.ts
@@ -33,7 +33,7 @@
   readonly log: Logger;
 }
 
-const DRAW_TIMEOUT_MS = 80;
+const DRAW_TIMEOUT_MS = 500;
 const SETTLE_TIMEOUT_MS = 400;
 const SETTLE_INTERVAL_MS = 100;
 const IDLE_MS = 60_000;
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -174,7 +174,10 @@
         `key-${claim.verdict}`,
         claim.verdict === 'seen' ? 'repeated' : 'refused',
       );
-      if (claim.verdict === 'unsure') return visit.refuse('key-unsure', claim);
+      if (claim.verdict === 'unsure') {
+        const {retryAfterMs} = claim;
+        return visit.refuse('key-unsure', {retryAfterMs});
+      }
       return visit.refuse('key-reused', {first: claim.first});
     }
     const outcome = await this.#attempt(work, customer).catch(
