--- a/src/rates/account.ts
+++ b/src/rates/account.ts
@@ -3,6 +3,7 @@
  * pocket, and refills the pocket from the holders, the nearest first. One
  * refill runs at a time; requests that come meanwhile wait for it together.
  */
+import {setTimeout as sleep} from 'node:timers/promises';
 import type {Generation} from '../member/generation.js';
 import {HolderView} from './holder_view.js';
 import type {Admission} from './limiter.js';
@@ -40,7 +41,8 @@
 const DEMAND_AHEAD_S = 0.25;
 const DEMAND_DECAY_MS = 1000;
 const MAX_ROUNDS = 2;
-const MAX_TRIES = 2;
+const PATIENCE_MS = 80;
+const MAX_TRIES = 5;
 /** After this no further refill is waited for. */
 const MAX_WAIT_MS = 100;
 /** Amounts below this aren't worth a message. */
@@ -108,10 +110,11 @@
 
   #refuse(): Admission {
     const nowMs = performance.now();
-    const {reason, dueAtMs} = this.#refusal ?? {
-      reason: 'over-rate' as const,
-      dueAtMs: nowMs + LEAST_REFUSAL_MS,
-    };
+    const refusal = this.#refusal;
+    const {reason, dueAtMs} =
+      refusal && nowMs < refusal.untilMs
+        ? refusal
+        : {reason: 'rate-unknown' as const, dueAtMs: nowMs + LEAST_REFUSAL_MS};
     const retryAfterMs = Math.max(1, Math.ceil(dueAtMs - nowMs));
     return {admitted: false, reason, retryAfterMs};
   }
@@ -168,7 +171,17 @@
     ];
   }
 
-  async #draw({view, wantedMicros}: Ask): Promise<void> {
+  /** Waits a short time only; a grant that comes later is still taken. */
+  async #draw(ask: Ask): Promise<void> {
+    let answered = false;
+    const reply = this.#ask(ask).finally(() => {
+      answered = true;
+    });
+    await Promise.race([reply, sleep(PATIENCE_MS)]);
+    if (!answered) ask.view.noteSilence();
+  }
+
+  async #ask({view, wantedMicros}: Ask): Promise<void> {
     const {customer, draw, nextLoan} = this.#options;
     const lender = view.holder.member.peersAddress;
     const settlements = this.pocket.settlementsFor(lender);
