--- a/features/at_most_once.feature
+++ b/features/at_most_once.feature
@@ -12,8 +12,11 @@
       customer;can-tho;Công ty Cần Thơ;1000;500;;;;
       service;sweep-engine;;;;1;;;
       route;sweep;;;;;/sweep;sweep-engine;2500
+      service;nobody;;;;0;;;
+      route;nobody;;;;;/nobody;nobody;1000
       """
     And a key for "can-tho"
+    And the rate of "can-tho" is known everywhere
 
   Scenario: A lost answer is told as unknown, near and far
     Given the instances drop their answers
--- a/features/steps/at_most_once_steps.ts
+++ b/features/steps/at_most_once_steps.ts
@@ -52,6 +52,24 @@
   },
 );
 
+Given(
+  'the rate of {string} is known everywhere',
+  async function (this: World, customer: string) {
+    // A route without an instance takes a token, and nothing runs.
+    const headers = {'x-api-key': this.keys.get(customer) ?? ''};
+    const isKnown = async (daemon: string) => {
+      const answer = await this.request(daemon, '/nobody', {headers});
+      return answer.text.includes('no-instance');
+    };
+    const daemons = [...this.fleet.daemons.keys()];
+    await until(
+      'the rate is known',
+      async () => (await Promise.all(daemons.map(isKnown))).every(Boolean),
+      SETTLE_MS,
+    );
+  },
+);
+
 Given(
   'daemon {string} runs the mutant {string}',
   async function (this: World, id: string, mutant: string) {
@@ -197,14 +215,6 @@
   },
 );
 
-When(
-  'daemon {string} is killed and started again',
-  async function (this: World, id: string) {
-    await this.fleet.daemon(id).process.end('SIGKILL');
-    await this.fleet.restartDaemon(id);
-  },
-);
-
 When('all daemons are killed and started again', async function (this: World) {
   const ids = [...this.fleet.daemons.keys()];
   await Promise.all(ids.map(id => this.fleet.daemon(id).process.end()));
--- /dev/null
+++ b/features/support/posting.ts
@@ -0,0 +1,74 @@
+/**
+ * Callers that keep posting to the daemons in turn. A daemon that refuses the
+ * connection is left out until it is named again; all else that is not an
+ * answer counts as lost.
+ */
+import {randomUUID} from 'node:crypto';
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {World} from './world.js';
+
+const CALLERS = 4;
+const PAUSE_MS = 10;
+
+/** Callers of one customer. */
+export class Posting {
+  readonly #world: World;
+  readonly #customer: string;
+  readonly #path: string;
+  readonly #usable: Set<string>;
+  readonly #results: string[] = [];
+  readonly #callers: readonly Promise<void>[];
+  #isOver = false;
+  #turn = 0;
+
+  constructor(world: World, customer: string, path: string) {
+    this.#world = world;
+    this.#customer = customer;
+    this.#path = path;
+    this.#usable = new Set(world.fleet.daemons.keys());
+    this.#callers = Array.from({length: CALLERS}, () => this.#call());
+  }
+
+  /** Lets callers use a daemon again. */
+  use(daemon: string): void {
+    this.#usable.add(daemon);
+  }
+
+  /** Ends the calls; resolves to the results by count. */
+  async end(): Promise<Readonly<Record<string, number>>> {
+    this.#isOver = true;
+    await Promise.all(this.#callers);
+    return this.#results.reduce<Record<string, number>>(
+      (sums, result) => ({...sums, [result]: (sums[result] ?? 0) + 1}),
+      {},
+    );
+  }
+
+  async #call(): Promise<void> {
+    while (!this.#isOver) {
+      const daemons = [...this.#usable];
+      const daemon = daemons[this.#turn++ % daemons.length] ?? '';
+      const result = await this.#post(daemon);
+      if (result === 'ECONNREFUSED') this.#usable.delete(daemon);
+      else this.#results.push(result);
+      await sleep(PAUSE_MS);
+    }
+  }
+
+  async #post(daemon: string): Promise<string> {
+    const headers = {
+      'x-api-key': this.#world.keys.get(this.#customer) ?? '',
+      'x-request-id': randomUUID(),
+    };
+    const init = {method: 'POST', body: 'x=1', headers};
+    try {
+      const answer = await this.#world.request(daemon, this.#path, init);
+      const {status, text} = answer;
+      if (status === 200) return '200';
+      return `${status} ${/refusal:[a-z-]+/.exec(text)?.[0] ?? text}`;
+    } catch (err) {
+      const {cause} = err as {cause?: {code?: string; message?: string}};
+      return cause?.code ?? cause?.message ?? String(err);
+    }
+  }
+}
--- a/spec/specifications.feature
+++ b/spec/specifications.feature
@@ -32,6 +32,19 @@
       | waitAfterMove  |
       | waitAfterStart |
 
+  Scenario: Configuration in force is safe
+    When "configuration in force" is explored
+    Then no state is unsafe
+
+  Scenario Outline: Configuration in force needs each of its rules
+    When "configuration in force" is explored without the rule "<rule>"
+    Then an unsafe state is found
+
+    Examples:
+      | rule        |
+      | vouchedOnly |
+      | floor       |
+
   Scenario: The escrow of rates is safe
     When "escrow" is explored
     Then no state is unsafe
@@ -67,3 +80,20 @@
       | silence       |
       | confirm       |
       | releaseNotRun |
+
+  Scenario: Vouches of witnesses are safe
+    When "witnesses" is explored
+    Then no state is unsafe
+
+  Scenario Outline: Vouches of witnesses need each of their rules
+    When "witnesses" is explored without the rule "<rule>"
+    Then an unsafe state is found
+
+    Examples:
+      | rule                |
+      | recoverFirst        |
+      | freshRead           |
+      | recoverFromMajority |
+      | askRecovered        |
+      | waitForOpenCalls    |
+      | vouchByMajority     |
--- a/spec/steps/specification_steps.ts
+++ b/spec/steps/specification_steps.ts
@@ -2,10 +2,12 @@
 import {Then, When} from '@cucumber/cucumber';
 import assert from 'node:assert/strict';
 import {atMostOnce} from '../at_most_once.js';
+import {configurationForce} from '../configuration_force.js';
 import {configurationOrder} from '../configuration_order.js';
 import {escrow, ESCROW_RULES} from '../escrow.js';
 import {ejectionFloor} from '../ejection_floor.js';
 import {explore, rulesWithout, type Exploration} from '../explore.js';
+import {witnesses, WITNESS_RULES} from '../witnesses.js';
 
 interface SpecificationWorld {
   exploration: Exploration | undefined;
@@ -14,6 +16,7 @@
 /** Explores a specification without the named rule, or with all. */
 type Explorer = (without: string | undefined) => Exploration;
 
+const FORCE_RULES = ['vouchedOnly', 'floor'] as const;
 const ORDER_RULES = ['onlyForward', 'compare'] as const;
 const FLOOR_RULES = [
   'permitNeeded',
@@ -35,6 +38,10 @@
   escrow: without => explore(escrow(rulesWithout(ESCROW_RULES, without))),
   'at most once': without =>
     explore(atMostOnce(rulesWithout(CLAIM_RULES, without))),
+  witnesses: without =>
+    explore(witnesses(rulesWithout(WITNESS_RULES, without))),
+  'configuration in force': without =>
+    explore(configurationForce(rulesWithout(FORCE_RULES, without))),
   'configuration order': without =>
     explore(configurationOrder(rulesWithout(ORDER_RULES, without))),
   'ejection floor': without =>
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -20,8 +20,9 @@
 import {Claims} from '../idempotency/claims.js';
 import {Holders} from '../idempotency/holders.js';
 import {Ledger} from '../idempotency/ledger.js';
+import {createCallersServer} from '../http/callers.js';
+import {drainCallers} from '../http/drain.js';
 import {Health} from '../health/health.js';
-import {createCallersServer, drainCallers} from '../http/callers.js';
 import {close, listen} from '../http/listener.js';
 import type {Logger} from '../log/logger.js';
 import {FleetAuthority} from '../member/fleet_authority.js';
@@ -210,6 +211,7 @@
       vouches,
       keeper,
       onBehind: () => spread.compareNow(),
+      onAhead: () => watcher.tellWitnesses(),
     });
     const health: Health = new Health({
       instances: () => gate.instances.all(),
--- a/src/gate/gate.ts
+++ b/src/gate/gate.ts
@@ -69,7 +69,7 @@
     this.instances.start();
   }
 
-  /** Sends no new work to instances, and lets them announce elsewhere. */
+  /** Sends instances away, to announce to other daemons. */
   leave(): void {
     this.instances.leave();
   }
