--- /dev/null
+++ b/src/daemon/parts.ts
@@ -0,0 +1,239 @@
+/**
+ * Creates the parts of a daemon, group by group: what it needs to be one of
+ * the fleet, the configuration, the way of work, and the report.
+ */
+import {readFreshRevision} from '../configuration/fresh_revision.js';
+import {KeyFreshness} from '../configuration/freshness.js';
+import {ConfigurationKeeper} from '../configuration/keeper.js';
+import {Spread} from '../configuration/spread.js';
+import {StoreWatcher} from '../configuration/store_watcher.js';
+import {Gate} from '../gate/gate.js';
+import {Health} from '../health/health.js';
+import {Claims} from '../idempotency/claims.js';
+import {Holders} from '../idempotency/holders.js';
+import {Ledger} from '../idempotency/ledger.js';
+import type {Logger} from '../log/logger.js';
+import {FleetAuthority} from '../member/fleet_authority.js';
+import {WebSocketLinks} from '../member/links.js';
+import {SwimMembership} from '../member/membership.js';
+import {PeerClocks} from '../member/peer_clocks.js';
+import type {Metrics} from '../metrics/metrics.js';
+import {HttpStore} from '../platform/http_store.js';
+import {EscrowLimiter} from '../rates/escrow.js';
+import {BurnCounter} from '../report/counter.js';
+import {Handover} from '../report/handover.js';
+import {Backups} from '../router/backups.js';
+import {GateRecords} from '../router/gate_records.js';
+import {Gates} from '../router/gates.js';
+import {RetryBudget} from '../router/retry_budget.js';
+import type {Settings} from '../settings/schema.js';
+import type {BoundAddresses} from './servers.js';
+
+/** What the parts are made from. */
+export interface PartsOptions {
+  readonly settings: Settings;
+  readonly log: Logger;
+  readonly metrics: Metrics;
+}
+
+/** What makes a daemon one of the fleet. */
+interface FleetParts {
+  readonly store: HttpStore;
+  readonly links: WebSocketLinks;
+  readonly membership: SwimMembership;
+  readonly authority: FleetAuthority;
+}
+
+/** The configuration and how it spreads. */
+interface ConfigurationParts {
+  readonly keeper: ConfigurationKeeper;
+  readonly watcher: StoreWatcher;
+  readonly spread: Spread;
+  readonly freshness: KeyFreshness;
+}
+
+/** What callers' requests pass through. */
+interface WorkParts {
+  readonly limiter: EscrowLimiter;
+  readonly health: Health;
+  readonly gate: Gate;
+  readonly gates: Gates;
+  readonly backups: Backups;
+}
+
+/** Claims of idempotency keys, made and held. */
+interface ClaimParts {
+  readonly ledger: Ledger;
+  readonly claims: Claims;
+}
+
+/** Counts for the report. */
+interface ReportParts {
+  readonly burn: BurnCounter;
+  readonly handover: Handover;
+}
+
+/** All parts of a daemon. */
+export type Parts = FleetParts &
+  ConfigurationParts &
+  WorkParts &
+  ClaimParts &
+  ReportParts;
+
+/** Creates all parts; nothing runs before it is started. */
+export function createParts(
+  options: PartsOptions,
+  bound: BoundAddresses,
+): Parts {
+  const fleet = createFleetParts(options, bound);
+  const configuration = createConfigurationParts(options, fleet);
+  return {
+    ...fleet,
+    ...configuration,
+    ...createWorkParts(options, fleet, configuration.keeper),
+    ...createClaimParts(options, fleet),
+    ...createReportParts(options, fleet),
+  };
+}
+
+function createFleetParts(
+  {settings, log}: PartsOptions,
+  bound: BoundAddresses,
+): FleetParts {
+  const {dial, secret, seeds} = settings.peers;
+  const store = new HttpStore(settings.store);
+  const links = new WebSocketLinks({secret, dial, log: log.for('links')});
+  const membership = new SwimMembership({
+    self: selfRecord(settings, bound),
+    seeds,
+    links,
+    log: log.for('member'),
+  });
+  const authority = new FleetAuthority({
+    store,
+    links,
+    membership,
+    log: log.for('generations'),
+    readRevision: () => readFreshRevision(store),
+  });
+  return {store, links, membership, authority};
+}
+
+function createConfigurationParts(
+  options: PartsOptions,
+  {store, links, membership, authority}: FleetParts,
+): ConfigurationParts {
+  const log = options.log.for('configuration');
+  const {vouches} = authority;
+  const keeper = new ConfigurationKeeper(log);
+  const watcher = new StoreWatcher({keeper, membership, log, store, vouches});
+  const spread = new Spread({keeper, membership, log, links});
+  const freshness = new KeyFreshness({
+    vouches,
+    keeper,
+    onBehind: () => spread.compareNow(),
+    onAhead: () => watcher.tellWitnesses(),
+  });
+  return {keeper, watcher, spread, freshness};
+}
+
+function createWorkParts(
+  {settings, log, metrics}: PartsOptions,
+  {links, membership, authority}: FleetParts,
+  keeper: ConfigurationKeeper,
+): WorkParts {
+  const {generations, vouches} = authority;
+  const {dial, secret} = settings.peers;
+  const limiter = new EscrowLimiter({
+    self: membership.self(),
+    links,
+    generations,
+    vouches,
+    customer: id => keeper.tables().customer(id),
+    log: log.for('rates'),
+  });
+  const health: Health = new Health({
+    instances: () => gate.instances.all(),
+    links,
+    membership,
+    generations,
+    vouches,
+    floorOf: service => keeper.tables().service(service)?.floor,
+    onChange: () => gate.resize(),
+    metrics,
+    log: log.for('health'),
+  });
+  const gate = new Gate({
+    maxQueueMs: settings.limits.maxQueueMs,
+    maxQueuePerCustomer: settings.limits.maxQueuePerCustomer,
+    log: log.for('gate'),
+    health,
+    onSlots: ({full, spare}) =>
+      membership.update({slots: full, spareSlots: spare}),
+  });
+  const records = new GateRecords();
+  const budget = new RetryBudget();
+  const gates = new Gates({
+    own: gate,
+    membership,
+    links,
+    clocks: new PeerClocks(links),
+    records,
+    budget,
+    secret,
+    dial,
+  });
+  const backups = new Backups({budget, records, metrics});
+  return {limiter, health, gate, gates, backups};
+}
+
+function createClaimParts(
+  {settings}: PartsOptions,
+  {links, authority}: FleetParts,
+): ClaimParts {
+  const {generations, vouches} = authority;
+  const selfId = settings.daemon.id;
+  const retentionMs = settings.limits.idempotencyRetentionMs;
+  const holders = new Holders({selfId, generations, retentionMs});
+  generations.onChange(() => holders.refresh());
+  const ledger = new Ledger(retentionMs, name => holders.heldSinceMs(name));
+  const claims = new Claims({
+    selfId,
+    holders,
+    ledger,
+    links,
+    isCurrent: () => {
+      const vouched = vouches.current()?.generation;
+      return vouched === generations.current()?.number;
+    },
+  });
+  return {ledger, claims};
+}
+
+function createReportParts(
+  {log}: PartsOptions,
+  {links, membership}: FleetParts,
+): ReportParts {
+  const {id, incarnation} = membership.self();
+  const burn = new BurnCounter(id, incarnation);
+  const handover = new Handover({
+    counter: burn,
+    links,
+    membership,
+    log: log.for('report'),
+  });
+  return {burn, handover};
+}
+
+function selfRecord(settings: Settings, bound: BoundAddresses) {
+  return {
+    ...settings.daemon,
+    peersAddress: settings.advertise?.peers ?? bound.peers,
+    administrationAddress:
+      settings.advertise?.administration ?? bound.administration,
+    incarnation: Date.now(),
+    version: 1,
+    state: 'alive' as const,
+    slots: {},
+  };
+}
--- /dev/null
+++ b/src/daemon/servers.ts
@@ -0,0 +1,59 @@
+/** The four HTTP servers of a daemon and the addresses they listen on. */
+import {createServer, type Server} from 'node:http';
+import {createCallersServer} from '../http/callers.js';
+import {drainCallers} from '../http/drain.js';
+import {close, listen} from '../http/listener.js';
+
+/** Addresses that a daemon listens on, with the ports it was given. */
+export interface BoundAddresses {
+  readonly callers: string;
+  readonly administration: string;
+  readonly instances: string;
+  readonly peers: string;
+}
+
+/** Longer than peers keep idle connections, so that they close first. */
+const PEER_KEEP_ALIVE_MS = 30_000;
+
+/** The servers; parts register their handlers on them. */
+export class Servers {
+  readonly callers: Server;
+  readonly administration: Server;
+  readonly instances: Server;
+  readonly peers: Server;
+
+  constructor(maxHeaderBytes: number) {
+    const http = {maxHeaderSize: maxHeaderBytes};
+    this.callers = createCallersServer(maxHeaderBytes);
+    this.administration = createServer(http);
+    this.instances = createServer(http);
+    this.peers = createServer({
+      maxHeaderSize: maxHeaderBytes * 2,
+      requestTimeout: 0,
+      keepAliveTimeout: PEER_KEEP_ALIVE_MS,
+    });
+  }
+
+  /** Listens everywhere; throws `startFailed` with the part's name. */
+  async listen(addresses: BoundAddresses): Promise<BoundAddresses> {
+    const bind = (part: keyof BoundAddresses) =>
+      listen(this[part], addresses[part], part);
+    return {
+      callers: await bind('callers'),
+      administration: await bind('administration'),
+      instances: await bind('instances'),
+      peers: await bind('peers'),
+    };
+  }
+
+  /** Stops taking callers' requests; resolves when all were answered. */
+  async drainCallers(): Promise<void> {
+    await drainCallers(this.callers);
+  }
+
+  /** Closes the other servers; resolves when open requests have ended. */
+  async close(): Promise<void> {
+    const {administration, instances, peers} = this;
+    await Promise.all([administration, instances, peers].map(close));
+  }
+}
