Take the packed fields from the schemas

Cause: the list of packed fields stood beside the schemas; a field that is added to a record would have been lost in memory without a sign. The order matters only within a process, so the schemas give it.

--- a/src/configuration/packed_records.ts
+++ b/src/configuration/packed_records.ts
@@ -4,33 +4,36 @@
  * hashes of the record keys. A lookup unpacks one record.
  */
 import {Packr} from 'msgpackr';
-import type {
-  ConfigurationRecord,
-  RecordKind,
-  Route,
-  Service,
+import {
+  customerSchema,
+  keySchema,
+  routeSchema,
+  serviceSchema,
+  type ConfigurationRecord,
+  type RecordKind,
+  type Route,
+  type Service,
 } from './records.js';
 
 const KEY_ID_LENGTH = 16;
 
 const packr = new Packr({useRecords: false});
 
-/** Fixed order of fields by kind; new fields go to the end. */
+/** The fields of a schema, but for those that follow from others. */
+function fieldsBut(
+  {shape}: {readonly shape: object},
+  ...left: readonly string[]
+): readonly string[] {
+  return Object.keys(shape).filter(name => !left.includes(name));
+}
+
+/** The order of the fields, only known within the process. */
 const FIELDS: Readonly<Record<RecordKind, readonly string[]>> = {
-  customer: ['id', 'name', 'ratePerSecond', 'burst'],
+  customer: fieldsBut(customerSchema, 'kind'),
   // The id of a key is the beginning of its digest.
-  key: ['customer', 'digest', 'expiresAt'],
-  service: ['id', 'floor', 'objectiveSuccess', 'objectiveLatencyMs'],
-  route: [
-    'id',
-    'host',
-    'path',
-    'service',
-    'access',
-    'customers',
-    'idempotent',
-    'deadlineMs',
-  ],
+  key: fieldsBut(keySchema, 'kind', 'id'),
+  service: fieldsBut(serviceSchema, 'kind'),
+  route: fieldsBut(routeSchema, 'kind'),
 };
 
 /** Words that are packed as their index. */
