--- a/features/steps/fleet_steps.ts
+++ b/features/steps/fleet_steps.ts
@@ -1,5 +1,5 @@
 /** Steps that start a fleet and configure it. */
-import {Given} from '@cucumber/cucumber';
+import {Given, When} from '@cucumber/cucumber';
 import assert from 'node:assert/strict';
 import {until, type InstancePlan} from '../support/fleet.js';
 import type {World} from '../support/world.js';
@@ -93,3 +93,11 @@
     SETTLE_MS,
   );
 });
+
+When(
+  'daemon {string} is killed and started again',
+  async function (this: World, id: string) {
+    await this.fleet.daemon(id).process.end('SIGKILL');
+    await this.fleet.restartDaemon(id);
+  },
+);
