Let the demo say how the gray failure was found

Callers no longer see the failure: requests go elsewhere and the instance is ejected, so that the demo's row of zeros showed nothing. It now prints the grade that the daemon gave the instance.

--- a/bench/demo.ts
+++ b/bench/demo.ts
@@ -140,6 +140,9 @@
   await fleet.setFaults(address, {errorShare: 0.3, probeStatus: 200});
   say('ledger-1 now fails 30% of real requests; its probes still pass.');
   const errors = await errorsBySecond(key);
+  const {health} = await fleet.status('d1');
+  const found = health.find(({instance}) => instance === 'ledger-1');
+  say(`Daemon d1 found it by real work: its grade is "${found?.grade}" now.`);
   say(`Errors that callers saw, second by second: ${errors.join(', ')}.`);
   await fleet.setFaults(address, {});
 }
