Look at each member by itself before a generation changes

Cause: a generation changed once the whole view had stood still for 3 s. A daemon that merely restarted lost its shares, which stay closed for seconds when they move (rate-unknown in a rolling restart); and in a fleet where some daemon restarts every few seconds the view never stands still, so no generation would ever be written. Now a daemon must be away for 8 s before it loses its duties, and a joining one there for 3 s, whatever others do. Ruled out: one longer time for the whole view, which makes the second fault worse.

--- a/src/member/generation_plan.ts
+++ b/src/member/generation_plan.ts
@@ -1,6 +1,6 @@
 /**
- * What the next generation should be: the members that are alive, and a
- * stable choice of witnesses spread over the failure domains.
+ * What the next generation should be: its members, and a stable choice of
+ * witnesses spread over the failure domains.
  */
 import {
   witnessesOf,
@@ -13,15 +13,11 @@
 const MAX_WITNESSES_PER_DOMAIN = 3;
 const MAX_WITNESSES = 9;
 
-/** The generation after `current` for this view of the fleet. */
+/** The generation after `current` with the given members, sorted by id. */
 export function planGeneration(
   current: Generation | undefined,
-  alive: readonly MemberRecord[],
+  members: readonly GenerationMember[],
 ): Generation {
-  const members = alive
-    .filter(record => record.state === 'alive')
-    .map(toMember)
-    .toSorted((a, b) => (a.id < b.id ? -1 : 1));
   return {
     number: (current?.number ?? 0) + 1,
     members,
@@ -30,6 +26,13 @@
   };
 }
 
+/** The members among which the fleet's duties can be shared out. */
+export function dutiableMembers(
+  records: readonly MemberRecord[],
+): readonly GenerationMember[] {
+  return records.filter(record => record.state === 'alive').map(toMember);
+}
+
 /** True if two generations have the same members at the same addresses. */
 export function sameMembers(a: Generation, b: Generation): boolean {
   return JSON.stringify(a.members) === JSON.stringify(b.members);
--- a/src/member/generation_writer.ts
+++ b/src/member/generation_writer.ts
@@ -12,8 +12,13 @@
 import type {Store} from '../platform/store.js';
 import {generationSchema, type Generation, type Vouches} from './generation.js';
 import type {GenerationKeeper} from './generation_keeper.js';
-import {planGeneration, sameMembers} from './generation_plan.js';
+import {
+  dutiableMembers,
+  planGeneration,
+  sameMembers,
+} from './generation_plan.js';
 import type {Membership} from './membership.js';
+import {SettledMembers} from './settled_members.js';
 import {rankMembers} from './rendezvous.js';
 
 /** Options of {@link GenerationWriter}. */
@@ -34,8 +39,6 @@
 const GENERATION_KEY = 'fleet/generation';
 const ROUND_PAUSE_MS = 250;
 const STORE_RETRY_PAUSE_MS = 1000;
-const FIRST_STABLE_MS = 1000;
-const STABLE_MS = 3000;
 /** What was lent under the generation before must have expired as well. */
 const GRACE_MS = 2500;
 
@@ -51,8 +54,7 @@
 export class GenerationWriter {
   readonly #options: GenerationWriterOptions;
   readonly #stopped = new AbortController();
-  #lastView = '';
-  #viewSinceMs = 0;
+  readonly #settled = new SettledMembers();
 
   constructor(options: GenerationWriterOptions) {
     this.#options = options;
@@ -83,30 +85,24 @@
   async #round(): Promise<void> {
     const {keeper, membership} = this.#options;
     const current = keeper.current();
-    const next = planGeneration(current, membership.members());
-    if (current && sameMembers(current, next)) {
-      this.#lastView = '';
-      return;
-    }
-    if (!this.#isStable(next) || !this.#isFirst(next)) return;
+    const members = this.#settled.settle(
+      current?.members,
+      dutiableMembers(membership.members()),
+      performance.now(),
+    );
+    if (members.length === 0) return;
+    const next = planGeneration(current, members);
+    if (current && sameMembers(current, next)) return;
+    if (!this.#isFirst(next)) return;
     if (current && !this.#isInForce(current)) return;
     await this.#write(current, next);
   }
 
-  /** True once the view has not changed for long enough. */
-  #isStable(next: Generation): boolean {
-    const view = JSON.stringify(next.members);
-    const nowMs = performance.now();
-    if (view !== this.#lastView) {
-      this.#lastView = view;
-      this.#viewSinceMs = nowMs;
-    }
-    const neededMs = next.number === 1 ? FIRST_STABLE_MS : STABLE_MS;
-    return nowMs - this.#viewSinceMs >= neededMs;
-  }
-
+  /** The best of those that are alive writes; all rank them alike. */
   #isFirst(next: Generation): boolean {
-    const ranked = rankMembers('generation', next.members);
+    const {membership} = this.#options;
+    const alive = next.members.filter(({id}) => membership.member(id));
+    const ranked = rankMembers('generation', alive);
     return ranked[0]?.id === this.#options.membership.self().id;
   }
 
