Decide on access once, and signal backups without AbortSignal.any

Cause: a profile named the second look-up of the key at the send (0.2 ms) and an AbortSignal.any for each request. Tables never change, so the decision is repeated only when newer ones are in force; a plain listener passes the cancel on.

--- a/src/router/backups.ts
+++ b/src/router/backups.ts
@@ -98,13 +98,16 @@
 
   #send({memberId, door}: Candidate, work: Work): Send {
     const cancelled = new AbortController();
-    const signal = AbortSignal.any([work.signal, cancelled.signal]);
+    const cancel = () => cancelled.abort();
+    // Cheaper than AbortSignal.any, which is felt on every request.
+    work.signal.addEventListener('abort', cancel, {once: true});
+    if (work.signal.aborted) cancel();
     const startedAtMs = performance.now();
-    const outcome = door.run({...work, signal});
+    const outcome = door.run({...work, signal: cancelled.signal});
     void outcome
       .then(ended => this.#note(memberId, work, ended, startedAtMs))
       .catch(() => undefined);
-    return {memberId, outcome, cancel: () => cancelled.abort()};
+    return {memberId, outcome, cancel};
   }
 
   #note(memberId: string, work: Work, outcome: Outcome, atMs: number): void {
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -119,6 +119,7 @@
     // The key may have been withdrawn while a slow body came.
     const still = received.body ? this.#access(req) : access;
     if (!still.granted) return this.#deny(visit, still);
+    const decidedBy = this.#options.tables();
     const admission = customer && (await this.#options.limiter.admit(customer));
     if (admission && !admission.admitted) {
       const {reason, retryAfterMs} = admission;
@@ -128,7 +129,7 @@
     const key = keyOf(req);
     const {requestId, res} = visit;
     const {body} = received;
-    const token = admission && this.#guard(admission.token, req);
+    const token = admission && this.#guard(admission.token, req, decidedBy);
     const detail = {requestId, route, customer, key, body, deadlineAtMs, token};
     await this.#run(visit, makeWork(req, res, detail), access);
   }
@@ -150,8 +151,13 @@
     return decideAccess(tables, {host, path, key}, areKeysFresh);
   }
 
-  #guard(token: RateToken, req: IncomingMessage): RateToken {
-    return new GuardedToken(token, () => this.#access(req).granted);
+  /** Tables never change, so only newer ones need another decision. */
+  #guard(token: RateToken, req: IncomingMessage, decidedBy: Tables): RateToken {
+    const {areKeysFresh, tables} = this.#options;
+    return new GuardedToken(token, () => {
+      const isSame = areKeysFresh() && tables() === decidedBy;
+      return isSame || this.#access(req).granted;
+    });
   }
 
   #deny(visit: Visit, {refusal}: Denied): void {
