--- a/features/network.feature
+++ b/features/network.feature
@@ -13,6 +13,7 @@
       route;ledger;;;;;/ledger;ledger-read
       """
     And a key for "can-tho"
+    And "can-tho" is served through "d1 d2 d3"
     When what "d1" sends to "d3" is lost
     And "can-tho" requests "/ledger/balances" from daemon "d1"
     Then the answer is 200 from instance "ledger-1"
--- a/src/daemon/connect.ts
+++ b/src/daemon/connect.ts
@@ -76,7 +76,7 @@
     membership,
     store,
     log: log.for('administration'),
-    isReady: () => keeper.tables().revision > 0,
+    isReady: () => keeper.tables().revision > 0 && freshness.isFresh(),
     status: {
       generation: () => generations.current()?.number ?? 0,
       vouched: () => vouches.current() !== undefined,
