Wait for the generation to change in the rates feature, not for time

A daemon is now away for 8 s before it loses its duties, so 16 s would not always have seen the change that the scenario is about.

--- a/features/rates.feature
+++ b/features/rates.feature
@@ -82,10 +82,14 @@
     Scenario: The generation changes in the midst
       When "can-tho" sends 120 requests a second through "d1 d2"
       And 1 s pass
+      And the generation of daemon "d1" is noted
       And daemon "d3" is killed
-      And 16 s pass
+      And daemon "d1" has a newer generation within 30 s
+      And 8 s pass
+      And the generation of daemon "d1" is noted
       And daemon "d3" is started again
-      And 16 s pass
+      And daemon "d1" has a newer generation within 30 s
+      And 8 s pass
       And all load ends
       Then "can-tho" started at most 30 + 40 a second in every window
       And at least 900 requests of "can-tho" were served
--- a/features/steps/membership_steps.ts
+++ b/features/steps/membership_steps.ts
@@ -76,6 +76,28 @@
   },
 );
 
+const noted = new WeakMap<World, number>();
+
+When(
+  'the generation of daemon {string} is noted',
+  async function (this: World, id: string) {
+    const {generation} = await this.fleet.status(id);
+    noted.set(this, generation);
+  },
+);
+
+When(
+  'daemon {string} has a newer generation within {int} s',
+  async function (this: World, id: string, seconds: number) {
+    const before = noted.get(this) ?? 0;
+    await until(
+      `daemon ${id} has a generation above ${before}`,
+      async () => (await this.fleet.status(id)).generation > before,
+      seconds * 1000,
+    );
+  },
+);
+
 Then(
   'every daemon knows exactly {string} within {int} s',
   async function (this: World, expected: string, seconds: number) {
