--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -5,6 +5,7 @@
  */
 import {connect, type ConnectOptions} from './connect.js';
 import {createParts, type Parts} from './parts.js';
+import {StateGauges} from './state_gauges.js';
 import {Servers, type BoundAddresses} from './servers.js';
 import type {Router} from '../router/router.js';
 
@@ -17,6 +18,7 @@
   readonly #servers: Servers;
   #parts: Parts | undefined;
   #router: Router | undefined;
+  #gauges: StateGauges | undefined;
 
   constructor(options: ConnectOptions) {
     this.#options = options;
@@ -29,6 +31,8 @@
     const parts = createParts(this.#options, bound);
     this.#parts = parts;
     this.#router = connect(this.#options, parts, this.#servers);
+    this.#gauges = new StateGauges(parts, this.#options.metrics);
+    this.#gauges.start();
     parts.membership.start();
     parts.watcher.start();
     parts.spread.start();
@@ -57,6 +61,7 @@
     await parts.health.stop();
     await parts.gates.stop();
     await parts.handover.handOver();
+    this.#gauges?.stop();
     parts.watcher.stop();
     parts.spread.stop();
     parts.limiter.stop();
