Run on the platform: mesh daemon, adapter and deploy file

Cause: the users' platform has no control VM and no disk; the product's own fleet needs witnesses, generations and a sheet there, none of which the platform needs. A mesh daemon reserves slots at gates before it sends, shares limits through owners, and learns configuration from the store or from peers.

--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -1,7 +1,8 @@
 /**
  * Bundles the program and the stand-ins into dist/. With --binary it also
  * makes the single executable; with --mutant NAME it bundles the program
- * with the modules of features/mutants/NAME put in place of the real ones.
+ * with the modules of features/mutants/NAME put in place of the real ones;
+ * with --platform it only bundles the program, into target/.
  */
 import {execFileSync} from 'node:child_process';
 import {existsSync} from 'node:fs';
@@ -45,11 +46,11 @@
   };
 }
 
-async function bundleProgram() {
+async function bundleProgram(folder = dist) {
   await build({
     ...common,
     entryPoints: [path.join(root, 'src/main.ts')],
-    outfile: path.join(dist, 'chicorycourse.cjs'),
+    outfile: path.join(folder, 'chicorycourse.cjs'),
   });
 }
 
@@ -108,7 +109,9 @@
 }
 
 const mutantIndex = process.argv.indexOf('--mutant');
-if (mutantIndex > 0) {
+if (process.argv.includes('--platform')) {
+  await bundleProgram(path.join(root, 'target'));
+} else if (mutantIndex > 0) {
   await bundleMutant(process.argv[mutantIndex + 1]);
 } else {
   await bundleProgram();
--- a/src/http/listener.ts
+++ b/src/http/listener.ts
@@ -8,13 +8,14 @@
   server: Server,
   address: string,
   part: string,
+  backlog?: number,
 ): Promise<string> {
   const {host, port} = parseAddress(address);
   return new Promise((resolve, reject) => {
     server.once('error', err => {
       reject(new Failure('startFailed', {part, reason: reasonOf(err)}, err));
     });
-    server.listen(port, host, () => {
+    server.listen(port, host, backlog, () => {
       const bound = server.address();
       const boundPort = typeof bound === 'object' ? bound?.port : port;
       resolve(`${host}:${boundPort}`);
--- /dev/null
+++ b/src/log/decision_log.ts
@@ -0,0 +1,97 @@
+/**
+ * Structured decision log: one JSON object a line for each decision that
+ * touches a request or changes what the daemon believes. Ordinary lines are
+ * limited per second; refusals and failures have an allowance of their own,
+ * so that a busy second can't hide them. Printed through consola.
+ */
+import {createConsola, type ConsolaInstance} from 'consola';
+import {LineSink} from './line_sink.js';
+
+/** Values of a line. */
+export type LogFields = Readonly<Record<string, unknown>>;
+
+/** What a part needs to tell its decisions. */
+export interface DecisionLog {
+  /** An ordinary step of a request; the first to be left out under load. */
+  step(event: string, fields: LogFields): void;
+  /** A refusal or failure that a caller sees. */
+  failure(event: string, fields: LogFields): void;
+  /** A change of what this daemon believes, or of its own life. */
+  belief(event: string, fields: LogFields): void;
+}
+
+/** The kinds of lines and how many of each are kept in one second. */
+const LINES_PER_S = {step: 40, failure: 200, belief: 100} as const;
+type Kind = keyof typeof LINES_PER_S;
+
+const STDOUT_FD = 1;
+const SECOND_MS = 1000;
+
+/** Lines of one kind in the present second. */
+interface Meter {
+  secondStartedAtMs: number;
+  kept: number;
+  leftOut: number;
+}
+
+/** The decision log of a process; `vm` names it on each line. */
+export class StdoutDecisionLog implements DecisionLog {
+  readonly #consola: ConsolaInstance;
+  readonly #sink = new LineSink(STDOUT_FD);
+  readonly #vm: string;
+  readonly #meters: Readonly<Record<Kind, Meter>> = {
+    step: {secondStartedAtMs: 0, kept: 0, leftOut: 0},
+    failure: {secondStartedAtMs: 0, kept: 0, leftOut: 0},
+    belief: {secondStartedAtMs: 0, kept: 0, leftOut: 0},
+  };
+
+  constructor(vm: string) {
+    this.#vm = vm;
+    this.#consola = createConsola({
+      throttle: 0,
+      reporters: [{log: entry => this.#sink.add(String(entry.args[0]))}],
+    });
+  }
+
+  step(event: string, fields: LogFields): void {
+    this.#line('step', event, fields);
+  }
+
+  failure(event: string, fields: LogFields): void {
+    this.#line('failure', event, fields);
+  }
+
+  belief(event: string, fields: LogFields): void {
+    this.#line('belief', event, fields);
+  }
+
+  #line(kind: Kind, event: string, fields: LogFields): void {
+    const nowMs = performance.now();
+    const meter = this.#meters[kind];
+    if (nowMs - meter.secondStartedAtMs >= SECOND_MS) {
+      const {leftOut} = meter;
+      Object.assign(meter, {secondStartedAtMs: nowMs, kept: 0, leftOut: 0});
+      if (leftOut > 0) this.#print('log-limited', {kind, leftOut});
+    }
+    if (meter.kept >= LINES_PER_S[kind]) {
+      meter.leftOut += 1;
+      return;
+    }
+    meter.kept += 1;
+    this.#print(event, fields);
+  }
+
+  #print(event: string, fields: LogFields): void {
+    const atMs = Math.round(performance.now());
+    const time = new Date().toISOString();
+    const line = {time, atMs, vm: this.#vm, event, ...fields};
+    this.#consola.log(JSON.stringify(line));
+  }
+}
+
+/** A log that goes nowhere, for tests. */
+export const silentLog: DecisionLog = {
+  step: () => undefined,
+  failure: () => undefined,
+  belief: () => undefined,
+};
--- a/src/main.ts
+++ b/src/main.ts
@@ -9,6 +9,7 @@
 import {serve} from './commands/serve.js';
 import {EXIT_CODES} from './errors/catalogue.js';
 import {Failure, reasonOf, RemoteFailure} from './errors/failure.js';
+import {serveMesh} from '../platform/serve_mesh.js';
 import {VERSION} from './version.js';
 
 const app = subcommands({
@@ -17,6 +18,7 @@
   version: VERSION,
   cmds: {
     serve,
+    'serve-mesh': serveMesh,
     check,
     apply,
     customer,
--- /dev/null
+++ b/src/mesh/gate/gate.ts
@@ -0,0 +1,253 @@
+/**
+ * The gate stands before the one backend server of its VM; every request to
+ * that server passes it. It alone knows the free slots, judges the server by
+ * its real work, and stops new work the moment that the server leaves.
+ */
+import type {DecisionLog} from '../../log/decision_log.js';
+import type {MeshMetrics} from '../mesh_metrics.js';
+import type {Announcement, BackendStatus} from '../model.js';
+import {BackendIdentity, type Identity} from './backend_identity.js';
+import type {Exchange} from './exchange.js';
+import {ResponseTimes} from './response_times.js';
+import {SlotQueue, type Slot} from './slot_queue.js';
+import {Suspicion, type FailureSign} from './suspicion.js';
+import {
+  declined,
+  type Declined,
+  type GateClient,
+  type Outcome,
+  type Reservation,
+  type SlotRequest,
+  type Work,
+} from './work.js';
+
+/** What a gate is made from. */
+export interface GateOptions {
+  /** The service of this VM's backend server. */
+  readonly service: string;
+  readonly exchange: Exchange;
+  readonly log: DecisionLog;
+  readonly metrics: MeshMetrics;
+  /** Called when routers should hear of a change at once. */
+  readonly onChange: () => void;
+}
+
+/** A reserved slot that isn't used within this time is free again. */
+const RESERVATION_MS = 500;
+
+/** The gate of one VM. */
+export class Gate implements GateClient {
+  readonly #options: GateOptions;
+  readonly #identity = new BackendIdentity();
+  readonly #slots = new SlotQueue();
+  readonly #suspicion = new Suspicion();
+  readonly #times = new ResponseTimes();
+  #isStopping = false;
+
+  constructor(options: GateOptions) {
+    this.#options = options;
+  }
+
+  /** What routers need to know; undefined before the first heartbeat. */
+  get status(): BackendStatus | undefined {
+    const known = this.#identity.known;
+    if (!known) return undefined;
+    const nowMs = performance.now();
+    return {
+      instance: known.instance,
+      service: known.service,
+      state: this.#isStopping ? 'draining' : known.state,
+      slots: known.slots,
+      isCold: nowMs < known.coldUntilMs,
+      trust: this.#suspicion.trust(nowMs),
+      running: this.#slots.running,
+      waiting: this.#slots.waiting,
+      holdMs: Math.round(this.#slots.holdMs),
+    };
+  }
+
+  /** Whether requests hold slots or wait for one. */
+  get isIdle(): boolean {
+    return this.#slots.running + this.#slots.waiting === 0;
+  }
+
+  /** Takes a heartbeat of the backend server in. */
+  announce(heartbeat: Announcement): void {
+    if (heartbeat.service !== this.#options.service) return;
+    const before = this.#identity.known;
+    if (!this.#identity.announce(heartbeat, performance.now())) return;
+    this.#adopt(before);
+  }
+
+  /** Takes over what a probe of the health path found. */
+  found(instance: string, slots: number): void {
+    const before = this.#identity.known;
+    const {service} = this.#options;
+    const state = 'ready';
+    this.#identity.found({instance, service, slots, state, coldUntilMs: 0});
+    this.#adopt(before);
+  }
+
+  /** The instance goes; nothing new is sent to it from now on. */
+  leave(instance: string): void {
+    const before = this.#identity.known;
+    this.#identity.leave(instance);
+    this.#adopt(before);
+  }
+
+  /** Gives no more slots; what runs is finished. */
+  stopTaking(): void {
+    this.#isStopping = true;
+    this.#options.onChange();
+  }
+
+  async reserve(
+    request: SlotRequest,
+    signal: AbortSignal,
+  ): Promise<Reservation | Declined> {
+    const refusal = this.#refusal(request.service);
+    if (refusal) return refusal;
+    const {priority, patienceMs} = request;
+    const slot = await this.#slots.take({priority, patienceMs, signal});
+    if (slot.kind === 'declined') return slot;
+    const late = this.#refusal(request.service);
+    if (!late) return this.#reservation(request, slot);
+    slot.release();
+    return late;
+  }
+
+  #refusal(service: string): Declined | undefined {
+    const known = this.#identity.known;
+    if (this.#isStopping) return declined('stopping');
+    if (!known || known.service !== service) return declined('no-instance');
+    if (known.state === 'draining') return declined('leaving');
+    if (known.state === 'down') return declined('no-instance');
+    return undefined;
+  }
+
+  #adopt(before: Identity | undefined): void {
+    const now = this.#identity.known;
+    if (!now) return;
+    this.#slots.resize(now.slots);
+    const isSame =
+      before?.instance === now.instance && before.state === now.state;
+    if (isSame) return;
+    const {instance, service, state, slots, sequence} = now;
+    const fields = {instance, service, state, slots, sequence};
+    this.#options.log.belief('backend-state', fields);
+    this.#options.onChange();
+  }
+
+  #reservation(request: SlotRequest, slot: Slot): Reservation {
+    const instance = this.#identity.known?.instance ?? '';
+    const {route, objectiveMs} = request;
+    const expiresAtMs = performance.now() + RESERVATION_MS;
+    const expiry = setTimeout(() => slot.release(), RESERVATION_MS);
+    return {
+      kind: 'reserved',
+      instance,
+      lateAfterMs: this.#times.lateAfterMs(route, objectiveMs),
+      release: () => {
+        clearTimeout(expiry);
+        slot.release();
+      },
+      run: async (work, signal) => {
+        clearTimeout(expiry);
+        // After a pause of the process this may run before the timer does.
+        if (performance.now() > expiresAtMs) {
+          slot.release();
+          return notRun(instance, 'reservation expired');
+        }
+        return this.#run(request, work, {instance, slot, signal});
+      },
+    };
+  }
+
+  async #run(
+    request: SlotRequest,
+    work: Work,
+    held: {
+      readonly instance: string;
+      readonly slot: Slot;
+      readonly signal: AbortSignal;
+    },
+  ): Promise<Outcome> {
+    const {instance, slot, signal} = held;
+    const {route, objectiveMs} = request;
+    if (signal.aborted || this.#identity.known?.instance !== instance) {
+      slot.release();
+      return notRun(instance, signal.aborted ? 'cancelled' : 'replaced');
+    }
+    const sentAtMs = performance.now();
+    const hangAfterMs = this.#times.hangAfterMs(route, objectiveMs);
+    const watch = setTimeout(() => {
+      this.#failed('hang', request, {instance, afterMs: hangAfterMs});
+    }, hangAfterMs);
+    const outcome = await this.#options.exchange.run(work, {instance, signal});
+    clearTimeout(watch);
+    slot.release();
+    this.#learn(request, outcome, sentAtMs);
+    return outcome;
+  }
+
+  #learn(request: SlotRequest, outcome: Outcome, sentAtMs: number): void {
+    const {instance} = outcome;
+    const tookMs = performance.now() - sentAtMs;
+    this.#options.metrics.instanceAnswered(request.route, outcome.kind, tookMs);
+    if (outcome.kind === 'answered' && outcome.status < 500) {
+      this.#times.add(request.route, tookMs);
+      this.#succeeded(sentAtMs);
+      return;
+    }
+    const sign = failureSign(outcome);
+    if (!sign) return;
+    const reason =
+      outcome.kind === 'answered' ? outcome.status : outcome.reason;
+    this.#failed(sign, request, {instance, reason, afterMs: tookMs});
+    const isGone = outcome.kind === 'not-run' && !outcome.hasArrived;
+    if (!isGone) return;
+    this.#identity.refusedConnection();
+    this.#options.log.belief('backend-state', {instance, state: 'down'});
+    this.#options.onChange();
+  }
+
+  #succeeded(sentAtMs: number): void {
+    const before = this.#suspicion.trust(performance.now());
+    this.#suspicion.succeeded(sentAtMs);
+    const after = this.#suspicion.trust(performance.now());
+    if (before !== after) this.#trustChanged(after, {});
+  }
+
+  #failed(
+    sign: FailureSign,
+    request: SlotRequest,
+    detail: Readonly<Record<string, unknown>>,
+  ): void {
+    const nowMs = performance.now();
+    const before = this.#suspicion.trust(nowMs);
+    this.#suspicion.failed(sign, nowMs);
+    if (before === 'suspect') return;
+    const {requestId, route} = request;
+    this.#trustChanged('suspect', {sign, id: requestId, route, ...detail});
+  }
+
+  #trustChanged(
+    trust: string,
+    detail: Readonly<Record<string, unknown>>,
+  ): void {
+    this.#options.metrics.trustChanged(trust);
+    this.#options.log.belief('backend-trust', {trust, ...detail});
+    this.#options.onChange();
+  }
+}
+
+function notRun(instance: string, reason: string): Outcome {
+  return {kind: 'not-run', instance, reason, hasArrived: false};
+}
+
+/** How an outcome speaks against the instance, if it does. */
+function failureSign(outcome: Outcome): FailureSign | undefined {
+  if (outcome.kind === 'answered') return 'error';
+  if (outcome.reason === 'cancelled') return undefined;
+  return outcome.kind === 'unknown' ? 'broken' : 'rejected';
+}
--- /dev/null
+++ b/src/mesh/gate/slot_queue.ts
@@ -0,0 +1,105 @@
+/**
+ * The slots of one instance and the line of requests that wait for one. The
+ * most urgent goes first, then the oldest. A request that can't get a slot
+ * within its patience is turned away when it comes, not after waiting.
+ */
+import PQueue from 'p-queue';
+import {declined, type Declined} from './work.js';
+
+/** A held slot. */
+export interface Slot {
+  readonly kind: 'slot';
+  release(): void;
+}
+
+/** Who wants a slot. */
+export interface Waiter {
+  /** 0 is the most urgent. */
+  readonly priority: number;
+  readonly patienceMs: number;
+  readonly signal: AbortSignal;
+}
+
+/** Weight of the newest hold time in the mean. */
+const GAIN = 0.1;
+/** Mean hold time before any request has ended, in milliseconds. */
+const FIRST_HOLD_MS = 200;
+
+/** Slots and line of one instance. */
+export class SlotQueue {
+  readonly #queue = new PQueue({concurrency: 1});
+  #slots = 1;
+  #waiting = 0;
+  #holdMs = FIRST_HOLD_MS;
+
+  get running(): number {
+    return this.#queue.pending;
+  }
+
+  /** Requests in line; those that left it early don't count. */
+  get waiting(): number {
+    return this.#waiting;
+  }
+
+  get slots(): number {
+    return this.#slots;
+  }
+
+  /** Mean time that a request holds a slot. */
+  get holdMs(): number {
+    return this.#holdMs;
+  }
+
+  resize(slots: number): void {
+    if (slots === this.#slots) return;
+    this.#slots = slots;
+    this.#queue.concurrency = slots;
+  }
+
+  /** How long one more request would wait for a slot. */
+  expectedWaitMs(): number {
+    const ahead = this.running + this.waiting - this.#slots + 1;
+    return ahead <= 0 ? 0 : (ahead / this.#slots) * this.#holdMs;
+  }
+
+  /** Waits for a slot; declines at once what would wait too long. */
+  take(waiter: Waiter): Promise<Slot | Declined> {
+    const {priority, patienceMs, signal} = waiter;
+    const waitMs = this.expectedWaitMs();
+    if (signal.aborted) return Promise.resolve(declined('withdrawn'));
+    if (waitMs > patienceMs) return Promise.resolve(declined('busy', waitMs));
+    return new Promise(resolve => {
+      let isSettled = false;
+      const settle = (result: Slot | Declined) => {
+        if (isSettled) return;
+        isSettled = true;
+        this.#waiting -= 1;
+        clearTimeout(timer);
+        signal.removeEventListener('abort', onAbort);
+        resolve(result);
+      };
+      const onAbort = () => settle(declined('withdrawn'));
+      const timer = setTimeout(
+        () => settle(declined('busy', this.expectedWaitMs())),
+        Math.max(1, patienceMs),
+      );
+      signal.addEventListener('abort', onAbort, {once: true});
+      const hold = () => (isSettled ? Promise.resolve() : this.#hold(settle));
+      this.#waiting += 1;
+      void this.#queue.add(hold, {priority: -priority});
+    });
+  }
+
+  /** Resolves when the slot is released. */
+  #hold(settle: (slot: Slot) => void): Promise<void> {
+    const sinceMs = performance.now();
+    return new Promise(resolve => {
+      const release = () => {
+        const heldMs = performance.now() - sinceMs;
+        this.#holdMs += GAIN * (heldMs - this.#holdMs);
+        resolve();
+      };
+      settle({kind: 'slot', release});
+    });
+  }
+}
--- /dev/null
+++ b/src/mesh/mesh_metrics.ts
@@ -0,0 +1,93 @@
+/**
+ * Counters and histograms of a daemon, served as text in the format of
+ * Prometheus. docs/OPERATIONS.md lists every name.
+ */
+import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+
+/** Upper bounds in seconds; the latency objectives lie between 0.2 and 1.5. */
+const LATENCY_BUCKETS_S = [
+  0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1, 1.5, 2, 3, 5,
+];
+
+/** Everything that a daemon counts. */
+export class MeshMetrics {
+  readonly #registry = new Registry();
+  readonly #requests = new Counter({
+    name: 'chicorycourse_requests_total',
+    help: 'Requests answered to callers, by route, status and reason',
+    labelNames: ['route', 'status', 'reason'],
+    registers: [this.#registry],
+  });
+  readonly #latency = new Histogram({
+    name: 'chicorycourse_request_seconds',
+    help: 'Time from the request of a caller to its answer',
+    labelNames: ['route'],
+    buckets: LATENCY_BUCKETS_S,
+    registers: [this.#registry],
+  });
+  readonly #instance = new Histogram({
+    name: 'chicorycourse_instance_seconds',
+    help: 'Time that the instance of this VM took, by outcome',
+    labelNames: ['route', 'outcome'],
+    buckets: LATENCY_BUCKETS_S,
+    registers: [this.#registry],
+  });
+  readonly #repeats = new Counter({
+    name: 'chicorycourse_repeats_total',
+    help: 'Requests that were sent to a further instance, by reason',
+    labelNames: ['route', 'reason'],
+    registers: [this.#registry],
+  });
+  readonly #trust = new Counter({
+    name: 'chicorycourse_backend_trust_changes_total',
+    help: 'Changes of the trust in the instance of this VM',
+    labelNames: ['trust'],
+    registers: [this.#registry],
+  });
+  readonly #store = new Counter({
+    name: 'chicorycourse_store_calls_total',
+    help: 'Calls to the store, by operation and outcome',
+    labelNames: ['operation', 'outcome'],
+    registers: [this.#registry],
+  });
+  readonly #version = new Gauge({
+    name: 'chicorycourse_configuration_version',
+    help: 'Version of the configuration in force',
+    registers: [this.#registry],
+  });
+
+  answered(
+    route: string,
+    status: number,
+    reason: string,
+    tookMs: number,
+  ): void {
+    this.#requests.inc({route, status: String(status), reason});
+    this.#latency.observe({route}, tookMs / 1000);
+  }
+
+  instanceAnswered(route: string, outcome: string, tookMs: number): void {
+    this.#instance.observe({route, outcome}, tookMs / 1000);
+  }
+
+  repeated(route: string, reason: string): void {
+    this.#repeats.inc({route, reason});
+  }
+
+  trustChanged(trust: string): void {
+    this.#trust.inc({trust});
+  }
+
+  storeCalled(operation: string, outcome: string): void {
+    this.#store.inc({operation, outcome});
+  }
+
+  configurationInForce(version: number): void {
+    this.#version.set(version);
+  }
+
+  /** The whole text. */
+  text(): Promise<string> {
+    return this.#registry.metrics();
+  }
+}
--- /dev/null
+++ b/src/mesh/peers/peers.ts
@@ -0,0 +1,91 @@
+/**
+ * All other daemons that this one knows: from the registry in the store, and
+ * from daemons that connected by themselves. Each has a link with a task of
+ * its own. A daemon that is neither listed nor heard for a while is dropped.
+ */
+import type {DecisionLog} from '../../log/decision_log.js';
+import type {ShareAnswer, ShareRequest} from '../limits/shared_limits.js';
+import type {Vm} from '../model.js';
+import {PeerLink} from './peer_link.js';
+
+/** What the peers are made from. */
+export interface PeersOptions {
+  readonly self: Vm;
+  readonly log: DecisionLog;
+  readonly onStatus: (link: PeerLink) => void;
+}
+
+/** A peer out of reach counts as gone after this, unless it is listed. */
+const FORGET_MS = 15_000;
+
+interface Known {
+  readonly link: PeerLink;
+  listedAtMs: number;
+}
+
+/** The links to all peers. */
+export class Peers {
+  readonly #options: PeersOptions;
+  readonly #known = new Map<string, Known>();
+
+  constructor(options: PeersOptions) {
+    this.#options = options;
+  }
+
+  get selfId(): string {
+    return this.#options.self.id;
+  }
+
+  /** All links, also those out of reach. */
+  get links(): readonly PeerLink[] {
+    return [...this.#known.values()].map(({link}) => link);
+  }
+
+  reachable(): readonly string[] {
+    return this.links.filter(link => link.isReachable).map(link => link.vm.id);
+  }
+
+  /** How many daemons there are, with this one. */
+  knownCount(): number {
+    return this.#known.size + 1;
+  }
+
+  async ask(id: string, ask: ShareRequest): Promise<ShareAnswer | undefined> {
+    return this.#known.get(id)?.link.ask(ask);
+  }
+
+  /** Takes in a daemon that is listed or that connected. */
+  learn(vm: Vm): void {
+    if (vm.id === this.selfId) return;
+    const known = this.#known.get(vm.id);
+    if (known?.link.vm.address === vm.address) {
+      known.listedAtMs = performance.now();
+      return;
+    }
+    known?.link.stop();
+    const {self, log, onStatus} = this.#options;
+    const link = new PeerLink({self, peer: vm, log, onStatus});
+    this.#known.set(vm.id, {link, listedAtMs: performance.now()});
+    void link.run();
+  }
+
+  /** Takes in a whole list, and drops who is neither listed nor heard. */
+  listed(vms: readonly Vm[]): void {
+    vms.forEach(vm => this.learn(vm));
+    const nowMs = performance.now();
+    [...this.#known.entries()]
+      .filter(([, {link, listedAtMs}]) => {
+        const seenAtMs = Math.max(listedAtMs, link.heardAtMs);
+        return nowMs - seenAtMs > FORGET_MS;
+      })
+      .forEach(([id, {link}]) => {
+        link.stop();
+        this.#known.delete(id);
+        this.#options.log.belief('peer-forgotten', {peer: id});
+      });
+  }
+
+  stop(): void {
+    this.links.forEach(link => link.stop());
+  }
+}
--- /dev/null
+++ b/src/mesh/router/dispatcher.ts
@@ -0,0 +1,303 @@
+/**
+ * Brings one admitted request to an instance and its answer back. What may
+ * run only once is sent again only if it surely has not run. What may be
+ * repeated is sent to a second instance when the first fails or is later than
+ * usual, within the route's attempts and the budget that all daemons share;
+ * the first good answer wins and the other run is cancelled.
+ *
+ * Pattern: instances that hang most requests for seconds while their health
+ * check is good.
+ */
+import type {DecisionLog} from '../../log/decision_log.js';
+import type {Answered, Declined, Outcome, Work} from '../gate/work.js';
+import type {SharedLimits} from '../limits/shared_limits.js';
+import type {MeshMetrics} from '../mesh_metrics.js';
+import type {Route} from '../model.js';
+import type {Gates} from './gates.js';
+import {findSlot, type Found} from './slot_search.js';
+
+/** A request that was admitted. */
+export interface Admitted {
+  readonly id: string;
+  readonly route: Route;
+  readonly service: string;
+  readonly priority: number;
+  readonly method: string;
+  readonly path: string;
+  readonly headers: readonly string[];
+  readonly body: Buffer;
+  /** Monotonic clock: the route's timeout or the caller's, if earlier. */
+  readonly deadlineAtMs: number;
+  /** Monotonic clock: when the caller itself gives up. */
+  readonly callerDeadlineAtMs: number;
+  /** Aborted when the caller has gone. */
+  readonly callerGone: AbortSignal;
+}
+
+/** The request gets no instance's answer. */
+export interface GivenUp {
+  readonly kind: 'given-up';
+  readonly reason: string;
+  readonly ran: 'no' | 'unknown';
+  readonly isTimeout: boolean;
+  /** When a slot is expected to be free. */
+  readonly waitMs: number;
+}
+
+/** What becomes of a request. */
+export type Verdict = Answered | GivenUp;
+
+/** What the dispatcher is made from. */
+export interface DispatcherOptions {
+  readonly gates: Gates;
+  readonly limits: SharedLimits;
+  readonly log: DecisionLog;
+  readonly metrics: MeshMetrics;
+}
+
+/** Searches for a gate that end in a refusal by the instance. */
+const MAX_SEARCHES = 4;
+/** Pause before a second instance is looked for again, in milliseconds. */
+const NEXT_LOOK_MS = 60;
+
+/** The name of the shared limit on repeats of a service. */
+export function repeatLimit(service: string): string {
+  return `repeats:${service}`;
+}
+
+/** Dispatches requests. */
+export class Dispatcher {
+  readonly #options: DispatcherOptions;
+
+  constructor(options: DispatcherOptions) {
+    this.#options = options;
+  }
+
+  async serve(request: Admitted): Promise<Verdict> {
+    this.#options.limits.demand(repeatLimit(request.service));
+    const end = new AbortController();
+    const leftMs = request.deadlineAtMs - performance.now();
+    const timer = setTimeout(() => end.abort(), Math.max(0, leftMs));
+    const onGone = () => end.abort();
+    request.callerGone.addEventListener('abort', onGone, {once: true});
+    if (request.callerGone.aborted) end.abort();
+    const task = new Dispatch(request, this.#options, end.signal);
+    try {
+      return await (request.route.isIdempotent
+        ? task.repeatable()
+        : task.once());
+    } finally {
+      clearTimeout(timer);
+      request.callerGone.removeEventListener('abort', onGone);
+      end.abort();
+    }
+  }
+}
+
+/** One run of the request at an instance. */
+interface Run {
+  readonly found: Found;
+  readonly outcome: Promise<Outcome>;
+  readonly cancel: () => void;
+}
+
+/** What the wait of a repeatable request ended with. */
+type Event =
+  | {readonly kind: 'outcome'; readonly run: Run; readonly outcome: Outcome}
+  | {readonly kind: 'late'};
+
+/** The way of one request. */
+class Dispatch {
+  readonly #request: Admitted;
+  readonly #options: DispatcherOptions;
+  readonly #signal: AbortSignal;
+  readonly #excluded = new Set<string>();
+  #arrivals = 0;
+  #mayHaveRun = false;
+
+  constructor(
+    request: Admitted,
+    options: DispatcherOptions,
+    signal: AbortSignal,
+  ) {
+    this.#request = request;
+    this.#options = options;
+    this.#signal = signal;
+  }
+
+  /** For requests that run at most once. */
+  async once(): Promise<Verdict> {
+    let why = 'no search';
+    for (let search = 0; search < MAX_SEARCHES; search += 1) {
+      const found = await this.#find(true);
+      if (found.kind === 'declined') return this.#unserved(found);
+      const outcome = await this.#start(found).outcome;
+      if (outcome.kind === 'answered') return outcome;
+      if (outcome.kind === 'unknown') return this.#unknown(outcome.reason);
+      why = outcome.reason;
+      this.#excluded.add(found.vm);
+      if (outcome.hasArrived && !(await this.#mayRepeat('rejected'))) break;
+    }
+    return this.#notRun(why, 0);
+  }
+
+  /** For requests that may run more than once. */
+  async repeatable(): Promise<Verdict> {
+    const first = await this.#find(true);
+    if (first.kind === 'declined') return this.#unserved(first);
+    const runs = new Set([this.#start(first)]);
+    let lateInMs = first.reservation.lateAfterMs;
+    let last: Outcome | undefined;
+    for (;;) {
+      const event = await this.#next(runs, lateInMs);
+      if (event.kind === 'late') {
+        const second = await this.#startSecond('late');
+        if (second) runs.add(second);
+        lateInMs = second?.found.reservation.lateAfterMs ?? NEXT_LOOK_MS;
+        if (this.#isSpent) lateInMs = Infinity;
+        continue;
+      }
+      const {run, outcome} = event;
+      runs.delete(run);
+      if (isGood(outcome)) {
+        runs.forEach(({cancel}) => cancel());
+        return outcome;
+      }
+      last = outcome;
+      this.#excluded.add(run.found.vm);
+      if (this.#signal.aborted) return this.#unknown('deadline');
+      const next = await this.#startSecond(
+        reasonText(outcome),
+        runs.size === 0,
+      );
+      if (next) runs.add(next);
+      if (runs.size === 0) return this.#failed(last);
+    }
+  }
+
+  get #isSpent(): boolean {
+    return this.#arrivals >= this.#request.route.maxAttempts;
+  }
+
+  /** The next outcome, or that the answer is late. */
+  #next(runs: ReadonlySet<Run>, lateInMs: number): Promise<Event> {
+    let timer: NodeJS.Timeout | undefined;
+    const outcomes = [...runs].map(async (run): Promise<Event> => {
+      return {kind: 'outcome', run, outcome: await run.outcome};
+    });
+    const late = new Promise<Event>(resolve => {
+      if (lateInMs === Infinity) return;
+      timer = setTimeout(() => resolve({kind: 'late'}), lateInMs);
+    });
+    return Promise.race([...outcomes, late]).finally(() => clearTimeout(timer));
+  }
+
+  async #startSecond(
+    reason: string,
+    mayWait = false,
+  ): Promise<Run | undefined> {
+    if (this.#isSpent || this.#signal.aborted) return undefined;
+    const found = await this.#find(mayWait);
+    if (found.kind === 'declined') return undefined;
+    if (await this.#mayRepeat(reason)) return this.#start(found);
+    found.reservation.release();
+    return undefined;
+  }
+
+  /** Takes from the budget of repeats before a further instance is used. */
+  async #mayRepeat(reason: string): Promise<boolean> {
+    if (this.#isSpent || this.#signal.aborted) return false;
+    const {id, route, service} = this.#request;
+    const limit = repeatLimit(service);
+    const {isGranted} = await this.#options.limits.take(limit);
+    const event = isGranted ? 'repeat' : 'repeat-over-budget';
+    this.#options.log.step(event, {id, route: route.name, service, reason});
+    if (isGranted) this.#options.metrics.repeated(route.name, reason);
+    return isGranted;
+  }
+
+  #find(mayWait: boolean): Promise<Found | Declined> {
+    const {id, route, service, priority, deadlineAtMs} = this.#request;
+    return findSlot(this.#options.gates, {
+      requestId: id,
+      service,
+      route: route.name,
+      priority,
+      objectiveMs: route.objectiveMs,
+      isIdempotent: route.isIdempotent,
+      excluded: this.#excluded,
+      deadlineAtMs,
+      mayWait,
+      signal: this.#signal,
+    });
+  }
+
+  #start(found: Found): Run {
+    const {id, method, path, headers, body, route} = this.#request;
+    const leftMs = this.#request.callerDeadlineAtMs - performance.now();
+    const isIdempotent = route.isIdempotent;
+    const work: Work = {
+      requestId: id,
+      method,
+      path,
+      headers,
+      body,
+      leftMs,
+      isIdempotent,
+    };
+    const cancel = new AbortController();
+    const onEnd = () => cancel.abort();
+    this.#signal.addEventListener('abort', onEnd, {once: true});
+    if (this.#signal.aborted) cancel.abort();
+    this.#arrivals += 1;
+    this.#excluded.add(found.vm);
+    const {vm, reservation} = found;
+    const {instance} = reservation;
+    this.#options.log.step('sent', {id, vm, instance, leftMs});
+    const outcome = reservation.run(work, cancel.signal).then(result => {
+      this.#signal.removeEventListener('abort', onEnd);
+      this.#note(result, vm);
+      return result;
+    });
+    return {found, outcome, cancel: () => cancel.abort()};
+  }
+
+  #note(outcome: Outcome, vm: string): void {
+    if (outcome.kind === 'not-run' && !outcome.hasArrived) this.#arrivals -= 1;
+    if (outcome.kind !== 'not-run') this.#mayHaveRun = true;
+    if (outcome.kind === 'answered' || outcome.reason === 'cancelled') return;
+    const {id} = this.#request;
+    const {kind, instance, reason} = outcome;
+    this.#options.log.failure('run-failed', {id, vm, instance, kind, reason});
+  }
+
+  #unserved(why: Declined): Verdict {
+    if (this.#signal.aborted) return this.#notRun('deadline', why.waitMs);
+    return this.#notRun(why.reason, why.waitMs);
+  }
+
+  #failed(outcome: Outcome): Verdict {
+    if (outcome.kind === 'answered') return outcome;
+    return this.#mayHaveRun
+      ? this.#unknown(outcome.reason)
+      : this.#notRun(outcome.reason, 0);
+  }
+
+  #notRun(reason: string, waitMs: number): GivenUp {
+    const isTimeout = reason === 'deadline';
+    return {kind: 'given-up', reason, ran: 'no', isTimeout, waitMs};
+  }
+
+  #unknown(reason: string): GivenUp {
+    const isTimeout = this.#signal.aborted;
+    return {kind: 'given-up', reason, ran: 'unknown', isTimeout, waitMs: 0};
+  }
+}
+
+function isGood(outcome: Outcome): outcome is Answered {
+  return outcome.kind === 'answered' && outcome.status < 500;
+}
+
+function reasonText(outcome: Outcome): string {
+  return outcome.kind === 'answered' ? 'error' : outcome.kind;
+}
--- /dev/null
+++ b/src/mesh/router/refusals.ts
@@ -0,0 +1,35 @@
+/**
+ * Every refusal of the router, in one table. A status that promises callers
+ * that the request has not run is used only where that is certain.
+ */
+
+interface RefusalKind {
+  readonly status: number;
+  readonly title: string;
+  readonly ran: 'no' | 'unknown';
+}
+
+/** The table; a key is the stable name in answers, logs and metrics. */
+export const REFUSALS = {
+  'not-ready': {status: 503, title: 'No configuration is known', ran: 'no'},
+  'no-route': {status: 404, title: 'No route leads there', ran: 'no'},
+  'key-missing': {status: 401, title: 'A key is needed here', ran: 'no'},
+  'key-unknown': {status: 401, title: 'The key is not valid', ran: 'no'},
+  'body-too-large': {status: 413, title: 'The body is too large', ran: 'no'},
+  'request-id-missing': {
+    status: 400,
+    title: 'The request has no id',
+    ran: 'no',
+  },
+  'over-rate': {status: 429, title: 'Over the rate of the customer', ran: 'no'},
+  busy: {status: 503, title: 'No instance has a free slot', ran: 'no'},
+  'no-instance': {status: 503, title: 'No instance is there', ran: 'no'},
+  'not-run': {status: 503, title: 'The instances turned it away', ran: 'no'},
+  deadline: {status: 503, title: 'No slot came free in time', ran: 'no'},
+  timeout: {status: 504, title: 'No answer came in time', ran: 'unknown'},
+  'answer-lost': {status: 502, title: 'The answer was lost', ran: 'unknown'},
+  internal: {status: 502, title: 'The router failed', ran: 'unknown'},
+} as const satisfies Readonly<Record<string, RefusalKind>>;
+
+/** The stable name of a refusal. */
+export type RefusalName = keyof typeof REFUSALS;
--- /dev/null
+++ b/src/mesh/router/slot_search.ts
@@ -0,0 +1,129 @@
+/**
+ * Finds a slot for a request. First the gates that should have a free one are
+ * asked in turn; if none has, the request waits at a few gates at once, takes
+ * the first slot that becomes free and withdraws from the others. Waiting
+ * costs nothing to promise: only a reserved slot that is used runs anything.
+ *
+ * Pattern: load that fills most slots, where each router sees the others'
+ * choices late.
+ */
+import {
+  declined,
+  type Declined,
+  type Reservation,
+  type SlotRequest,
+} from '../gate/work.js';
+import {hasFreeSlot, rankCandidates} from './choice.js';
+import type {Gates, KnownGate} from './gates.js';
+
+/** What is searched for. */
+export interface Search extends Omit<SlotRequest, 'patienceMs'> {
+  readonly isIdempotent: boolean;
+  /** VMs that have already failed this request. */
+  readonly excluded: ReadonlySet<string>;
+  /** Monotonic clock; waiting past it serves nobody. */
+  readonly deadlineAtMs: number;
+  /** False: a free slot or none. */
+  readonly mayWait: boolean;
+  readonly signal: AbortSignal;
+}
+
+/** A slot that was found, and where. */
+export interface Found {
+  readonly kind: 'found';
+  readonly vm: string;
+  readonly reservation: Reservation;
+}
+
+/** Gates that are asked one after the other for a free slot. */
+const MAX_ASKED = 4;
+/** Gates at which a request waits at once. */
+const MAX_LINES = 3;
+
+/** Searches for a slot. */
+export async function findSlot(
+  gates: Gates,
+  search: Search,
+): Promise<Found | Declined> {
+  const {isIdempotent, excluded, service} = search;
+  const usable = gates.of(service).filter(({vm}) => !excluded.has(vm));
+  const ranked = rankCandidates(usable, isIdempotent);
+  if (ranked.length === 0) return declined('no-instance');
+  const free = ranked.filter(hasFreeSlot).slice(0, MAX_ASKED);
+  const found = await askInTurn(free, search);
+  if (found.kind === 'found' || !search.mayWait) return found;
+  if (search.signal.aborted) return declined('withdrawn');
+  return waitInLines(ranked.slice(0, MAX_LINES), search);
+}
+
+async function askInTurn(
+  free: readonly KnownGate[],
+  search: Search,
+): Promise<Found | Declined> {
+  let last = declined('busy');
+  for (const {vm, gate} of free) {
+    const result = await gate.reserve(
+      {...slotRequest(search), patienceMs: 0},
+      search.signal,
+    );
+    if (result.kind === 'reserved') {
+      return {kind: 'found', vm, reservation: result};
+    }
+    last = result;
+    if (search.signal.aborted) break;
+  }
+  return last;
+}
+
+async function waitInLines(
+  gates: readonly KnownGate[],
+  search: Search,
+): Promise<Found | Declined> {
+  const {signal, deadlineAtMs} = search;
+  const leave = new AbortController();
+  const onAbort = () => leave.abort();
+  signal.addEventListener('abort', onAbort, {once: true});
+  let isWon = false;
+  const waits = gates.map(async ({vm, gate, backend}) => {
+    const leftMs = deadlineAtMs - performance.now();
+    // A slot that comes too late for the work itself is of no use.
+    const patienceMs = Math.max(1, leftMs - backend.holdMs);
+    const request = {...slotRequest(search), patienceMs};
+    const result = await gate.reserve(request, leave.signal);
+    if (result.kind === 'declined') return Promise.reject(new NoSlot(result));
+    if (isWon) {
+      result.release();
+      return Promise.reject(new NoSlot(declined('withdrawn')));
+    }
+    isWon = true;
+    return {kind: 'found', vm, reservation: result} as const;
+  });
+  try {
+    return await Promise.any(waits);
+  } catch (err) {
+    return soonest(err as AggregateError);
+  } finally {
+    signal.removeEventListener('abort', onAbort);
+    leave.abort();
+  }
+}
+
+/** One gate gave no slot. */
+class NoSlot extends Error {
+  readonly why: Declined;
+
+  constructor(why: Declined) {
+    super(why.reason);
+    this.why = why;
+  }
+}
+
+function soonest(err: AggregateError): Declined {
+  const refusals = (err.errors as readonly NoSlot[]).map(({why}) => why);
+  return refusals.reduce((a, b) => (b.waitMs < a.waitMs ? b : a));
+}
+
+function slotRequest(search: Search): Omit<SlotRequest, 'patienceMs'> {
+  const {requestId, service, route, priority, objectiveMs} = search;
+  return {requestId, service, route, priority, objectiveMs};
+}
