--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -2,7 +2,7 @@
  * Bundles the program and the stand-ins into dist/. With --binary it also
  * makes the single executable; with --mutant NAME it bundles the program
  * with the modules of features/mutants/NAME put in place of the real ones;
- * with --platform it only bundles the program, into target/.
+ * with --platform it only bundles one daemon for the platform, into target/.
  */
 import {execFileSync} from 'node:child_process';
 import {existsSync} from 'node:fs';
@@ -46,11 +46,32 @@
   };
 }
 
-async function bundleProgram(folder = dist) {
+async function bundleProgram() {
   await build({
     ...common,
     entryPoints: [path.join(root, 'src/main.ts')],
-    outfile: path.join(folder, 'chicorycourse.cjs'),
+    outfile: path.join(dist, 'chicorycourse.cjs'),
+  });
+}
+
+/** Only undici's connection pool: all of undici doubles the time to start. */
+const poolOnlyPlugin = {
+  name: 'pool-only',
+  setup({onResolve}) {
+    onResolve({filter: /^undici$/}, () => ({
+      path: path.join(root, 'scripts/undici_pool.cjs'),
+    }));
+  },
+};
+
+async function bundleForPlatform() {
+  await build({
+    ...common,
+    entryPoints: [path.join(root, 'platform/main.ts')],
+    outfile: path.join(root, 'target/daemon.cjs'),
+    minify: true,
+    keepNames: true,
+    plugins: [poolOnlyPlugin],
   });
 }
 
@@ -110,7 +131,7 @@
 
 const mutantIndex = process.argv.indexOf('--mutant');
 if (process.argv.includes('--platform')) {
-  await bundleProgram(path.join(root, 'target'));
+  await bundleForPlatform();
 } else if (mutantIndex > 0) {
   await bundleMutant(process.argv[mutantIndex + 1]);
 } else {
--- a/src/log/decision_log.ts
+++ b/src/log/decision_log.ts
@@ -5,7 +5,7 @@
  * so that a busy second can't hide them. Printed through consola.
  */
 import {createConsola, type ConsolaInstance} from 'consola';
-import {LineSink} from './line_sink.js';
+import {LineSink, writerOf} from './line_sink.js';
 
 /** Values of a line. */
 export type LogFields = Readonly<Record<string, unknown>>;
@@ -37,7 +37,7 @@
 /** The decision log of a process; `vm` names it on each line. */
 export class StdoutDecisionLog implements DecisionLog {
   readonly #consola: ConsolaInstance;
-  readonly #sink = new LineSink(STDOUT_FD);
+  readonly #sink = new LineSink(writerOf(STDOUT_FD));
   readonly #vm: string;
   readonly #meters: Readonly<Record<Kind, Meter>> = {
     step: {secondStartedAtMs: 0, kept: 0, leftOut: 0},
--- a/src/log/line_sink.ts
+++ b/src/log/line_sink.ts
@@ -1,30 +1,30 @@
 /**
- * Log lines on their way to a file descriptor. Lines wait in a bounded buffer
- * while one asynchronous write is under way, so that a reader that is slow or
- * blocked costs lines, never time or memory; a line then says how many.
+ * Log lines on their way to standard output. Lines are gathered for a moment
+ * and written together; while a reader is slow they wait in a bounded buffer.
+ * What doesn't fit is dropped and counted, so that a blocked reader costs
+ * lines, never time or memory.
  */
-import {write} from 'node:fs';
+import {fstatSync, writeSync} from 'node:fs';
+import {Socket} from 'node:net';
 
 /** Lines that may wait, in characters. */
 const MAX_BUFFERED_CHARS = 256 * 1024;
 /** How long lines are gathered before a write, in milliseconds. */
-const GATHER_MS = 50;
+const GATHER_MS = 250;
+
+/** Takes bytes; calls back when there is room for more. */
+export type ByteWriter = (text: string, done: () => void) => void;
 
 /** Writes lines without ever blocking the caller. */
 export class LineSink {
-  readonly #fd: number;
+  readonly #write: ByteWriter;
   #lines: string[] = [];
   #chars = 0;
   #dropped = 0;
   #isBusy = false;
 
-  constructor(fd: number) {
-    this.#fd = fd;
-  }
-
-  /** Lines that were dropped and not yet reported. */
-  get dropped(): number {
-    return this.#dropped;
+  constructor(write: ByteWriter) {
+    this.#write = write;
   }
 
   add(line: string): void {
@@ -44,24 +44,32 @@
 
   #flush(): void {
     if (this.#dropped > 0) {
-      this.#lines.push(
-        JSON.stringify({event: 'log-lines-dropped', count: this.#dropped}),
-      );
+      const count = this.#dropped;
+      this.#lines.push(JSON.stringify({event: 'log-lines-dropped', count}));
       this.#dropped = 0;
     }
-    const bytes = Buffer.from(`${this.#lines.join('\n')}\n`);
+    const text = `${this.#lines.join('\n')}\n`;
     this.#lines = [];
     this.#chars = 0;
-    this.#write(bytes);
-  }
-
-  #write(bytes: Buffer): void {
-    write(this.#fd, bytes, (err, written) => {
-      const rest = bytes.subarray(err ? bytes.length : written);
-      if (rest.length > 0) return this.#write(rest);
-      // A closed descriptor has no reader; later lines may find one again.
+    this.#write(text, () => {
       this.#isBusy = false;
       if (this.#lines.length > 0) this.#schedule();
     });
   }
 }
+
+/** A writer for a descriptor: files never block, pipes and sockets may. */
+export function writerOf(fd: number): ByteWriter {
+  const stat = fstatSync(fd);
+  if (!stat.isFIFO() && !stat.isSocket()) {
+    return (text, done) => {
+      writeSync(fd, text);
+      done();
+    };
+  }
+  const socket = new Socket({fd, readable: false, writable: true});
+  socket.unref();
+  // Without a reader there is nobody to tell; lines are dropped from then on.
+  socket.on('error', () => undefined);
+  return (text, done) => void socket.write(text, () => done());
+}
--- a/src/mesh/mesh_daemon.ts
+++ b/src/mesh/mesh_daemon.ts
@@ -124,6 +124,7 @@
   async start(): Promise<void> {
     const {settings, log} = this.#options;
     await this.#peerServer.start();
+    this.peers.start();
     await this.#frontDoor.start();
     await listen(this.#readiness, settings.listen.readiness, 'readiness');
     await listen(this.#metricsServer, settings.listen.metrics, 'metrics');
--- a/src/mesh/peers/frames.ts
+++ b/src/mesh/peers/frames.ts
@@ -7,7 +7,12 @@
 import {Failure, reasonOf} from '../../errors/failure.js';
 import type {Declined, Outcome, SlotRequest, Work} from '../gate/work.js';
 import type {ShareAnswer, ShareRequest} from '../limits/shared_limits.js';
-import type {FleetConfiguration, Vm, VmStatus} from '../model.js';
+import type {
+  BackendStatus,
+  FleetConfiguration,
+  Vm,
+  VmStatus,
+} from '../model.js';
 
 /** Frames of the daemon that opened the connection. */
 export type Request =
@@ -18,6 +23,12 @@
   | {readonly kind: 'share'; readonly id: number; readonly ask: ShareRequest}
   | {readonly kind: 'configuration'; readonly id: number};
 
+/** Slots of the gate at the moment of an answer; a status comes rarely. */
+export interface Load {
+  readonly running: number;
+  readonly waiting: number;
+}
+
 /** Frames of the daemon that accepted the connection. */
 export type Response =
   | {readonly kind: 'status'; readonly status: VmStatus}
@@ -27,9 +38,20 @@
       readonly id: number;
       readonly instance: string;
       readonly lateAfterMs: number;
+      readonly load: Load;
+    }
+  | {
+      readonly kind: 'declined';
+      readonly id: number;
+      readonly why: Declined;
+      readonly load: Load;
+    }
+  | {
+      readonly kind: 'outcome';
+      readonly id: number;
+      readonly outcome: Outcome;
+      readonly load: Load;
     }
-  | {readonly kind: 'declined'; readonly id: number; readonly why: Declined}
-  | {readonly kind: 'outcome'; readonly id: number; readonly outcome: Outcome}
   | {readonly kind: 'share'; readonly id: number; readonly share: ShareAnswer}
   | {
       readonly kind: 'configuration';
@@ -39,9 +61,31 @@
 
 const packr = new Packr({useRecords: false, encodeUndefinedAsNil: true});
 
+/**
+ * Each daemon sends its status to all others, so it travels as a list of
+ * values without their names.
+ */
+const STATUS_KEYS = [
+  'instance',
+  'service',
+  'state',
+  'slots',
+  'isCold',
+  'trust',
+  'running',
+  'waiting',
+  'holdMs',
+] as const satisfies readonly (keyof BackendStatus)[];
+
+type PackedStatus = readonly [
+  version: number,
+  isStopping: boolean,
+  ...backend: readonly unknown[],
+];
+
 /** The bytes of a frame. */
 export function encodeFrame(frame: Request | Response): Buffer {
-  return packr.pack(frame);
+  return packr.pack(frame.kind === 'status' ? packStatus(frame.status) : frame);
 }
 
 /** Reads a frame; throws `frameInvalid` if it isn't one. */
@@ -50,10 +94,34 @@
   peer: string,
 ): Frame {
   try {
-    const value = packr.unpack(bytes) as Frame | undefined;
+    const value = packr.unpack(bytes) as Frame | PackedStatus | undefined;
+    if (isPackedStatus(value)) return unpackStatus(value) as Frame;
     if (typeof value?.kind === 'string') return value;
   } catch (err) {
     throw new Failure('frameInvalid', {peer, reason: reasonOf(err)}, err);
   }
   throw new Failure('frameInvalid', {peer, reason: 'no kind'});
 }
+
+function packStatus(status: VmStatus): PackedStatus {
+  const {backend, configurationVersion, isStopping} = status;
+  const values = backend ? STATUS_KEYS.map(key => backend[key]) : [];
+  return [configurationVersion, isStopping, ...values];
+}
+
+function isPackedStatus(value: unknown): value is PackedStatus {
+  return Array.isArray(value);
+}
+
+function unpackStatus(packed: PackedStatus): Response {
+  const [configurationVersion, isStopping, ...values] = packed;
+  const entries = STATUS_KEYS.map((key, index) => [key, values[index]]);
+  const backend =
+    values.length === STATUS_KEYS.length
+      ? (Object.fromEntries(entries) as BackendStatus)
+      : undefined;
+  return {
+    kind: 'status',
+    status: {backend, configurationVersion, isStopping},
+  };
+}
--- a/src/mesh/peers/peer_link.ts
+++ b/src/mesh/peers/peer_link.ts
@@ -21,6 +21,7 @@
 import {
   decodeFrame,
   encodeFrame,
+  type Load,
   type Request,
   type Response,
 } from './frames.js';
@@ -35,10 +36,11 @@
 
 /** A gate answers a reservation at once; twice the slowest path is 20 ms. */
 const ACKNOWLEDGE_MS = 150;
-/** Peers tell their state each second; two in a row are missing. */
-const SILENCE_MS = 2500;
-/** A peer that acknowledged nothing is left alone for this long. */
-const QUIET_MS = 1000;
+/** Peers tell their state every 2.5 s; two in a row are missing. */
+const SILENCE_MS = 6000;
+/** A peer that acknowledged nothing is left alone: doubles, with a ceiling. */
+const QUIET_MIN_MS = 700;
+const QUIET_MAX_MS = 3000;
 /** A share is asked from memory; the request waits for it. */
 const SHARE_MS = 150;
 const CONFIGURATION_MS = 1000;
@@ -60,6 +62,7 @@
   #status: VmStatus | undefined;
   #heardAtMs = -Infinity;
   #quietUntilMs = -Infinity;
+  #quietMs = QUIET_MIN_MS;
   #connectedAtMs = -Infinity;
   #nextId = 1;
   /** Slots that were asked for and not yet seen in the peer's status. */
@@ -111,6 +114,13 @@
     }
   }
 
+  /** Ends the connection if the peer is silent, so that a new one is tried. */
+  endIfSilent(): void {
+    if (this.#socket?.readyState !== WebSocket.OPEN) return;
+    if (performance.now() - this.#heardAtMs < SILENCE_MS) return;
+    this.#socket.terminate();
+  }
+
   stop(): void {
     this.#stop.abort();
     this.#socket?.terminate();
@@ -244,7 +254,6 @@
       perMessageDeflate: false,
     });
     this.#socket = socket;
-    const watch = setInterval(() => this.#endIfSilent(socket), 500);
     socket.on('open', () => {
       this.#connectedAtMs = performance.now();
       this.#heardAtMs = this.#connectedAtMs;
@@ -257,7 +266,6 @@
     socket.on('error', err => (reason = reasonOf(err)));
     return new Promise(resolve => {
       socket.on('close', () => {
-        clearInterval(watch);
         if (this.#heardAtMs > -Infinity) {
           log.belief('peer-lost', {peer: peer.id, reason});
         }
@@ -269,16 +277,12 @@
     });
   }
 
-  #endIfSilent(socket: WebSocket): void {
-    if (socket.readyState !== WebSocket.OPEN) return;
-    if (performance.now() - this.#heardAtMs < SILENCE_MS) return;
-    socket.terminate();
-  }
-
   #silent(what: string): void {
-    this.#quietUntilMs = performance.now() + QUIET_MS;
+    const forMs = this.#quietMs;
+    this.#quietUntilMs = performance.now() + forMs;
+    this.#quietMs = Math.min(QUIET_MAX_MS, forMs * 2);
     const {peer, log} = this.#options;
-    log.belief('peer-silent', {peer: peer.id, what, forMs: QUIET_MS});
+    log.belief('peer-silent', {peer: peer.id, what, forMs});
   }
 
   #receive(bytes: Buffer): void {
@@ -290,9 +294,17 @@
       this.#options.onStatus(this);
       return;
     }
+    this.#quietMs = QUIET_MIN_MS;
+    if ('load' in frame) this.#noteLoad(frame.load);
     this.#handlers.get(frame.id)?.(frame);
   }
 
+  #noteLoad(load: Load): void {
+    const backend = this.#status?.backend;
+    if (!this.#status || !backend) return;
+    this.#status = {...this.#status, backend: {...backend, ...load}};
+  }
+
   #decode(bytes: Buffer): Response | undefined {
     const {peer, log} = this.#options;
     try {
--- a/src/mesh/peers/peer_server.ts
+++ b/src/mesh/peers/peer_server.ts
@@ -10,10 +10,16 @@
 import type {DecisionLog} from '../../log/decision_log.js';
 import type {GateClient, Reservation} from '../gate/work.js';
 import type {ShareAnswer, ShareRequest} from '../limits/shared_limits.js';
-import type {FleetConfiguration, Vm, VmStatus} from '../model.js';
+import type {
+  BackendStatus,
+  FleetConfiguration,
+  Vm,
+  VmStatus,
+} from '../model.js';
 import {
   decodeFrame,
   encodeFrame,
+  type Load,
   type Request,
   type Response,
 } from './frames.js';
@@ -22,7 +28,7 @@
 export interface PeerServerOptions {
   /** `IP:PORT` to listen at. */
   readonly address: string;
-  readonly gate: GateClient;
+  readonly gate: GateClient & {readonly status: BackendStatus | undefined};
   readonly log: DecisionLog;
   readonly grant: (ask: ShareRequest) => ShareAnswer;
   readonly status: () => VmStatus;
@@ -32,8 +38,12 @@
 
 /** Larger than any body that callers may send. */
 const MAX_FRAME_BYTES = 16 * 1024 * 1024;
-/** Peers that hear nothing for 2.5 s take the connection as dead. */
-const STATUS_INTERVAL_MS = 1000;
+/**
+ * Shows that the daemon lives, and what changes little by little. Cuts are
+ * found sooner by requests that are not acknowledged; a full mesh of more
+ * frequent messages costs more than it finds.
+ */
+const STATUS_INTERVAL_MS = 2500;
 /** Changes within this time are told together. */
 const GATHER_MS = 10;
 
@@ -177,13 +187,19 @@
     isSettled = true;
     if (result.kind === 'declined') {
       this.#held.delete(id);
-      this.#send({kind: 'declined', id, why: result});
+      this.#send({kind: 'declined', id, why: result, load: this.#load});
       return;
     }
     if (held.abort.signal.aborted) return result.release();
     held.reservation = result;
     const {instance, lateAfterMs} = result;
-    this.#send({kind: 'reserved', id, instance, lateAfterMs});
+    this.#send({
+      kind: 'reserved',
+      id,
+      instance,
+      lateAfterMs,
+      load: this.#load,
+    });
   }
 
   async #run(frame: Extract<Request, {readonly kind: 'run'}>): Promise<void> {
@@ -197,13 +213,18 @@
         reason,
         hasArrived: false,
       } as const;
-      this.#send({kind: 'outcome', id, outcome});
+      this.#send({kind: 'outcome', id, outcome, load: this.#load});
       return;
     }
     const {reservation, abort} = held;
     const outcome = await reservation.run(work, abort.signal);
     this.#held.delete(id);
-    this.#send({kind: 'outcome', id, outcome});
+    this.#send({kind: 'outcome', id, outcome, load: this.#load});
+  }
+
+  get #load(): Load {
+    const {running = 0, waiting = 0} = this.#options.gate.status ?? {};
+    return {running, waiting};
   }
 
   #end(): void {
--- a/src/mesh/peers/peers.ts
+++ b/src/mesh/peers/peers.ts
@@ -18,6 +18,9 @@
 /** A peer out of reach counts as gone after this, unless it is listed. */
 const FORGET_MS = 15_000;
 
+/** How often links are looked at for silence. */
+const WATCH_MS = 1000;
+
 interface Known {
   readonly link: PeerLink;
   listedAtMs: number;
@@ -28,10 +31,18 @@
   readonly #options: PeersOptions;
   readonly #known = new Map<string, Known>();
 
+  #watch: NodeJS.Timeout | undefined;
+
   constructor(options: PeersOptions) {
     this.#options = options;
   }
 
+  start(): void {
+    this.#watch = setInterval(() => {
+      this.links.forEach(link => link.endIfSilent());
+    }, WATCH_MS);
+  }
+
   get selfId(): string {
     return this.#options.self.id;
   }
@@ -86,6 +97,7 @@
   }
 
   stop(): void {
+    clearInterval(this.#watch);
     this.links.forEach(link => link.stop());
   }
 }
--- a/src/mesh/settings.ts
+++ b/src/mesh/settings.ts
@@ -1,6 +1,6 @@
 /** Settings of a daemon of a mesh fleet: one schema, checked at the start. */
 import {readFileSync} from 'node:fs';
-import {z} from 'zod';
+import * as z from 'zod';
 import {Failure, reasonOf} from '../errors/failure.js';
 
 const address = z
