--- /dev/null
+++ b/features/steps/mesh_path_steps.ts
@@ -0,0 +1,324 @@
+/** Steps of the whole path of a mesh fleet. */
+import assert from 'node:assert/strict';
+import {request} from 'node:http';
+import {After, Given, Then, When} from '@cucumber/cucumber';
+import {DEFAULT_HEADER_NAMES as NAMES} from '../../src/mesh/header_names.js';
+import type {FleetConfiguration} from '../../src/mesh/model.js';
+import {
+  MeshFleet,
+  testRoute,
+  type BEHAVIOURS,
+  type MeshVm,
+} from '../support/mesh_fleet.js';
+import type {World} from '../support/world.js';
+
+interface Answer {
+  readonly id: string;
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+}
+
+/** State of the mesh scenarios, kept beside the world's own. */
+interface MeshState {
+  readonly fleet: MeshFleet;
+  answers: readonly Answer[];
+}
+
+const states = new WeakMap<World, MeshState>();
+const DEADLINE_MS = 2000;
+const POLL_MS = 10;
+let nextId = 1;
+
+function stateOf(world: World): MeshState {
+  const known = states.get(world);
+  if (known) return known;
+  const state = {fleet: new MeshFleet(), answers: []};
+  states.set(world, state);
+  return state;
+}
+
+After(async function (this: World) {
+  await states.get(this)?.fleet.stop();
+});
+
+const SERVICE = 'pay';
+const targets = [{service: SERVICE, weight: 1}];
+
+function configuration(version: number): FleetConfiguration {
+  return {
+    version,
+    routes: [
+      testRoute({name: 'once', prefix: '/once/', isIdempotent: false, targets}),
+      testRoute({
+        name: 'repeatable',
+        prefix: '/repeatable/',
+        isIdempotent: true,
+        targets,
+      }),
+      testRoute({
+        name: 'open',
+        prefix: '/open/',
+        isIdempotent: true,
+        isPublic: true,
+        targets,
+      }),
+    ],
+    customers: [
+      {name: 'big', keys: ['key-big'], ratePerS: 0, burst: 0},
+      {name: 'small', keys: ['key-small'], ratePerS: 1, burst: 6},
+    ],
+    services: [{name: SERVICE, healthPath: '/health'}],
+    limits: {
+      maxBodyBytes: 1_000_000,
+      headerTimeoutMs: 5000,
+      idleTimeoutMs: 5000,
+    },
+  };
+}
+
+interface Sending {
+  readonly path: string;
+  readonly key?: string;
+  readonly leaveAfterMs?: number;
+}
+
+/** Sends one request; resolves to its answer, or undefined if it left. */
+function send(vm: MeshVm, sending: Sending): Promise<Answer | undefined> {
+  const {path, key, leaveAfterMs} = sending;
+  const id = `request-${nextId++}`;
+  const [host, port] = vm.callers.split(':');
+  return new Promise((resolve, reject) => {
+    const req = request({
+      host,
+      port,
+      path,
+      agent: false,
+      method: 'POST',
+      headers: {
+        host: 'app.example',
+        [NAMES.requestId]: id,
+        [NAMES.deadline]: String(DEADLINE_MS),
+        ...(key ? {[NAMES.key]: key} : {}),
+      },
+    });
+    req.on('response', res => {
+      res.resume();
+      res.on('end', () =>
+        resolve({id, status: res.statusCode ?? 0, headers: res.headers}),
+      );
+    });
+    req.on('error', err =>
+      leaveAfterMs === undefined ? reject(err) : resolve(undefined),
+    );
+    req.end('body');
+    if (leaveAfterMs !== undefined) {
+      setTimeout(() => req.destroy(), leaveAfterMs);
+    }
+  });
+}
+
+/** Sends requests over all VMs in turn, a few at a time. */
+async function sendMany(
+  world: World,
+  count: number,
+  sending: Sending,
+): Promise<void> {
+  const {fleet} = stateOf(world);
+  const numbers = Array.from({length: count}, (_, index) => index);
+  const answers: Answer[] = [];
+  const sender = async () => {
+    for (let index = numbers.shift(); index !== undefined;) {
+      const answer = await send(fleet.vm(index % fleet.vms.length), sending);
+      if (answer) answers.push(answer);
+      index = numbers.shift();
+    }
+  };
+  await Promise.all([sender(), sender(), sender()]);
+  stateOf(world).answers = answers;
+}
+
+function runsOf(world: World, id: string): number {
+  const backends = stateOf(world).fleet.vms.map(({backend}) => backend);
+  return backends.flatMap(({seen}) => seen).filter(s => s === id).length;
+}
+
+async function eventually(
+  isTrue: () => boolean | Promise<boolean>,
+  withinMs: number,
+): Promise<void> {
+  const endAtMs = performance.now() + withinMs;
+  while (!(await isTrue())) {
+    assert.ok(performance.now() < endAtMs, `not so within ${withinMs} ms`);
+    await new Promise(resolve => setTimeout(resolve, POLL_MS));
+  }
+}
+
+Given(
+  'a mesh fleet of {int} VMs with {int} slots each',
+  async function (this: World, count: number, slots: number) {
+    const {fleet} = stateOf(this);
+    await fleet.start(Array<string>(count).fill(SERVICE), slots);
+    fleet.configure(configuration(1));
+  },
+);
+
+Given(
+  /^every backend server (.+)$/,
+  function (this: World, behaviour: keyof typeof BEHAVIOURS) {
+    stateOf(this).fleet.vms.forEach(({backend}) => {
+      backend.behaviour = behaviour;
+    });
+  },
+);
+
+Given(
+  /^one backend server (.+)$/,
+  function (this: World, behaviour: keyof typeof BEHAVIOURS) {
+    stateOf(this).fleet.vm(1).backend.behaviour = behaviour;
+  },
+);
+
+Given(
+  'the backend server of VM {int} says that it leaves',
+  function (this: World, index: number) {
+    const {id, daemon} = stateOf(this).fleet.vm(index);
+    daemon.gate.leave(`instance-${id}`);
+  },
+);
+
+When(
+  'callers send {int} requests to {string} over all VMs',
+  async function (this: World, count: number, path: string) {
+    await sendMany(this, count, {path, key: 'key-big'});
+  },
+);
+
+When(
+  'a caller with the key {string} sends {int} requests over all VMs',
+  async function (this: World, key: string, count: number) {
+    await sendMany(this, count, {path: '/once/', key});
+  },
+);
+
+When(
+  'a caller sends a request to {string}',
+  async function (this: World, path: string) {
+    await sendMany(this, 1, {path, key: 'key-big'});
+  },
+);
+
+When(
+  'a caller sends a request to {string} with the key {string}',
+  async function (this: World, path: string, key: string) {
+    await sendMany(this, 1, {path, key});
+  },
+);
+
+When(
+  'a caller sends a request to {string} and leaves after {int} ms',
+  async function (this: World, path: string, leaveAfterMs: number) {
+    const {fleet} = stateOf(this);
+    await send(fleet.vm(0), {path, key: 'key-big', leaveAfterMs});
+  },
+);
+
+When(
+  'version {int} without {string} comes to VM {int} alone',
+  function (this: World, version: number, prefix: string, index: number) {
+    const all = configuration(version);
+    const routes = all.routes.filter(route => route.prefix !== prefix);
+    const {keeper} = stateOf(this).fleet.vm(index).daemon;
+    keeper.offer({...all, routes}, 'test');
+  },
+);
+
+Then(
+  /^(?:it is|all are) answered with (\d+)$/,
+  function (this: World, status: string) {
+    const {answers} = stateOf(this);
+    assert.ok(answers.length > 0);
+    assert.deepEqual(
+      answers.filter(answer => answer.status !== Number(status)),
+      [],
+    );
+  },
+);
+
+Then('every request has run exactly once', function (this: World) {
+  stateOf(this).answers.forEach(({id}) => assert.equal(runsOf(this, id), 1));
+});
+
+Then('it has run {int} times', function (this: World, runs: number) {
+  const [answer] = stateOf(this).answers;
+  assert.equal(runsOf(this, answer?.id ?? ''), runs);
+});
+
+Then(
+  'no request has run more than {int} times',
+  function (this: World, most: number) {
+    const {answers} = stateOf(this);
+    answers.forEach(({id}) => assert.ok(runsOf(this, id) <= most));
+  },
+);
+
+Then('the answer says when to come back', function (this: World) {
+  const [answer] = stateOf(this).answers;
+  assert.ok(Number(answer?.headers['retry-after']) > 0);
+});
+
+Then(
+  'nothing runs at any backend server within {int} ms',
+  async function (this: World, withinMs: number) {
+    const {fleet} = stateOf(this);
+    const isIdle = () =>
+      fleet.vms.every(({backend}) => backend.running.size === 0);
+    await eventually(isIdle, withinMs);
+  },
+);
+
+Then(
+  'the backend server of VM {int} has seen no request',
+  function (this: World, index: number) {
+    assert.deepEqual(stateOf(this).fleet.vm(index).backend.seen, []);
+  },
+);
+
+Then('at most {int} of them have run', function (this: World, most: number) {
+  const {fleet} = stateOf(this);
+  const ran = fleet.vms.flatMap(({backend}) => backend.seen).length;
+  assert.ok(ran > 0 && ran <= most, `${ran} have run`);
+});
+
+Then(
+  'the others were refused with {int} and a time to return',
+  function (this: World, status: number) {
+    const refused = stateOf(this).answers.filter(a => a.status !== 200);
+    assert.ok(refused.length > 0);
+    refused.forEach(({status: got, headers}) => {
+      assert.equal(got, status);
+      assert.ok(Number(headers['retry-after']) > 0);
+    });
+  },
+);
+
+Then(
+  'every VM refuses {string} with {int} within {int} ms',
+  async function (this: World, path: string, status: number, withinMs: number) {
+    const {fleet} = stateOf(this);
+    await eventually(async () => {
+      const sending = {path, key: 'key-big'};
+      const answers = await Promise.all(fleet.vms.map(vm => send(vm, sending)));
+      return answers.every(answer => answer?.status === status);
+    }, withinMs);
+  },
+);
+
+Then(
+  'version {int} brought again to VM {int} changes nothing',
+  function (this: World, version: number, index: number) {
+    const {keeper} = stateOf(this).fleet.vm(index).daemon;
+    const before = keeper.version;
+    keeper.offer(configuration(version), 'test');
+    assert.equal(keeper.version, before);
+  },
+);
--- /dev/null
+++ b/features/support/mesh_fleet.ts
@@ -0,0 +1,197 @@
+/**
+ * A mesh fleet inside the test process: real daemons that talk over loopback
+ * at ports given by the system, and backend servers whose behaviour the steps
+ * choose. It needs no store: configurations are handed over directly.
+ */
+import {
+  createServer,
+  type IncomingMessage,
+  type ServerResponse,
+} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {silentLog} from '../../src/log/decision_log.js';
+import {DEFAULT_HEADER_NAMES as NAMES} from '../../src/mesh/header_names.js';
+import {MeshDaemon} from '../../src/mesh/mesh_daemon.js';
+import {MeshMetrics} from '../../src/mesh/mesh_metrics.js';
+import type {FleetConfiguration, Route} from '../../src/mesh/model.js';
+
+/** How a backend server treats requests. */
+export type Behaviour = (req: IncomingMessage, res: ServerResponse) => void;
+
+/** A backend server and what it has seen. */
+export class MeshBackend {
+  readonly seen: string[] = [];
+  readonly running = new Set<string>();
+  behaviour: keyof typeof BEHAVIOURS = 'answers';
+  readonly #server = createServer((req, res) => this.#serve(req, res));
+
+  async start(): Promise<string> {
+    await new Promise<void>(resolve =>
+      this.#server.listen(0, '127.0.0.1', resolve),
+    );
+    return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
+  }
+
+  stop(): void {
+    this.#server.closeAllConnections();
+    this.#server.close();
+  }
+
+  #serve(req: IncomingMessage, res: ServerResponse): void {
+    const id = String(req.headers[NAMES.requestId]);
+    this.seen.push(id);
+    this.running.add(id);
+    res.on('close', () => this.running.delete(id));
+    res.setHeader(NAMES.requestId, id);
+    res.setHeader(NAMES.signature, 'signed');
+    BEHAVIOURS[this.behaviour](req, res);
+  }
+}
+
+/** Milliseconds that a slow answer takes, far over the usual. */
+const SLOW_MS = 600;
+
+export const BEHAVIOURS = {
+  answers: (_, res) => res.end('done'),
+  'answers slowly': (_, res) => setTimeout(() => res.end('done'), SLOW_MS),
+  hangs: () => undefined,
+  'breaks off': (_, res) => res.destroy(),
+  'cuts answers short': (_, res) => {
+    res.writeHead(200, {'content-length': 100});
+    res.write('half');
+    setTimeout(() => res.destroy(), 10);
+  },
+  "answers with another request's id": (_, res) => {
+    res.setHeader(NAMES.requestId, 'foreign');
+    res.end('done');
+  },
+  'answers without signature': (_, res) => {
+    res.removeHeader(NAMES.signature);
+    res.end('done');
+  },
+  fails: (_, res) => res.writeHead(500).end('failed'),
+  'turns requests away': (_, res) => {
+    res.setHeader(NAMES.notExecuted, '1');
+    res.writeHead(503).end();
+  },
+  'answers 503 after running': (_, res) => res.writeHead(503).end(),
+} as const satisfies Readonly<Record<string, Behaviour>>;
+
+/** One daemon with its backend server. */
+export interface MeshVm {
+  readonly id: string;
+  readonly callers: string;
+  readonly daemon: MeshDaemon;
+  readonly backend: MeshBackend;
+}
+
+const ROUTE_DEFAULTS = {
+  host: 'app.example',
+  timeoutMs: 1500,
+  objectiveMs: 400,
+  priority: 1,
+  maxAttempts: 2,
+  isPublic: false,
+} as const;
+
+/** Builds a route for tests; what isn't said stays at a default. */
+export function testRoute(
+  route: Pick<Route, 'name' | 'prefix' | 'isIdempotent' | 'targets'> &
+    Partial<Route>,
+): Route {
+  return {...ROUTE_DEFAULTS, ...route};
+}
+
+/** The fleet of one scenario. */
+export class MeshFleet {
+  readonly vms: MeshVm[] = [];
+
+  /** Starts daemons `a`, `b` … with one backend server of a service each. */
+  async start(services: readonly string[], slots: number): Promise<void> {
+    for (const [index, service] of services.entries()) {
+      this.vms.push(await startVm(`vm-${index}`, service, slots));
+    }
+    this.vms.forEach(({daemon}) =>
+      this.vms.forEach(other => daemon.peers.learn(other.daemon.self)),
+    );
+    const isComplete = () =>
+      this.vms.every(({daemon}) => {
+        const links = daemon.peers.links;
+        const heard = links.filter(link => link.status?.backend);
+        return heard.length === this.vms.length - 1;
+      });
+    while (!isComplete()) await new Promise(resolve => setTimeout(resolve, 10));
+  }
+
+  configure(configuration: FleetConfiguration): void {
+    this.vms.forEach(({daemon}) => daemon.keeper.offer(configuration, 'test'));
+  }
+
+  vm(index: number): MeshVm {
+    const vm = this.vms[index];
+    if (!vm) throw new Error(`no VM ${index}`);
+    return vm;
+  }
+
+  async stop(): Promise<void> {
+    this.vms.forEach(({backend}) => backend.stop());
+    await Promise.all(this.vms.map(({daemon}) => daemon.halt()));
+  }
+}
+
+async function startVm(
+  id: string,
+  service: string,
+  slots: number,
+): Promise<MeshVm> {
+  const backend = new MeshBackend();
+  const address = await backend.start();
+  const [callers, readiness, announcements, peers, metrics] = await freePorts();
+  const daemon = new MeshDaemon({
+    settings: {
+      vm: {id, failureDomain: 'test'},
+      listen: {callers, readiness, announcements, peers, metrics},
+      backend: {address, service},
+      store: {address: '127.0.0.1:9'},
+      isFirstStart: true,
+      stopTimeoutS: 3,
+      repeats: {ratio: 0.2, windowS: 10, slack: 60},
+    },
+    names: NAMES,
+    log: silentLog,
+    metrics: new MeshMetrics(),
+  });
+  await daemon.start();
+  daemon.gate.announce({
+    instance: `instance-${id}`,
+    service,
+    state: 'ready',
+    slots,
+    coldForMs: 0,
+    startedAtUnixMs: 1000,
+    sequence: 1,
+  });
+  return {id, callers, daemon, backend};
+}
+
+/** Ports that were free a moment ago, all different. */
+async function freePorts(): Promise<
+  readonly [string, string, string, string, string]
+> {
+  const servers = [0, 1, 2, 3, 4].map(() => createServer());
+  const ports = await Promise.all(
+    servers.map(
+      server =>
+        new Promise<string>(resolve =>
+          server.listen(0, '127.0.0.1', () => {
+            const {port} = server.address() as AddressInfo;
+            resolve(`127.0.0.1:${port}`);
+          }),
+        ),
+    ),
+  );
+  await Promise.all(
+    servers.map(server => new Promise(resolve => server.close(resolve))),
+  );
+  return ports as unknown as readonly [string, string, string, string, string];
+}
--- a/src/mesh/mesh_daemon.ts
+++ b/src/mesh/mesh_daemon.ts
@@ -151,7 +151,17 @@
     }
     const open = this.#frontDoor.open;
     this.#options.log.belief('daemon-stopped', {open});
+    await this.halt();
+  }
+
+  /** Ends everything at once. */
+  async halt(): Promise<void> {
     this.peers.stop();
+    this.#frontDoor.close();
+    this.#readiness.close();
+    this.#metricsServer.close();
+    await this.#peerServer.stop();
+    await this.#exchange.stop();
   }
 
   #status(): VmStatus {
