Spend less processor time on each request

Gates decline work that may run once while they doubt their server; large bodies stay in their failure domain.

--- a/features/steps/mesh_policy_steps.ts
+++ b/features/steps/mesh_policy_steps.ts
@@ -137,7 +137,7 @@
         candidate({isNear: true, running: 0, trust}),
         candidate({isNear: true, running: SLOTS + 1}),
       ],
-      false,
+      {isIdempotent: false, bodyBytes: 0},
       () => 0,
     );
     assert.equal(first?.backend.trust, 'clear');
@@ -158,7 +158,11 @@
     running: stateOf(this).nearRunning,
   });
   const far = candidate({isNear: false, running: 1});
-  const [first] = rankCandidates([far, near], true, () => 0);
+  const [first] = rankCandidates(
+    [far, near],
+    {isIdempotent: true, bodyBytes: 0},
+    () => 0,
+  );
   assert.equal(first?.backend.instance, chosen);
 });
 
--- a/src/errors/catalogue.ts
+++ b/src/errors/catalogue.ts
@@ -4,7 +4,7 @@
  * reader what to do, and the exit code that the command line ends with.
  */
 
-/** Exit codes of the command line. Documented in docs/OPERATING.md. */
+/** Exit codes of the command line. Documented in docs/OPERATIONS.md. */
 export const EXIT_CODES = {
   ok: 0,
   internal: 1,
@@ -39,7 +39,7 @@
   settingsInvalid: kind<{file: string; faults: readonly string[]}>({
     title: 'The settings are not valid',
     message: d => `${d.file}:\n${d.faults.map(f => `  ${f}`).join('\n')}`,
-    hint: 'Mend each field that is named; docs/OPERATING.md lists them all.',
+    hint: 'Mend each field that is named; docs/OPERATIONS.md lists them all.',
     exitCode: EXIT_CODES.invalidInput,
   }),
   storeUnavailable: kind<{operation: string; reason: string}>({
--- a/src/log/decision_log.ts
+++ b/src/log/decision_log.ts
@@ -5,7 +5,7 @@
  * so that a busy second can't hide them. Printed through consola.
  */
 import {createConsola, type ConsolaInstance} from 'consola';
-import {LineSink, writerOf} from './line_sink.js';
+import {LineSink, stdoutWriter} from './line_sink.js';
 
 /** Values of a line. */
 export type LogFields = Readonly<Record<string, unknown>>;
@@ -24,7 +24,6 @@
 const LINES_PER_S = {step: 40, failure: 200, belief: 100} as const;
 type Kind = keyof typeof LINES_PER_S;
 
-const STDOUT_FD = 1;
 const SECOND_MS = 1000;
 
 /** Lines of one kind in the present second. */
@@ -37,7 +36,7 @@
 /** The decision log of a process; `vm` names it on each line. */
 export class StdoutDecisionLog implements DecisionLog {
   readonly #consola: ConsolaInstance;
-  readonly #sink = new LineSink(writerOf(STDOUT_FD));
+  readonly #sink = new LineSink(stdoutWriter());
   readonly #vm: string;
   readonly #meters: Readonly<Record<Kind, Meter>> = {
     step: {secondStartedAtMs: 0, kept: 0, leftOut: 0},
@@ -65,6 +64,11 @@
     this.#line('belief', event, fields);
   }
 
+  /** Writes what waits, before the process ends. */
+  flush(): void {
+    this.#sink.flush();
+  }
+
   #line(kind: Kind, event: string, fields: LogFields): void {
     const nowMs = performance.now();
     const meter = this.#meters[kind];
--- a/src/log/line_sink.ts
+++ b/src/log/line_sink.ts
@@ -1,75 +1,106 @@
 /**
  * Log lines on their way to standard output. Lines are gathered for a moment
- * and written together; while a reader is slow they wait in a bounded buffer.
- * What doesn't fit is dropped and counted, so that a blocked reader costs
- * lines, never time or memory.
+ * and written together by a call that never waits; while a reader is slow
+ * they stay in a bounded buffer. What doesn't fit is dropped and counted, so
+ * that a blocked reader costs lines, never time or memory.
  */
-import {fstatSync, writeSync} from 'node:fs';
+import {constants, fstatSync, openSync, writeSync} from 'node:fs';
 import {Socket} from 'node:net';
+import {reasonOf} from '../errors/failure.js';
 
-/** Lines that may wait, in characters. */
-const MAX_BUFFERED_CHARS = 256 * 1024;
+/** What may wait for the reader. */
+const MAX_BUFFERED_BYTES = 256 * 1024;
 /** How long lines are gathered before a write, in milliseconds. */
-const GATHER_MS = 250;
+const GATHER_MS = 500;
 
-/** Takes bytes; calls back when there is room for more. */
-export type ByteWriter = (text: string, done: () => void) => void;
+/** Takes as many bytes as it can at once; returns how many. */
+export type ByteWriter = (bytes: Buffer) => number;
 
 /** Writes lines without ever blocking the caller. */
 export class LineSink {
   readonly #write: ByteWriter;
+  /** Bytes of lines that a write has begun or that wait for one. */
+  #rest = Buffer.alloc(0);
   #lines: string[] = [];
   #chars = 0;
   #dropped = 0;
-  #isBusy = false;
+  #isScheduled = false;
 
   constructor(write: ByteWriter) {
     this.#write = write;
   }
 
   add(line: string): void {
-    if (this.#chars + line.length > MAX_BUFFERED_CHARS) {
+    const waiting = this.#rest.length + this.#chars;
+    if (waiting + line.length > MAX_BUFFERED_BYTES) {
       this.#dropped += 1;
       return;
     }
     this.#lines.push(line);
     this.#chars += line.length + 1;
-    if (!this.#isBusy) this.#schedule();
+    this.#schedule();
   }
 
-  #schedule(): void {
-    this.#isBusy = true;
-    setTimeout(() => this.#flush(), GATHER_MS).unref();
-  }
-
-  #flush(): void {
+  /** Writes what waits, as far as the reader takes it. */
+  flush(): void {
     if (this.#dropped > 0) {
       const count = this.#dropped;
       this.#lines.push(JSON.stringify({event: 'log-lines-dropped', count}));
       this.#dropped = 0;
     }
-    const text = `${this.#lines.join('\n')}\n`;
+    const text = this.#lines.map(line => `${line}\n`).join('');
     this.#lines = [];
     this.#chars = 0;
-    this.#write(text, () => {
-      this.#isBusy = false;
-      if (this.#lines.length > 0) this.#schedule();
-    });
+    const bytes = Buffer.concat([this.#rest, Buffer.from(text)]);
+    this.#rest = bytes.subarray(this.#write(bytes));
+    if (this.#rest.length > 0) this.#schedule();
+  }
+
+  #schedule(): void {
+    if (this.#isScheduled) return;
+    this.#isScheduled = true;
+    setTimeout(() => {
+      this.#isScheduled = false;
+      this.flush();
+    }, GATHER_MS).unref();
   }
 }
 
-/** A writer for a descriptor: files never block, pipes and sockets may. */
-export function writerOf(fd: number): ByteWriter {
-  const stat = fstatSync(fd);
-  if (!stat.isFIFO() && !stat.isSocket()) {
-    return (text, done) => {
-      writeSync(fd, text);
-      done();
-    };
+const STDOUT_FD = 1;
+
+/**
+ * A writer for standard output. A pipe is opened anew, so that it can be set
+ * not to block without changing what other processes share.
+ */
+export function stdoutWriter(): ByteWriter {
+  const stat = fstatSync(STDOUT_FD);
+  if (stat.isSocket()) return socketWriter();
+  if (!stat.isFIFO()) return bytes => writeNow(STDOUT_FD, bytes);
+  const flags = constants.O_WRONLY | constants.O_NONBLOCK;
+  const fd = openSync(`/proc/self/fd/${STDOUT_FD}`, flags);
+  return bytes => writeNow(fd, bytes);
+}
+
+function writeNow(fd: number, bytes: Buffer): number {
+  try {
+    return writeSync(fd, bytes);
+  } catch (err) {
+    const isFull =
+      err instanceof Error && 'code' in err && err.code === 'EAGAIN';
+    // Without a reader there is nobody to tell; the lines are dropped.
+    return isFull ? 0 : bytes.length;
   }
-  const socket = new Socket({fd, readable: false, writable: true});
+}
+
+/** Sockets can't be opened anew. */
+function socketWriter(): ByteWriter {
+  const socket = new Socket({fd: STDOUT_FD, readable: false, writable: true});
   socket.unref();
-  // Without a reader there is nobody to tell; lines are dropped from then on.
-  socket.on('error', () => undefined);
-  return (text, done) => void socket.write(text, () => done());
+  let isBroken: string | undefined;
+  socket.on('error', err => (isBroken = reasonOf(err)));
+  return bytes => {
+    if (isBroken === undefined && socket.writableNeedDrain) return 0;
+    if (isBroken === undefined) socket.write(bytes);
+    return bytes.length;
+  };
 }
--- a/src/mesh/gate/exchange.ts
+++ b/src/mesh/gate/exchange.ts
@@ -6,7 +6,12 @@
  * This is Node's own client and not undici, which takes a reset connection as
  * the end of an answer without a length: half an answer would look whole.
  */
-import {request, type ClientRequest, type IncomingMessage} from 'node:http';
+import {
+  Agent,
+  request,
+  type ClientRequest,
+  type IncomingMessage,
+} from 'node:http';
 import {reasonOf} from '../../errors/failure.js';
 import {parseAddress} from '../../settings/address.js';
 import type {HeaderNames} from '../header_names.js';
@@ -69,6 +74,7 @@
   readonly #host: string;
   readonly #port: number;
   readonly #names: HeaderNames;
+  readonly #agent = new Agent({keepAlive: false});
 
   constructor(address: string, names: HeaderNames) {
     const {host, port} = parseAddress(address);
@@ -140,7 +146,7 @@
         method,
         path,
         headers: raw.headers,
-        agent: false,
+        agent: this.#agent,
         setHost: false,
         signal,
       });
@@ -220,7 +226,7 @@
     });
     res.on('error', reject);
     res.on('close', () => {
-      // Without effect if the answer was whole.
+      if (res.complete) return;
       reject(new AnswerCutShort('connection closed within the answer'));
     });
   });
--- a/src/mesh/gate/gate.ts
+++ b/src/mesh/gate/gate.ts
@@ -107,6 +107,9 @@
   ): Promise<Reservation | Declined> {
     const refusal = this.#refusal(request.service);
     if (refusal) return refusal;
+    // Routers may not have heard yet that the instance hangs.
+    const isTrusted = this.#suspicion.trust(performance.now()) === 'clear';
+    if (!isTrusted && !request.acceptsDoubt) return declined('doubtful');
     const {priority, patienceMs} = request;
     const slot = await this.#slots.take({priority, patienceMs, signal});
     if (slot.kind === 'declined') return slot;
--- a/src/mesh/gate/work.ts
+++ b/src/mesh/gate/work.ts
@@ -14,11 +14,19 @@
   readonly objectiveMs: number;
   /** How long it may wait for a slot; 0: only a free slot will do. */
   readonly patienceMs: number;
+  /** Whether an instance that isn't trusted now will do. */
+  readonly acceptsDoubt: boolean;
 }
 
 /** Why a gate gives no slot; the request has not run. */
 export type DeclineReason =
-  'busy' | 'leaving' | 'no-instance' | 'silent' | 'stopping' | 'withdrawn';
+  | 'busy'
+  | 'doubtful'
+  | 'leaving'
+  | 'no-instance'
+  | 'silent'
+  | 'stopping'
+  | 'withdrawn';
 
 /** The gate gives no slot. */
 export interface Declined {
--- a/src/mesh/limits/shared_limits.ts
+++ b/src/mesh/limits/shared_limits.ts
@@ -68,6 +68,9 @@
   /** Its own parts, for when no owner can be reached. */
   readonly #parts = new Map<string, TokenBucket>();
   readonly #demand = new Map<string, number>();
+  /** Owners while the daemons that are seen stay the same. */
+  readonly #owners = new Map<string, string>();
+  #members = '';
   readonly #now: () => number;
   readonly #startedAtMs: number;
 
@@ -147,10 +150,18 @@
     const {peers} = this.#options;
     const ids = [peers.selfId, ...peers.reachable()];
     if (ids.length < QUORUM_SHARE * peers.knownCount()) return undefined;
-    return rankMembers(
+    const members = ids.toSorted().join(' ');
+    if (members !== this.#members) this.#owners.clear();
+    this.#members = members;
+    const known = this.#owners.get(name);
+    if (known !== undefined) return known;
+    const ranked = rankMembers(
       name,
       ids.map(id => ({id})),
-    )[0]?.id;
+    );
+    const owner = ranked[0]?.id ?? peers.selfId;
+    this.#owners.set(name, owner);
+    return owner;
   }
 }
 
--- a/src/mesh/peers/peer_server.ts
+++ b/src/mesh/peers/peer_server.ts
@@ -47,6 +47,8 @@
 /** Changes within this time are told together. */
 const GATHER_MS = 10;
 
+const WITHDRAWN = new Error('withdrawn by the router');
+
 /** The listener for peers. */
 export class PeerServer {
   readonly #options: PeerServerOptions;
@@ -126,7 +128,7 @@
     withdraw: ({id}) => {
       const held = this.#held.get(id);
       this.#held.delete(id);
-      held?.abort.abort();
+      held?.abort.abort(WITHDRAWN);
       held?.reservation?.release();
     },
     run: frame => void this.#run(frame),
@@ -231,7 +233,7 @@
     const held = [...this.#held.values()];
     this.#held.clear();
     held.forEach(({abort, reservation}) => {
-      abort.abort();
+      abort.abort(WITHDRAWN);
       reservation?.release();
     });
   }
--- a/src/mesh/router/choice.ts
+++ b/src/mesh/router/choice.ts
@@ -17,9 +17,18 @@
   readonly outstanding: number;
 }
 
+/** What the choice knows of the request. */
+export interface WorkShape {
+  readonly isIdempotent: boolean;
+  readonly bodyBytes: number;
+}
+
 /** All weights are in units of a fully used instance. */
 const OTHER_VM_COST = 0.02;
 const OTHER_DOMAIN_COST = 0.4;
+/** Added for a body of this size or more, which is dear to carry over. */
+const LARGE_BODY_COST = 1;
+const LARGE_BODY_BYTES = 32 * 1024;
 const NO_FREE_SLOT_COST = 1;
 /** A cold instance takes about twice as long. */
 const COLD_COST = 0.5;
@@ -39,14 +48,14 @@
 /** The candidates that take new work, the best first. */
 export function rankCandidates<Known extends Candidate>(
   candidates: readonly Known[],
-  isIdempotent: boolean,
+  work: WorkShape,
   random: () => number = Math.random,
 ): readonly Known[] {
   return candidates
     .filter(({backend}) => backend.state === 'ready')
     .map(candidate => ({
       candidate,
-      cost: costOf(candidate, isIdempotent) + random() * SPREAD_COST,
+      cost: costOf(candidate, work) + random() * SPREAD_COST,
     }))
     .toSorted((a, b) => a.cost - b.cost)
     .map(({candidate}) => candidate);
@@ -57,22 +66,27 @@
   return backend.running + backend.waiting + outstanding < backend.slots;
 }
 
-function costOf(candidate: Candidate, isIdempotent: boolean): number {
+function costOf(candidate: Candidate, work: WorkShape): number {
   const {backend, outstanding} = candidate;
   const {trust} = backend;
   const taken = backend.running + backend.waiting + outstanding;
   const isTrial = trust !== 'clear' && taken > 0;
   return [
     taken / backend.slots,
-    placeCost(candidate),
+    placeCost(candidate, work.bodyBytes),
     hasFreeSlot(candidate) ? 0 : NO_FREE_SLOT_COST,
     backend.isCold ? COLD_COST : 0,
-    TRUST_COST[isIdempotent ? 'idempotent' : 'once'][trust],
+    TRUST_COST[work.isIdempotent ? 'idempotent' : 'once'][trust],
     isTrial ? TRIAL_UNDER_WAY_COST : 0,
   ].reduce((sum, cost) => sum + cost);
 }
 
-function placeCost({isLocal, isSameDomain}: Candidate): number {
+function placeCost(
+  {isLocal, isSameDomain}: Candidate,
+  bodyBytes: number,
+): number {
   if (isLocal) return 0;
-  return isSameDomain ? OTHER_VM_COST : OTHER_DOMAIN_COST;
+  if (isSameDomain) return OTHER_VM_COST;
+  const largeness = Math.min(1, bodyBytes / LARGE_BODY_BYTES);
+  return OTHER_DOMAIN_COST + largeness * LARGE_BODY_COST;
 }
--- a/src/mesh/router/dispatcher.ts
+++ b/src/mesh/router/dispatcher.ts
@@ -60,6 +60,11 @@
 /** Pause before a second instance is looked for again, in milliseconds. */
 const NEXT_LOOK_MS = 60;
 
+/** Reasons to end a run; made once, since each new one has a stack trace. */
+const DEADLINE = new Error('deadline');
+const CALLER_GONE = new Error('the caller has gone');
+const OTHER_WON = new Error('another instance answered first');
+
 /** The name of the shared limit on repeats of a service. */
 export function repeatLimit(service: string): string {
   return `repeats:${service}`;
@@ -77,10 +82,10 @@
     this.#options.limits.demand(repeatLimit(request.service));
     const end = new AbortController();
     const leftMs = request.deadlineAtMs - performance.now();
-    const timer = setTimeout(() => end.abort(), Math.max(0, leftMs));
-    const onGone = () => end.abort();
+    const timer = setTimeout(() => end.abort(DEADLINE), Math.max(0, leftMs));
+    const onGone = () => end.abort(CALLER_GONE);
     request.callerGone.addEventListener('abort', onGone, {once: true});
-    if (request.callerGone.aborted) end.abort();
+    if (request.callerGone.aborted) onGone();
     const task = new Dispatch(request, this.#options, end.signal);
     try {
       return await (request.route.isIdempotent
@@ -89,7 +94,6 @@
     } finally {
       clearTimeout(timer);
       request.callerGone.removeEventListener('abort', onGone);
-      end.abort();
     }
   }
 }
@@ -225,6 +229,7 @@
       priority,
       objectiveMs: route.objectiveMs,
       isIdempotent: route.isIdempotent,
+      bodyBytes: this.#request.body.length,
       excluded: this.#excluded,
       deadlineAtMs,
       mayWait,
@@ -246,9 +251,9 @@
       isIdempotent,
     };
     const cancel = new AbortController();
-    const onEnd = () => cancel.abort();
+    const onEnd = () => cancel.abort(this.#signal.reason);
     this.#signal.addEventListener('abort', onEnd, {once: true});
-    if (this.#signal.aborted) cancel.abort();
+    if (this.#signal.aborted) onEnd();
     this.#arrivals += 1;
     this.#excluded.add(found.vm);
     const {vm, reservation} = found;
@@ -259,7 +264,7 @@
       this.#note(result, vm);
       return result;
     });
-    return {found, outcome, cancel: () => cancel.abort()};
+    return {found, outcome, cancel: () => cancel.abort(OTHER_WON)};
   }
 
   #note(outcome: Outcome, vm: string): void {
--- a/src/mesh/router/front_door.ts
+++ b/src/mesh/router/front_door.ts
@@ -46,6 +46,8 @@
 /** Connections may wait while a busy process accepts others. */
 const BACKLOG = 1024;
 
+const CALLER_GONE = new Error('the caller closed its connection');
+
 /** The name of the shared limit on a customer's rate. */
 export function rateLimit(customer: string): string {
   return `rate:${customer}`;
@@ -118,7 +120,7 @@
     const exchange = {req, res, id, startedAtMs, routeName: 'none'};
     const gone = new AbortController();
     res.on('close', () => {
-      if (!res.writableFinished) gone.abort();
+      if (!res.writableFinished) gone.abort(CALLER_GONE);
     });
     this.#open += 1;
     try {
@@ -278,6 +280,7 @@
 /** Reasons to give a request up that has not run, as callers see them. */
 const NOT_RUN_NAMES: Readonly<Partial<Record<string, RefusalName>>> = {
   busy: 'busy',
+  doubtful: 'busy',
   deadline: 'deadline',
   'no-instance': 'no-instance',
   leaving: 'no-instance',
--- a/src/mesh/router/slot_search.ts
+++ b/src/mesh/router/slot_search.ts
@@ -17,8 +17,12 @@
 import type {Gates, KnownGate} from './gates.js';
 
 /** What is searched for. */
-export interface Search extends Omit<SlotRequest, 'patienceMs'> {
+export interface Search extends Omit<
+  SlotRequest,
+  'patienceMs' | 'acceptsDoubt'
+> {
   readonly isIdempotent: boolean;
+  readonly bodyBytes: number;
   /** VMs that have already failed this request. */
   readonly excluded: ReadonlySet<string>;
   /** Monotonic clock; waiting past it serves nobody. */
@@ -40,14 +44,17 @@
 /** Gates at which a request waits at once. */
 const MAX_LINES = 3;
 
+/** Ends the waits at other gates. */
+const OTHER_SLOT = new Error('a slot came free elsewhere');
+
 /** Searches for a slot. */
 export async function findSlot(
   gates: Gates,
   search: Search,
 ): Promise<Found | Declined> {
-  const {isIdempotent, excluded, service} = search;
+  const {excluded, service} = search;
   const usable = gates.of(service).filter(({vm}) => !excluded.has(vm));
-  const ranked = rankCandidates(usable, isIdempotent);
+  const ranked = rankCandidates(usable, search);
   if (ranked.length === 0) return declined('no-instance');
   const free = ranked.filter(hasFreeSlot).slice(0, MAX_ASKED);
   const found = await askInTurn(free, search);
@@ -63,7 +70,11 @@
   let last = declined('busy');
   for (const {vm, gate} of free) {
     const result = await gate.reserve(
-      {...slotRequest(search), patienceMs: 0},
+      {
+        ...slotRequest(search),
+        patienceMs: 0,
+        acceptsDoubt: search.isIdempotent,
+      },
       search.signal,
     );
     if (result.kind === 'reserved') {
@@ -81,14 +92,15 @@
 ): Promise<Found | Declined> {
   const {signal, deadlineAtMs} = search;
   const leave = new AbortController();
-  const onAbort = () => leave.abort();
+  const onAbort = () => leave.abort(signal.reason);
   signal.addEventListener('abort', onAbort, {once: true});
   let isWon = false;
   const waits = gates.map(async ({vm, gate, backend}) => {
     const leftMs = deadlineAtMs - performance.now();
     // A slot that comes too late for the work itself is of no use.
     const patienceMs = Math.max(1, leftMs - backend.holdMs);
-    const request = {...slotRequest(search), patienceMs};
+    const acceptsDoubt = true;
+    const request = {...slotRequest(search), patienceMs, acceptsDoubt};
     const result = await gate.reserve(request, leave.signal);
     if (result.kind === 'declined') return Promise.reject(new NoSlot(result));
     if (isWon) {
@@ -104,7 +116,7 @@
     return soonest(err as AggregateError);
   } finally {
     signal.removeEventListener('abort', onAbort);
-    leave.abort();
+    leave.abort(OTHER_SLOT);
   }
 }
 
@@ -123,7 +135,9 @@
   return refusals.reduce((a, b) => (b.waitMs < a.waitMs ? b : a));
 }
 
-function slotRequest(search: Search): Omit<SlotRequest, 'patienceMs'> {
+function slotRequest(
+  search: Search,
+): Omit<SlotRequest, 'patienceMs' | 'acceptsDoubt'> {
   const {requestId, service, route, priority, objectiveMs} = search;
   return {requestId, service, route, priority, objectiveMs};
 }
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -1,7 +1,7 @@
 /**
  * Metrics by hot-shots (statsd over UDP). Parts count through this narrow
  * interface; without an address in the settings the counters go nowhere.
- * docs/OPERATING.md lists every name.
+ * docs/OPERATIONS.md lists every name.
  */
 import {StatsD} from 'hot-shots';
 
