Let calls of backend servers go first, and wait no longer than it helps

Parents held slots while their own calls were refused as busy (231 of them), and requests that waited long were then cut by their timeout (250). Rejected arrivals used up the attempts of a route though nothing had run (184 refusals). Ruled out: rates (429 only for the hot customer), the store.

--- a/src/mesh/router/dispatcher.ts
+++ b/src/mesh/router/dispatcher.ts
@@ -116,7 +116,7 @@
   readonly #options: DispatcherOptions;
   readonly #signal: AbortSignal;
   readonly #excluded = new Set<string>();
-  #arrivals = 0;
+  #attempts = 0;
   #mayHaveRun = false;
 
   constructor(
@@ -180,7 +180,7 @@
   }
 
   get #isSpent(): boolean {
-    return this.#arrivals >= this.#request.route.maxAttempts;
+    return this.#attempts >= this.#request.route.maxAttempts;
   }
 
   /** The next outcome, or that the answer is late. */
@@ -254,7 +254,7 @@
     const onEnd = () => cancel.abort(this.#signal.reason);
     this.#signal.addEventListener('abort', onEnd, {once: true});
     if (this.#signal.aborted) onEnd();
-    this.#arrivals += 1;
+    this.#attempts += 1;
     this.#excluded.add(found.vm);
     const {vm, reservation} = found;
     const {instance} = reservation;
@@ -268,8 +268,9 @@
   }
 
   #note(outcome: Outcome, vm: string): void {
-    if (outcome.kind === 'not-run' && !outcome.hasArrived) this.#arrivals -= 1;
-    if (outcome.kind !== 'not-run') this.#mayHaveRun = true;
+    // What an instance turned away is no attempt, only a repeat.
+    if (outcome.kind === 'not-run') this.#attempts -= 1;
+    else this.#mayHaveRun = true;
     if (outcome.kind === 'answered' || outcome.reason === 'cancelled') return;
     const {id} = this.#request;
     const {kind, instance, reason} = outcome;
--- a/src/mesh/router/front_door.ts
+++ b/src/mesh/router/front_door.ts
@@ -62,6 +62,14 @@
   routeName: string;
 }
 
+/** What a request was matched to. */
+interface Matched {
+  readonly route: Route;
+  readonly customer: Customer | undefined;
+  readonly table: RouteTable;
+  readonly body: Buffer;
+}
+
 interface Refusal {
   readonly name: RefusalName;
   readonly detail?: string;
@@ -152,7 +160,12 @@
     }
     if (body.kind === 'broken') return this.#note(exchange, 0, 'caller-gone');
     if (customer && !(await this.#isWithinRate(exchange, customer))) return;
-    const request = this.#admitted(exchange, route, customer, body.bytes);
+    const request = this.#admitted(exchange, {
+      route,
+      customer,
+      table,
+      body: body.bytes,
+    });
     const verdict = await this.#options.dispatcher.serve({
       ...request,
       callerGone,
@@ -190,9 +203,7 @@
 
   #admitted(
     exchange: Exchange,
-    route: Route,
-    customer: Customer | undefined,
-    body: Buffer,
+    {route, customer, table, body}: Matched,
   ): Omit<Admitted, 'callerGone'> {
     const {req, id, startedAtMs} = exchange;
     const {names, service: callerService} = this.#options;
@@ -203,7 +214,7 @@
       id,
       route,
       service: pickService(route) ?? '',
-      priority: customer?.priority ?? route.priority,
+      priority: priorityOf(route, customer, table),
       method: req.method ?? 'GET',
       path: req.url ?? '/',
       headers: headersForBackend(req, names, stamp),
@@ -277,6 +288,22 @@
   }
 }
 
+/**
+ * Calls that backend servers make carry no key. They go before all others:
+ * whoever made the call holds a slot until it is answered, and all its work
+ * is lost if it isn't.
+ */
+const INTERNAL_PRIORITY = -1;
+
+function priorityOf(
+  route: Route,
+  customer: Customer | undefined,
+  table: RouteTable,
+): number {
+  if (!customer && table.hasCustomers) return INTERNAL_PRIORITY;
+  return customer?.priority ?? route.priority;
+}
+
 /** Reasons to give a request up that has not run, as callers see them. */
 const NOT_RUN_NAMES: Readonly<Partial<Record<string, RefusalName>>> = {
   busy: 'busy',
--- a/src/mesh/router/slot_search.ts
+++ b/src/mesh/router/slot_search.ts
@@ -41,6 +41,8 @@
 
 /** Gates that are asked one after the other for a free slot. */
 const MAX_ASKED = 4;
+/** Time that is kept for the work, in mean times that a slot is held. */
+const HOLDS_LEFT = 2;
 /** Gates at which a request waits at once. */
 const MAX_LINES = 3;
 
@@ -97,8 +99,7 @@
   let isWon = false;
   const waits = gates.map(async ({vm, gate, backend}) => {
     const leftMs = deadlineAtMs - performance.now();
-    // A slot that comes too late for the work itself is of no use.
-    const patienceMs = Math.max(1, leftMs - backend.holdMs);
+    const patienceMs = patienceOf(search.objectiveMs, leftMs, backend.holdMs);
     const acceptsDoubt = true;
     const request = {...slotRequest(search), patienceMs, acceptsDoubt};
     const result = await gate.reserve(request, leave.signal);
@@ -120,6 +121,20 @@
   }
 }
 
+/**
+ * How long waiting for a slot is of use. A slot that comes too late for the
+ * work itself only takes it from others; and waiting past the objective
+ * serves nobody in time while the line stays as long.
+ */
+function patienceOf(
+  objectiveMs: number,
+  leftMs: number,
+  holdMs: number,
+): number {
+  const forWorkMs = leftMs - HOLDS_LEFT * holdMs;
+  return Math.max(1, Math.min(objectiveMs, forWorkMs));
+}
+
 /** One gate gave no slot. */
 class NoSlot extends Error {
   readonly why: Declined;
