Test the adapter against a stand-in of the platform's store

A check in the test command fails when a name of the platform stands outside platform/; it found three default header names, which now have names of their own.

--- /dev/null
+++ b/features/steps/platform_adapter_steps.ts
@@ -0,0 +1,283 @@
+/** Steps for the adapter to the platform, against its store's stand-in. */
+import assert from 'node:assert/strict';
+import {After, Given, Then, When} from '@cucumber/cucumber';
+import {
+  CONFIGURATION_KEY,
+  decodeConfiguration,
+} from '../../platform/configuration_document.js';
+import {ConfigurationSource} from '../../platform/configuration_source.js';
+import {decodeHeartbeat} from '../../platform/heartbeat_server.js';
+import {StoreClient} from '../../platform/store_client.js';
+import {VmRegistry} from '../../platform/vm_registry.js';
+import {reasonOf} from '../../src/errors/failure.js';
+import type {DecisionLog} from '../../src/log/decision_log.js';
+import {ConfigurationKeeper} from '../../src/mesh/configuration/configuration_keeper.js';
+import {MeshMetrics} from '../../src/mesh/mesh_metrics.js';
+import type {FleetConfiguration} from '../../src/mesh/model.js';
+import {Peers} from '../../src/mesh/peers/peers.js';
+import {PlatformStore} from '../support/platform_store.js';
+
+interface AdapterState {
+  readonly store: PlatformStore;
+  readonly end: AbortController;
+  readonly events: string[];
+  readonly keeper: ConfigurationKeeper;
+  readonly log: DecisionLog;
+  address: string;
+  decoded?: FleetConfiguration;
+  refusal: string;
+}
+
+const states = new WeakMap<object, AdapterState>();
+const VMS = 'chicorycourse/vms/';
+const POLL_MS = 10;
+
+function stateOf(world: object): AdapterState {
+  const known = states.get(world);
+  if (known) return known;
+  const events: string[] = [];
+  const note = (event: string) => void events.push(event);
+  const log = {step: note, failure: note, belief: note};
+  const metrics = new MeshMetrics();
+  const onChange = () => undefined;
+  const state = {
+    store: new PlatformStore(),
+    end: new AbortController(),
+    events,
+    log,
+    keeper: new ConfigurationKeeper({log, metrics, onChange}),
+    address: '',
+    refusal: '',
+  };
+  states.set(world, state);
+  return state;
+}
+
+After(function () {
+  const state = states.get(this);
+  state?.end.abort();
+  state?.store.stop();
+});
+
+function resources(): readonly Record<string, unknown>[] {
+  const spec = (kind: string) => ({
+    Host: 'app.example',
+    PathPrefix: `/${kind}/`,
+    Kind: kind,
+    TimeoutMs: 1500,
+    TargetLatencyMs: 1000,
+    Priority: 1,
+    MaxAttempts: 2,
+    Public: false,
+  });
+  const split = [
+    {Service: 'pay', Weight: 90},
+    {Service: 'book', Weight: 10},
+  ];
+  return [
+    {
+      ResourceKind: 'Routes',
+      Metadata: {Name: 'r-safe'},
+      Spec: {...spec('safe'), TrafficSplit: split},
+    },
+    {
+      ResourceKind: 'Routes',
+      Metadata: {Name: 'r-unsafe'},
+      Spec: {...spec('unsafe'), Service: 'pay'},
+    },
+    {
+      ResourceKind: 'Tenants',
+      Metadata: {Name: 'da-lat'},
+      Spec: {ApiKeys: ['key-1'], RatePerS: 5, Burst: 10},
+    },
+    {
+      ResourceKind: 'Services',
+      Metadata: {Name: 'pay'},
+      Spec: {HealthPath: '/health'},
+    },
+    {ResourceKind: 'Limits', Spec: {MaxBodyBytes: 1000}},
+  ];
+}
+
+function documentOf(version: string): string {
+  return JSON.stringify({Version: version, Resources: resources()});
+}
+
+const DOCUMENT_FAULTS: Readonly<Record<string, (text: string) => string>> = {
+  'a bare prefix': text => text.replace('/unsafe/', '/unsafe'),
+  'an unknown kind': text => text.replace('"safe"', '"perhaps"'),
+  'a negative rate': text => text.replace('"RatePerS":5', '"RatePerS":-5'),
+  'no resources': text => text.replace('"Resources"', '"Others"'),
+  'half of its text': text => text.slice(0, text.length / 2),
+};
+
+const HEARTBEAT = JSON.stringify({
+  Service: 'pay',
+  State: 'ready',
+  Concurrency: 3,
+  WarmupLeftMs: 0,
+  Sequence: 4,
+  born: 1000,
+});
+
+const HEARTBEAT_FAULTS: Readonly<Record<string, (text: string) => string>> = {
+  'a state unknown': text => text.replace('"ready"', '"resting"'),
+  'slots as text': text => text.replace('"Concurrency":3', '"Concurrency":"3"'),
+  'no sequence': text => text.replace('"Sequence":4,', ''),
+  'bytes that are no JSON': () => '\u0000\u0001',
+};
+
+function refusalOf(action: () => unknown): string {
+  try {
+    action();
+    return '';
+  } catch (err) {
+    return reasonOf(err);
+  }
+}
+
+async function eventually(
+  isTrue: () => boolean,
+  withinMs: number,
+): Promise<void> {
+  const endAtMs = performance.now() + withinMs;
+  while (!isTrue()) {
+    assert.ok(performance.now() < endAtMs, `not so within ${withinMs} ms`);
+    await new Promise(resolve => setTimeout(resolve, POLL_MS));
+  }
+}
+
+function writeDocument(state: AdapterState, text: string): void {
+  const Value = Buffer.from(text).toString('base64');
+  state.store.write({Key: CONFIGURATION_KEY, Value});
+}
+
+function versionText(version: number): string {
+  return version.toString(16).padStart(8, '0');
+}
+
+When('the document of version {string} is decoded', function (version: string) {
+  stateOf(this).decoded = decodeConfiguration(documentOf(version));
+});
+
+When(/^the document is decoded with (.+)$/, function (fault: string) {
+  const broken = DOCUMENT_FAULTS[fault]?.(documentOf('0000000c')) ?? '';
+  stateOf(this).refusal = refusalOf(() => decodeConfiguration(broken));
+});
+
+When(/^a heartbeat comes with (.+)$/, function (fault: string) {
+  const broken = HEARTBEAT_FAULTS[fault]?.(HEARTBEAT) ?? '';
+  stateOf(this).refusal = refusalOf(() => decodeHeartbeat('i-1', broken));
+});
+
+Then(
+  'version {int} has a route that may be repeated and one that may run once',
+  function (version: number) {
+    const {decoded} = stateOf(this);
+    assert.equal(decoded?.version, version);
+    const kinds = decoded.routes.map(({isIdempotent}) => isIdempotent);
+    assert.deepEqual(kinds, [true, false]);
+  },
+);
+
+Then(
+  'the split route has two services with weights {int} and {int}',
+  function (first: number, second: number) {
+    const weights = stateOf(this).decoded?.routes[0]?.targets.map(
+      ({weight}) => weight,
+    );
+    assert.deepEqual(weights, [first, second]);
+  },
+);
+
+Then('it is refused, and the reason names {string}', function (place: string) {
+  assert.ok(stateOf(this).refusal.includes(place), stateOf(this).refusal);
+});
+
+Given(
+  "the platform's store with version {int}",
+  async function (version: number) {
+    const state = stateOf(this);
+    state.address = await state.store.start();
+    writeDocument(state, documentOf(versionText(version)));
+  },
+);
+
+Given('a daemon that follows the store', async function () {
+  const {address, keeper, log, end} = stateOf(this);
+  const client = new StoreClient(address, new MeshMetrics());
+  void new ConfigurationSource(client, keeper, log).run(end.signal);
+  await eventually(() => keeper.version === 1, 2000);
+});
+
+Given('a daemon that is listed', async function () {
+  const {address, log, end, store} = stateOf(this);
+  const client = new StoreClient(address, new MeshMetrics());
+  const self = {id: 'vm-1', address: '127.0.0.1:9', failureDomain: 'a'};
+  const peers = new Peers({self, log, onStatus: () => undefined});
+  void new VmRegistry(client, peers, self, log).run(end.signal);
+  await eventually(() => store.keys(VMS).length === 1, 2000);
+});
+
+When('its lease lapses', function () {
+  stateOf(this).store.lapse();
+  assert.deepEqual(stateOf(this).store.keys(VMS), []);
+});
+
+When('the operators write version {int}', function (version: number) {
+  writeDocument(stateOf(this), documentOf(versionText(version)));
+});
+
+When('the operators write a document that is cut short', async function () {
+  const state = stateOf(this);
+  writeDocument(state, documentOf('00000002').slice(0, 100));
+  const isRefused = () => state.events.includes('configuration-refused');
+  await eventually(isRefused, 1000);
+});
+
+When(
+  'the store drops its history and the operators write version {int}',
+  function (version: number) {
+    const state = stateOf(this);
+    state.store.dropHistory();
+    writeDocument(state, documentOf(versionText(version)));
+  },
+);
+
+When('the store is away for {int} ms', async function (awayMs: number) {
+  const {store} = stateOf(this);
+  store.isAway = true;
+  store.cutConnections();
+  await new Promise(resolve => setTimeout(resolve, awayMs));
+  store.isAway = false;
+});
+
+Then(
+  'version {int} is in force within {int} ms',
+  async function (version: number, withinMs: number) {
+    const {keeper} = stateOf(this);
+    await eventually(() => keeper.version === version, withinMs);
+  },
+);
+
+Then('the log tells one loss and one return of the store', async function () {
+  const {events} = stateOf(this);
+  const countOf = (event: string) => events.filter(e => e === event).length;
+  await eventually(() => countOf('store-regained') === 1, 2000);
+  assert.equal(countOf('store-lost'), 1);
+});
+
+Then('the log tells one refused configuration', function () {
+  const refused = stateOf(this).events.filter(
+    event => event === 'configuration-refused',
+  );
+  assert.equal(refused.length, 1);
+});
+
+Then(
+  'the daemon is listed again within {int} ms',
+  async function (withinMs: number) {
+    const {store} = stateOf(this);
+    await eventually(() => store.keys(VMS).length === 1, withinMs);
+  },
+);
--- /dev/null
+++ b/features/support/platform_store.ts
@@ -0,0 +1,146 @@
+/**
+ * A stand-in for the platform's store, written from its published protocol:
+ * items, leases and watches, with troubles that the steps switch on.
+ */
+import {
+  createServer,
+  type IncomingMessage,
+  type ServerResponse,
+} from 'node:http';
+import type {AddressInfo} from 'node:net';
+
+interface Item {
+  readonly Key: string;
+  readonly Value: string;
+  readonly Revision: number;
+  readonly Lease: number;
+}
+
+interface Write {
+  readonly Key: string;
+  readonly Value: string;
+  readonly Lease?: number;
+}
+
+type Handler = (
+  url: URL,
+  body: string,
+  res: ServerResponse,
+) => void | Promise<void>;
+
+const WATCH_CHECK_MS = 10;
+
+/** The store. */
+export class PlatformStore {
+  isAway = false;
+  readonly #items = new Map<string, Item>();
+  readonly #leases = new Set<number>();
+  #revision = 1;
+  /** Watches from before this revision get 410. */
+  #historyFrom = 0;
+  readonly #server = createServer((req, res) => void this.#serve(req, res));
+
+  readonly #handlers: Readonly<Record<string, Handler>> = {
+    'GET /kv-key': (url, _, res) => {
+      const item = this.#items.get(url.searchParams.get('Key') ?? '');
+      if (item) send(res, 200, {...item, AsOf: this.#revision});
+      else send(res, 404, {});
+    },
+    'GET /kv-range': (url, _, res) => {
+      const items = this.#below(url.searchParams.get('PathPrefix') ?? '');
+      send(res, 200, {items, HasMore: false, AsOf: this.#revision});
+    },
+    'GET /kv-watch': (url, _, res) => this.#watch(url, res),
+    'POST /kv-txn': (_, body, res) => {
+      const {Writes} = JSON.parse(body) as {readonly Writes: readonly Write[]};
+      Writes.forEach(write => this.write(write));
+      send(res, 200, {Revision: this.#revision});
+    },
+    'POST /kv-lease': (_, body, res) => {
+      const {TtlMs} = JSON.parse(body) as {readonly TtlMs: number};
+      const Lease = this.#leases.size + 1;
+      this.#leases.add(Lease);
+      send(res, 200, {Lease, TtlMs});
+    },
+    'POST /kv-keep': (url, _, res) => {
+      const lease = Number(url.pathname.split('/').at(-1));
+      send(res, this.#leases.has(lease) ? 200 : 404, {});
+    },
+  };
+
+  async start(): Promise<string> {
+    await new Promise<void>(resolve =>
+      this.#server.listen(0, '127.0.0.1', resolve),
+    );
+    return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
+  }
+
+  stop(): void {
+    this.#server.closeAllConnections();
+    this.#server.close();
+  }
+
+  /** Writes an item as the operators or a daemon would. */
+  write({Key, Value, Lease = 0}: Write): void {
+    this.#revision += 1;
+    this.#items.set(Key, {Key, Value, Lease, Revision: this.#revision});
+  }
+
+  /** Keys below a prefix. */
+  keys(prefix: string): readonly string[] {
+    return this.#below(prefix).map(({Key}) => Key);
+  }
+
+  dropHistory(): void {
+    this.#historyFrom = this.#revision + 1;
+  }
+
+  /** Ends all leases and removes their items. */
+  lapse(): void {
+    this.#leases.clear();
+    [...this.#items.values()]
+      .filter(({Lease}) => Lease !== 0)
+      .forEach(({Key}) => this.#items.delete(Key));
+  }
+
+  /** Cuts every connection, as an outage does. */
+  cutConnections(): void {
+    this.#server.closeAllConnections();
+  }
+
+  #below(prefix: string): readonly Item[] {
+    return [...this.#items.values()].filter(({Key}) => Key.startsWith(prefix));
+  }
+
+  async #serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const chunks: Buffer[] = [];
+    for await (const chunk of req as AsyncIterable<Buffer>) chunks.push(chunk);
+    const url = new URL(req.url ?? '/', 'http://store');
+    const [, call] = url.pathname.split('/');
+    const handle = this.#handlers[`${req.method} /${call}`];
+    if (this.isAway) return void res.writeHead(503).end();
+    if (!handle) return void res.writeHead(400).end();
+    await handle(url, Buffer.concat(chunks).toString(), res);
+  }
+
+  async #watch(url: URL, res: ServerResponse): Promise<void> {
+    const prefix = url.searchParams.get('PathPrefix') ?? '';
+    const after = Number(url.searchParams.get('after'));
+    const endAtMs = performance.now() + Number(url.searchParams.get('WaitMs'));
+    while (performance.now() < endAtMs && !res.destroyed) {
+      if (after < this.#historyFrom) return send(res, 410, {});
+      const events = this.#below(prefix).filter(i => i.Revision > after);
+      if (events.length > 0) {
+        return send(res, 200, {events, AsOf: this.#revision});
+      }
+      await new Promise(resolve => setTimeout(resolve, WATCH_CHECK_MS));
+    }
+    send(res, 200, {events: [], AsOf: this.#revision});
+  }
+}
+
+function send(res: ServerResponse, status: number, body: unknown): void {
+  if (res.destroyed) return;
+  res.writeHead(status, {'content-type': 'application/json'});
+  res.end(JSON.stringify(body));
+}
--- a/scripts/check.mjs
+++ b/scripts/check.mjs
@@ -1,7 +1,7 @@
 /**
- * Runs every check in turn: format, lint, types, build, specifications and
- * features. Prints what failed, passes over the scenarios that KNOWN-RED.txt
- * lists, and ends with one line of counts.
+ * Runs every check in turn: format, lint, types, names, build, specifications
+ * and features. Prints what failed, passes over the scenarios that
+ * KNOWN-RED.txt lists, and ends with one line of counts.
  */
 import {spawnSync} from 'node:child_process';
 import {existsSync, mkdirSync, readFileSync, rmSync} from 'node:fs';
@@ -16,6 +16,7 @@
   ['format', bin('prettier'), ['--check', '--log-level', 'warn', '.']],
   ['lint', bin('eslint'), ['.']],
   ['types', bin('tsc'), ['--noEmit']],
+  ['names', process.execPath, ['scripts/check_names.mjs']],
   ['build', process.execPath, ['scripts/build.mjs', '--binary', '--mutants']],
   ['binary', path.join(root, 'dist', 'chicorycourse'), ['--version']],
 ];
--- a/src/mesh/header_names.ts
+++ b/src/mesh/header_names.ts
@@ -34,10 +34,10 @@
   deadline: 'x-deadline-ms',
   key: 'x-api-key',
   customer: 'x-customer',
-  callerService: 'x-caller-service',
-  targetInstance: 'x-target-instance',
+  callerService: 'x-calling-service',
+  targetInstance: 'x-only-instance',
   instance: 'x-instance',
   signature: 'x-signature',
-  notExecuted: 'x-not-executed',
+  notExecuted: 'x-not-run',
   load: 'x-load',
 };
