Log what a refusal was decided on, and explain requests from logs

Cause: a line of a refusal as busy told neither how many gates were known nor how full or how old they were, and the target of a send overwrote the VM that wrote the line. 'explain' prints a request's story or counts causes.

--- /dev/null
+++ b/src/commands/explain.ts
@@ -0,0 +1,102 @@
+/**
+ * `explain`: finds one request's story in the decision logs of many daemons,
+ * or counts why requests were not served. Lines are read from files, or from
+ * standard input if none is named.
+ */
+import {readFileSync} from 'node:fs';
+import {command, flag, option, optional, restPositionals, string} from 'cmd-ts';
+
+/** One line of a decision log. */
+interface LogLine {
+  readonly time: string;
+  readonly vm: string;
+  readonly event: string;
+  readonly id?: string;
+  readonly [field: string]: unknown;
+}
+
+const STDIN_FD = 0;
+
+/** The command itself. */
+export const explain = command({
+  name: 'explain',
+  description: 'Explain a request from the logs of all daemons.',
+  args: {
+    id: option({
+      long: 'id',
+      type: optional(string),
+      description: 'The id of the request.',
+    }),
+    refused: flag({
+      long: 'refused',
+      description: 'Count requests that were not served, by cause.',
+    }),
+    json: flag({long: 'json', description: 'Print JSON.'}),
+    files: restPositionals({type: string, displayName: 'log files'}),
+  },
+  handler: ({id, refused, json, files}) => {
+    const sources = files.length > 0 ? files : [STDIN_FD];
+    const lines = sources.flatMap(source =>
+      parseLog(readFileSync(source, 'utf8')),
+    );
+    const result = refused ? countRefusals(lines) : storyOf(lines, id ?? '');
+    const text = json
+      ? JSON.stringify(result)
+      : result.map(row => textOf(row)).join('\n');
+    process.stdout.write(`${text}\n`);
+  },
+});
+
+/** The lines of a log; what stands before a line's JSON is passed over. */
+export function parseLog(text: string): readonly LogLine[] {
+  return text.split('\n').flatMap(line => {
+    const start = line.indexOf('{');
+    if (start < 0) return [];
+    try {
+      const value = JSON.parse(line.slice(start)) as Partial<LogLine>;
+      return typeof value.event === 'string' ? [value as LogLine] : [];
+    } catch {
+      // Other programs may write to the same log.
+      return [];
+    }
+  });
+}
+
+/**
+ * The lines of one request, and what its daemons came to believe meanwhile.
+ * The clocks of VMs differ by some milliseconds: lines of one VM are in the
+ * order in which it wrote them, lines of different VMs only about so.
+ */
+export function storyOf(
+  lines: readonly LogLine[],
+  id: string,
+): readonly LogLine[] {
+  return lines
+    .filter(line => line.id === id)
+    .toSorted((a, b) => a.time.localeCompare(b.time));
+}
+
+/** How often requests were not served for which reason, most first. */
+export function countRefusals(
+  lines: readonly LogLine[],
+): readonly Readonly<Record<string, unknown>>[] {
+  const counts = new Map<string, number>();
+  lines
+    .filter(({event}) => event === 'not-served')
+    .forEach(({route, status, reason, ran}) => {
+      const key = JSON.stringify({route, status, reason, ran});
+      counts.set(key, (counts.get(key) ?? 0) + 1);
+    });
+  return [...counts]
+    .toSorted(([, a], [, b]) => b - a)
+    .map(([key, count]) => ({
+      count,
+      ...(JSON.parse(key) as Readonly<Record<string, unknown>>),
+    }));
+}
+
+function textOf(row: Readonly<Record<string, unknown>>): string {
+  return Object.entries(row)
+    .map(([name, value]) => `${name}=${String(value)}`)
+    .join(' ');
+}
--- a/src/main.ts
+++ b/src/main.ts
@@ -3,6 +3,7 @@
 import {apply} from './commands/apply.js';
 import {check} from './commands/check.js';
 import {audit, drain, status} from './commands/fleet.js';
+import {explain} from './commands/explain.js';
 import {key} from './commands/key.js';
 import {customer, route, service} from './commands/records.js';
 import {report} from './commands/report.js';
@@ -29,6 +30,7 @@
     audit,
     drain,
     report,
+    explain,
   },
 });
 
--- a/src/mesh/gate/gate.ts
+++ b/src/mesh/gate/gate.ts
@@ -188,8 +188,15 @@
     }
     const sentAtMs = performance.now();
     const lateAfterMs = this.#times.lateAfterMs(route, objectiveMs);
+    const lateCause = {
+      sign: 'late',
+      id: work.requestId,
+      route,
+      instance,
+      afterMs: Math.round(lateAfterMs),
+    };
     const watch = setTimeout(() => {
-      this.#noteTrust({sign: 'late', id: work.requestId, route}, nowMs =>
+      this.#noteTrust(lateCause, nowMs =>
         this.#suspicion.late(work.requestId, nowMs),
       );
     }, lateAfterMs);
@@ -210,7 +217,14 @@
     const sign = isGood ? undefined : failureSign(outcome);
     const reason =
       outcome.kind === 'answered' ? outcome.status : outcome.reason;
-    const cause = {sign, id: requestId, route, instance, reason, tookMs};
+    const cause = {
+      sign,
+      id: requestId,
+      route,
+      instance,
+      reason,
+      tookMs: Math.round(tookMs),
+    };
     this.#noteTrust(cause, nowMs => {
       this.#suspicion.ended(requestId, isGood, nowMs);
       if (isGood) this.#suspicion.succeeded(sentAtMs);
--- a/src/mesh/router/dispatcher.ts
+++ b/src/mesh/router/dispatcher.ts
@@ -13,7 +13,7 @@
 import type {SharedLimits} from '../limits/shared_limits.js';
 import type {MeshMetrics} from '../mesh_metrics.js';
 import type {Route} from '../model.js';
-import type {Gates} from './gates.js';
+import type {Gates, KnownGate} from './gates.js';
 import {findSlot, type Found} from './slot_search.js';
 
 /** A request that was admitted. */
@@ -258,7 +258,12 @@
     this.#excluded.add(found.vm);
     const {vm, reservation} = found;
     const {instance} = reservation;
-    this.#options.log.step('sent', {id, vm, instance, leftMs});
+    this.#options.log.step('sent', {
+      id,
+      toVm: vm,
+      instance,
+      leftMs: Math.round(leftMs),
+    });
     const outcome = reservation.run(work, cancel.signal).then(result => {
       this.#signal.removeEventListener('abort', onEnd);
       this.#note(result, vm);
@@ -274,10 +279,32 @@
     if (outcome.kind === 'answered' || outcome.reason === 'cancelled') return;
     const {id} = this.#request;
     const {kind, instance, reason} = outcome;
-    this.#options.log.failure('run-failed', {id, vm, instance, kind, reason});
+    this.#options.log.failure('run-failed', {
+      id,
+      atVm: vm,
+      instance,
+      kind,
+      reason,
+    });
   }
 
   #unserved(why: Declined): Verdict {
+    const {id, service, priority} = this.#request;
+    const gates = this.#options.gates.of(service);
+    const ready = gates.filter(({backend}) => backend.state === 'ready');
+    this.#options.log.failure('no-slot', {
+      id,
+      service,
+      priority,
+      reason: why.reason,
+      waitMs: Math.round(why.waitMs),
+      gates: gates.length,
+      ready: ready.length,
+      slots: sumOf(ready, ({backend}) => backend.slots),
+      running: sumOf(ready, ({backend}) => backend.running),
+      waiting: sumOf(ready, ({backend}) => backend.waiting),
+      oldestHeardMs: Math.round(Math.max(0, ...ready.map(g => g.heardMs))),
+    });
     if (this.#signal.aborted) return this.#notRun('deadline', why.waitMs);
     return this.#notRun(why.reason, why.waitMs);
   }
@@ -300,6 +327,13 @@
   }
 }
 
+function sumOf(
+  gates: readonly KnownGate[],
+  valueOf: (gate: KnownGate) => number,
+): number {
+  return gates.reduce((sum, gate) => sum + valueOf(gate), 0);
+}
+
 function isGood(outcome: Outcome): outcome is Answered {
   return outcome.kind === 'answered' && outcome.status < 500;
 }
--- a/src/mesh/router/front_door.ts
+++ b/src/mesh/router/front_door.ts
@@ -256,7 +256,11 @@
     const {res, id} = exchange;
     const {name, detail, retryAfterMs} = refusal;
     const {status, title, ran} = REFUSALS[name];
-    this.#note(exchange, status, name, {ran, detail, retryAfterMs});
+    this.#note(exchange, status, name, {
+      ran,
+      detail,
+      retryAfterMs: retryAfterMs && Math.round(retryAfterMs),
+    });
     if (res.destroyed || res.headersSent) return;
     const type = `urn:chicorycourse:refusal:${name}`;
     const body = JSON.stringify({type, status, title, ran, detail});
--- a/src/mesh/router/gates.ts
+++ b/src/mesh/router/gates.ts
@@ -12,6 +12,8 @@
 export interface KnownGate extends Candidate {
   readonly vm: string;
   readonly gate: GateClient;
+  /** How old what is known of it is, in milliseconds. */
+  readonly heardMs: number;
 }
 
 /** The gates as one router sees them. */
@@ -44,6 +46,7 @@
         isSameDomain: true,
         backend,
         outstanding: 0,
+        heardMs: 0,
       },
     ];
   }
@@ -61,6 +64,7 @@
           isSameDomain: failureDomain === this.#self.failureDomain,
           backend,
           outstanding: link.outstanding,
+          heardMs: performance.now() - link.heardAtMs,
         },
       ];
     });
