Name the cause when all servers turned a request away

Cause: with every server tried, the refusal said 'no-instance' where servers had turned the request away. Found by the new scenario on lines of requests that aren't served. A log whose reader takes nothing is tested too.

--- a/features/mesh_path.feature
+++ b/features/mesh_path.feature
@@ -86,3 +86,14 @@
     When version 2 without "/once/" comes to VM 0 alone
     Then every VM refuses "/once/" with 404 within 2000 ms
     And version 1 brought again to VM 1 changes nothing
+
+  Scenario Outline: Every request that isn't served has a line with its cause
+    Given every backend server <behaviour>
+    When callers send 9 requests to "/once/" over all VMs
+    Then each has a line with its id, the status and the reason "<reason>"
+
+    Examples:
+      | behaviour           | reason      |
+      | breaks off          | answer-lost |
+      | hangs               | timeout     |
+      | turns requests away | not-run     |
--- a/features/steps/mesh_path_steps.ts
+++ b/features/steps/mesh_path_steps.ts
@@ -322,3 +322,18 @@
     assert.equal(keeper.version, before);
   },
 );
+
+Then(
+  'each has a line with its id, the status and the reason {string}',
+  function (this: World, reason: string) {
+    const {fleet, answers} = stateOf(this);
+    assert.ok(answers.length > 0);
+    answers.forEach(({id, status}) => {
+      const line = fleet.lines.find(
+        ({event, id: of}) => event === 'not-served' && of === id,
+      );
+      assert.equal(line?.status, status);
+      assert.equal(line?.reason, reason);
+    });
+  },
+);
--- a/features/support/mesh_fleet.ts
+++ b/features/support/mesh_fleet.ts
@@ -9,7 +9,7 @@
   type ServerResponse,
 } from 'node:http';
 import type {AddressInfo} from 'node:net';
-import {silentLog} from '../../src/log/decision_log.js';
+import type {DecisionLog, LogFields} from '../../src/log/decision_log.js';
 import {DEFAULT_HEADER_NAMES as NAMES} from '../../src/mesh/header_names.js';
 import {MeshDaemon} from '../../src/mesh/mesh_daemon.js';
 import {MeshMetrics} from '../../src/mesh/mesh_metrics.js';
@@ -93,6 +93,11 @@
   'answers 503 after running': (_, res) => res.writeHead(503).end(),
 } as const satisfies Readonly<Record<string, Behaviour>>;
 
+/** A line that a daemon of the fleet wrote. */
+export interface WrittenLine extends LogFields {
+  readonly event: string;
+}
+
 /** One daemon with its backend server. */
 export interface MeshVm {
   readonly id: string;
@@ -121,11 +126,13 @@
 /** The fleet of one scenario. */
 export class MeshFleet {
   readonly vms: MeshVm[] = [];
+  readonly lines: WrittenLine[] = [];
 
   /** Starts daemons `a`, `b` … with one backend server of a service each. */
   async start(services: readonly string[], slots: number): Promise<void> {
     for (const [index, service] of services.entries()) {
-      this.vms.push(await startVm(`vm-${index}`, service, slots));
+      const log = recordingLog(this.lines);
+      this.vms.push(await startVm({id: `vm-${index}`, service, slots, log}));
     }
     this.vms.forEach(({daemon}) =>
       this.vms.forEach(other => daemon.peers.learn(other.daemon.self)),
@@ -155,11 +162,23 @@
   }
 }
 
-async function startVm(
-  id: string,
-  service: string,
-  slots: number,
-): Promise<MeshVm> {
+function recordingLog(lines: WrittenLine[]): DecisionLog {
+  const note = (event: string, fields: LogFields) =>
+    void lines.push({...fields, event});
+  return {step: note, failure: note, belief: note};
+}
+
+async function startVm({
+  id,
+  service,
+  slots,
+  log,
+}: {
+  readonly id: string;
+  readonly service: string;
+  readonly slots: number;
+  readonly log: DecisionLog;
+}): Promise<MeshVm> {
   const backend = new MeshBackend();
   const address = await backend.start();
   const [callers, readiness, announcements, peers, metrics] = await freePorts();
@@ -174,7 +193,7 @@
       repeats: {ratio: 0.2, windowS: 10, slack: 60},
     },
     names: NAMES,
-    log: silentLog,
+    log,
     metrics: new MeshMetrics(),
   });
   await daemon.start();
--- a/src/mesh/router/dispatcher.ts
+++ b/src/mesh/router/dispatcher.ts
@@ -131,10 +131,16 @@
 
   /** For requests that run at most once. */
   async once(): Promise<Verdict> {
-    let why = 'no search';
+    let why: string | undefined;
     for (let search = 0; search < MAX_SEARCHES; search += 1) {
       const found = await this.#find(true);
-      if (found.kind === 'declined') return this.#unserved(found);
+      if (found.kind === 'declined') {
+        const {reason} = found;
+        if (why === undefined || reason !== 'no-instance') {
+          return this.#unserved(found);
+        }
+        return this.#notRun(why, 0);
+      }
       const outcome = await this.#start(found).outcome;
       if (outcome.kind === 'answered') return outcome;
       if (outcome.kind === 'unknown') return this.#unknown(outcome.reason);
@@ -142,7 +148,7 @@
       this.#excluded.add(found.vm);
       if (outcome.hasArrived && !(await this.#mayRepeat('rejected'))) break;
     }
-    return this.#notRun(why, 0);
+    return this.#notRun(why ?? 'busy', 0);
   }
 
   /** For requests that may run more than once. */
