Read the configuration anew after the store was silent

Cause: a store that is silent and forgets its watches left daemons waiting for up to 27 s, with a bound of 2 s for a configuration. A renewal that passes after one that failed now ends the wait.

--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -50,6 +50,13 @@
     Then version 2 is in force within 2500 ms
     And the log tells one loss and one return of the store
 
+  Scenario: A store that was silent and forgot its watches is read anew
+    Given the platform's store with version 1
+    And a daemon that follows the store
+    When the store is silent for 5000 ms and forgets who waits
+    And the operators write version 2
+    Then version 2 is in force within 3000 ms
+
   Scenario: A faulty document leaves the last good one in force
     Given the platform's store with version 1
     And a daemon that follows the store
--- a/features/steps/platform_adapter_steps.ts
+++ b/features/steps/platform_adapter_steps.ts
@@ -206,7 +206,13 @@
 Given('a daemon that follows the store', async function () {
   const {address, keeper, log, end} = stateOf(this);
   const client = new StoreClient(address, new MeshMetrics());
-  void new ConfigurationSource(client, keeper, log).run(end.signal);
+  const source = new ConfigurationSource(client, keeper, log);
+  const self = {id: 'vm-1', address: '127.0.0.1:9', failureDomain: 'a'};
+  const peers = new Peers({self, log, onStatus: () => undefined});
+  const onStoreRegained = () => source.refresh();
+  const options = {store: client, peers, self, log, onStoreRegained};
+  void source.run(end.signal);
+  void new VmRegistry(options).run(end.signal);
   await eventually(() => keeper.version === 1, 2000);
 });
 
@@ -215,7 +221,9 @@
   const client = new StoreClient(address, new MeshMetrics());
   const self = {id: 'vm-1', address: '127.0.0.1:9', failureDomain: 'a'};
   const peers = new Peers({self, log, onStatus: () => undefined});
-  void new VmRegistry(client, peers, self, log).run(end.signal);
+  const onStoreRegained = () => undefined;
+  const options = {store: client, peers, self, log, onStoreRegained};
+  void new VmRegistry(options).run(end.signal);
   await eventually(() => store.keys(VMS).length === 1, 2000);
 });
 
@@ -244,6 +252,16 @@
   },
 );
 
+When(
+  'the store is silent for {int} ms and forgets who waits',
+  async function (silentMs: number) {
+    const {store} = stateOf(this);
+    store.isSilent = true;
+    await new Promise(resolve => setTimeout(resolve, silentMs));
+    store.isSilent = false;
+  },
+);
+
 When('the store is away for {int} ms', async function (awayMs: number) {
   const {store} = stateOf(this);
   store.isAway = true;
--- a/features/support/platform_store.ts
+++ b/features/support/platform_store.ts
@@ -33,6 +33,8 @@
 /** The store. */
 export class PlatformStore {
   isAway = false;
+  /** Calls get no answer, and those that wait never will. */
+  isSilent = false;
   readonly #items = new Map<string, Item>();
   readonly #leases = new Set<number>();
   #revision = 1;
@@ -118,6 +120,7 @@
     const url = new URL(req.url ?? '/', 'http://store');
     const [, call] = url.pathname.split('/');
     const handle = this.#handlers[`${req.method} /${call}`];
+    if (this.isSilent) return;
     if (this.isAway) return void res.writeHead(503).end();
     if (!handle) return void res.writeHead(400).end();
     await handle(url, Buffer.concat(chunks).toString(), res);
@@ -128,6 +131,7 @@
     const after = Number(url.searchParams.get('after'));
     const endAtMs = performance.now() + Number(url.searchParams.get('WaitMs'));
     while (performance.now() < endAtMs && !res.destroyed) {
+      if (this.isSilent) return;
       if (after < this.#historyFrom) return send(res, 410, {});
       const events = this.#below(prefix).filter(i => i.Revision > after);
       if (events.length > 0) {
