--- a/features/steps/mesh_path_steps.ts
+++ b/features/steps/mesh_path_steps.ts
@@ -4,6 +4,7 @@
 import {After, Given, Then, When} from '@cucumber/cucumber';
 import {DEFAULT_HEADER_NAMES as NAMES} from '../../src/mesh/header_names.js';
 import type {FleetConfiguration} from '../../src/mesh/model.js';
+import {eventually} from '../support/eventually.js';
 import {
   MeshFleet,
   testRoute,
@@ -26,7 +27,6 @@
 
 const states = new WeakMap<World, MeshState>();
 const DEADLINE_MS = 2000;
-const POLL_MS = 10;
 let nextId = 1;
 
 function stateOf(world: World): MeshState {
@@ -142,17 +142,6 @@
   return backends.flatMap(({seen}) => seen).filter(s => s === id).length;
 }
 
-async function eventually(
-  isTrue: () => boolean | Promise<boolean>,
-  withinMs: number,
-): Promise<void> {
-  const endAtMs = performance.now() + withinMs;
-  while (!(await isTrue())) {
-    assert.ok(performance.now() < endAtMs, `not so within ${withinMs} ms`);
-    await new Promise(resolve => setTimeout(resolve, POLL_MS));
-  }
-}
-
 Given(
   'a mesh fleet of {int} VMs with {int} slots each',
   async function (this: World, count: number, slots: number) {
--- a/features/steps/platform_adapter_steps.ts
+++ b/features/steps/platform_adapter_steps.ts
@@ -15,6 +15,7 @@
 import {MeshMetrics} from '../../src/mesh/mesh_metrics.js';
 import type {FleetConfiguration} from '../../src/mesh/model.js';
 import {Peers} from '../../src/mesh/peers/peers.js';
+import {eventually} from '../support/eventually.js';
 import {PlatformStore} from '../support/platform_store.js';
 
 interface AdapterState {
@@ -30,7 +31,6 @@
 
 const states = new WeakMap<object, AdapterState>();
 const VMS = 'chicorycourse/vms/';
-const POLL_MS = 10;
 
 function stateOf(world: object): AdapterState {
   const known = states.get(world);
@@ -136,17 +136,6 @@
   }
 }
 
-async function eventually(
-  isTrue: () => boolean,
-  withinMs: number,
-): Promise<void> {
-  const endAtMs = performance.now() + withinMs;
-  while (!isTrue()) {
-    assert.ok(performance.now() < endAtMs, `not so within ${withinMs} ms`);
-    await new Promise(resolve => setTimeout(resolve, POLL_MS));
-  }
-}
-
 function writeDocument(state: AdapterState, text: string): void {
   const Value = Buffer.from(text).toString('base64');
   state.store.write({Key: CONFIGURATION_KEY, Value});
--- a/src/mesh/router/caller_headers.ts
+++ b/src/mesh/router/caller_headers.ts
@@ -4,22 +4,9 @@
  * are set whatever the caller sent.
  */
 import type {IncomingMessage} from 'node:http';
+import {HOP_BY_HOP} from '../../http/hop_by_hop.js';
 import type {HeaderNames} from '../header_names.js';
 
-const HOP_BY_HOP: ReadonlySet<string> = new Set([
-  'connection',
-  'keep-alive',
-  'proxy-authenticate',
-  'proxy-authorization',
-  'proxy-connection',
-  'te',
-  'trailer',
-  'transfer-encoding',
-  'upgrade',
-  'expect',
-  'content-length',
-]);
-
 /** What the system says about a request. */
 export interface Stamp {
   readonly callerService: string;
@@ -67,7 +54,9 @@
   const named = namedByConnection(headers);
   return headers.filter((_, index) => {
     const name = (headers[index - (index % 2)] ?? '').toLowerCase();
-    return !HOP_BY_HOP.has(name) && !named.has(name) && !own.has(name);
+    // Bodies are sent whole from here, with a length of their own.
+    if (name === 'content-length' || HOP_BY_HOP.has(name)) return false;
+    return !named.has(name) && !own.has(name);
   });
 }
 
--- a/src/mesh/settings.ts
+++ b/src/mesh/settings.ts
@@ -1,7 +1,6 @@
 /** Settings of a daemon of a mesh fleet: one schema, checked at the start. */
-import {readFileSync} from 'node:fs';
 import * as z from 'zod';
-import {Failure, reasonOf} from '../errors/failure.js';
+import {checkSettings, readSettings} from '../settings/read.js';
 
 const address = z
   .string()
@@ -34,18 +33,5 @@
 
 /** Reads and checks a settings file; throws a `Failure` that names faults. */
 export function loadMeshSettings(file: string): MeshSettings {
-  const result = schema.safeParse(readJson(file));
-  if (result.success) return result.data;
-  const faults = result.error.issues.map(
-    issue => `${issue.path.join('.') || '(top level)'}: ${issue.message}`,
-  );
-  throw new Failure('settingsInvalid', {file, faults});
-}
-
-function readJson(file: string): unknown {
-  try {
-    return JSON.parse(readFileSync(file, 'utf8'));
-  } catch (err) {
-    throw new Failure('settingsUnreadable', {file, reason: reasonOf(err)}, err);
-  }
+  return checkSettings(schema, readSettings(file), file);
 }
--- a/src/router/headers.ts
+++ b/src/router/headers.ts
@@ -3,21 +3,9 @@
  * stay here; the request id, the customer and the caller's address are added.
  */
 import type {IncomingMessage} from 'node:http';
+import {HOP_BY_HOP} from '../http/hop_by_hop.js';
 import {traceHeaders} from './trace.js';
 
-const HOP_BY_HOP: ReadonlySet<string> = new Set([
-  'connection',
-  'keep-alive',
-  'proxy-authenticate',
-  'proxy-authorization',
-  'proxy-connection',
-  'te',
-  'trailer',
-  'transfer-encoding',
-  'upgrade',
-  'expect',
-]);
-
 /** Fields that only this system may set towards a backend server. */
 const RESERVED: ReadonlySet<string> = new Set([
   'x-api-key',
