--- a/features/steps/platform_adapter_steps.ts
+++ b/features/steps/platform_adapter_steps.ts
@@ -197,7 +197,7 @@
   const client = new StoreClient(address, new MeshMetrics());
   const source = new ConfigurationSource(client, keeper, log);
   const self = {id: 'vm-1', address: '127.0.0.1:9', failureDomain: 'a'};
-  const peers = new Peers({self, log, onStatus: () => undefined});
+  const peers = new Peers({self: () => self, log, onStatus: () => undefined});
   const onStoreRegained = () => source.refresh();
   const options = {store: client, peers, self, log, onStoreRegained};
   void source.run(end.signal);
@@ -209,7 +209,7 @@
   const {address, log, end, store} = stateOf(this);
   const client = new StoreClient(address, new MeshMetrics());
   const self = {id: 'vm-1', address: '127.0.0.1:9', failureDomain: 'a'};
-  const peers = new Peers({self, log, onStatus: () => undefined});
+  const peers = new Peers({self: () => self, log, onStatus: () => undefined});
   const onStoreRegained = () => undefined;
   const options = {store: client, peers, self, log, onStoreRegained};
   void new VmRegistry(options).run(end.signal);
--- a/features/support/mesh_fleet.ts
+++ b/features/support/mesh_fleet.ts
@@ -110,6 +110,9 @@
   readonly event: string;
 }
 
+/** The system gives the port. */
+const ANY_PORT = '127.0.0.1:0';
+
 /** One daemon with its backend server. */
 export interface MeshVm {
   readonly id: string;
@@ -193,11 +196,16 @@
 }): Promise<MeshVm> {
   const backend = new MeshBackend();
   const address = await backend.start();
-  const [callers, readiness, announcements, peers, metrics] = await freePorts();
   const daemon = new MeshDaemon({
     settings: {
       vm: {id, failureDomain: 'test'},
-      listen: {callers, readiness, announcements, peers, metrics},
+      listen: {
+        callers: ANY_PORT,
+        readiness: ANY_PORT,
+        announcements: ANY_PORT,
+        peers: ANY_PORT,
+        metrics: ANY_PORT,
+      },
       backend: {address, service},
       store: {address: '127.0.0.1:9'},
       isFirstStart: true,
@@ -208,7 +216,7 @@
     log,
     metrics: new MeshMetrics(),
   });
-  await daemon.start();
+  const callers = await daemon.start();
   daemon.gate.announce({
     instance: `instance-${id}`,
     service,
@@ -220,25 +228,3 @@
   });
   return {id, callers, daemon, backend};
 }
-
-/** Ports that were free a moment ago, all different. */
-async function freePorts(): Promise<
-  readonly [string, string, string, string, string]
-> {
-  const servers = [0, 1, 2, 3, 4].map(() => createServer());
-  const ports = await Promise.all(
-    servers.map(
-      server =>
-        new Promise<string>(resolve =>
-          server.listen(0, '127.0.0.1', () => {
-            const {port} = server.address() as AddressInfo;
-            resolve(`127.0.0.1:${port}`);
-          }),
-        ),
-    ),
-  );
-  await Promise.all(
-    servers.map(server => new Promise(resolve => server.close(resolve))),
-  );
-  return ports as unknown as readonly [string, string, string, string, string];
-}
--- a/src/mesh/mesh_daemon.ts
+++ b/src/mesh/mesh_daemon.ts
@@ -55,11 +55,14 @@
   readonly #metricsServer: Server;
   #limitsByName: ReadonlyMap<string, Limit> = new Map();
   #isStopping = false;
+  /** As bound, once it listens. */
+  #peersAddress: string;
 
   constructor(options: MeshDaemonOptions) {
     this.#options = options;
     const {settings, names, log, metrics} = options;
     const {service, address} = settings.backend;
+    this.#peersAddress = settings.listen.peers;
     this.#exchange = new Exchange(address, names);
     this.gate = new Gate({
       service,
@@ -74,7 +77,7 @@
       onChange: configuration => this.#apply(configuration),
     });
     this.peers = new Peers({
-      self: this.self,
+      self: () => this.self,
       log,
       onStatus: link => void this.keeper.heard(link),
     });
@@ -116,20 +119,21 @@
 
   /** How peers reach this daemon. */
   get self(): Vm {
-    const {vm, listen: addresses} = this.#options.settings;
-    const {id, failureDomain} = vm;
-    return {id, failureDomain, address: addresses.peers};
+    const {id, failureDomain} = this.#options.settings.vm;
+    return {id, failureDomain, address: this.#peersAddress};
   }
 
-  async start(): Promise<void> {
+  /** Resolves to the address for callers, with the bound port. */
+  async start(): Promise<string> {
     const {settings, log} = this.#options;
-    await this.#peerServer.start();
+    this.#peersAddress = await this.#peerServer.start();
     this.peers.start();
-    await this.#frontDoor.start();
+    const callers = await this.#frontDoor.start();
     await listen(this.#readiness, settings.listen.readiness, 'readiness');
     await listen(this.#metricsServer, settings.listen.metrics, 'metrics');
     const {vm, backend, isFirstStart} = settings;
     log.belief('daemon-started', {...vm, ...backend, isFirstStart});
+    return callers;
   }
 
   /**
--- a/src/mesh/peers/peer_link.ts
+++ b/src/mesh/peers/peer_link.ts
@@ -28,7 +28,7 @@
 
 /** What a link is made from. */
 export interface PeerLinkOptions {
-  readonly self: Vm;
+  readonly self: () => Vm;
   readonly peer: Vm;
   readonly log: DecisionLog;
   readonly onStatus: (link: PeerLink) => void;
@@ -258,7 +258,7 @@
       this.#connectedAtMs = performance.now();
       this.#heardAtMs = this.#connectedAtMs;
       this.#quietUntilMs = -Infinity;
-      this.#send({kind: 'hello', vm: self});
+      this.#send({kind: 'hello', vm: self()});
       log.belief('peer-connected', {peer: peer.id});
     });
     socket.on('message', (bytes: Buffer) => this.#receive(bytes));
--- a/src/mesh/peers/peers.ts
+++ b/src/mesh/peers/peers.ts
@@ -10,7 +10,8 @@
 
 /** What the peers are made from. */
 export interface PeersOptions {
-  readonly self: Vm;
+  /** How others reach this daemon, once it listens. */
+  readonly self: () => Vm;
   readonly log: DecisionLog;
   readonly onStatus: (link: PeerLink) => void;
 }
@@ -44,7 +45,7 @@
   }
 
   get selfId(): string {
-    return this.#options.self.id;
+    return this.#options.self().id;
   }
 
   /** All links, also those out of reach. */
