--- a/eslint.config.js
+++ b/eslint.config.js
@@ -4,6 +4,7 @@
   {
     ignores: [
       'dist/',
+      'target/',
       'node_modules/',
       'scripts/',
       'eslint.config.js',
--- a/features/mesh_path.feature
+++ b/features/mesh_path.feature
@@ -78,6 +78,10 @@
       | /once/     |         | 401    |
       | /open/     |         | 200    |
 
+  Scenario: A body over the limit is refused, and the caller hears so
+    When a caller sends a body of 1500000 bytes to "/once/"
+    Then it is answered with 413
+
   Scenario: A customer's rate holds over all VMs
     When a caller with the key "key-small" sends 60 requests over all VMs
     Then at most 11 of them have run
--- a/features/steps/mesh_path_steps.ts
+++ b/features/steps/mesh_path_steps.ts
@@ -4,7 +4,7 @@
 import {After, Given, Then, When} from '@cucumber/cucumber';
 import {DEFAULT_HEADER_NAMES as NAMES} from '../../src/mesh/header_names.js';
 import type {FleetConfiguration} from '../../src/mesh/model.js';
-import {eventually} from '../support/eventually.js';
+import {until} from '../support/fleet.js';
 import {
   MeshFleet,
   testRoute,
@@ -80,11 +80,12 @@
   readonly path: string;
   readonly key?: string;
   readonly leaveAfterMs?: number;
+  readonly body?: Buffer;
 }
 
 /** Sends one request; resolves to its answer, or undefined if it left. */
 function send(vm: MeshVm, sending: Sending): Promise<Answer | undefined> {
-  const {path, key, leaveAfterMs} = sending;
+  const {path, key, leaveAfterMs, body = 'body'} = sending;
   const id = `request-${nextId++}`;
   const [host, port] = vm.callers.split(':');
   return new Promise((resolve, reject) => {
@@ -110,7 +111,7 @@
     req.on('error', err =>
       leaveAfterMs === undefined ? reject(err) : resolve(undefined),
     );
-    req.end('body');
+    req.end(body);
     if (leaveAfterMs !== undefined) {
       setTimeout(() => req.destroy(), leaveAfterMs);
     }
@@ -196,6 +197,13 @@
   },
 );
 
+When(
+  'a caller sends a body of {int} bytes to {string}',
+  async function (this: World, bytes: number, path: string) {
+    await sendMany(this, 1, {path, key: 'key-big', body: Buffer.alloc(bytes)});
+  },
+);
+
 When(
   'a caller sends a request to {string} with the key {string}',
   async function (this: World, path: string, key: string) {
@@ -261,7 +269,7 @@
     const {fleet} = stateOf(this);
     const isIdle = () =>
       fleet.vms.every(({backend}) => backend.running.size === 0);
-    await eventually(isIdle, withinMs);
+    await until('no work runs', isIdle, withinMs);
   },
 );
 
@@ -294,11 +302,12 @@
   'every VM refuses {string} with {int} within {int} ms',
   async function (this: World, path: string, status: number, withinMs: number) {
     const {fleet} = stateOf(this);
-    await eventually(async () => {
+    const isRefused = async () => {
       const sending = {path, key: 'key-big'};
       const answers = await Promise.all(fleet.vms.map(vm => send(vm, sending)));
       return answers.every(answer => answer?.status === status);
-    }, withinMs);
+    };
+    await until(`${path} is refused`, isRefused, withinMs);
   },
 );
 
--- a/features/steps/platform_adapter_steps.ts
+++ b/features/steps/platform_adapter_steps.ts
@@ -15,7 +15,7 @@
 import {MeshMetrics} from '../../src/mesh/mesh_metrics.js';
 import type {FleetConfiguration} from '../../src/mesh/model.js';
 import {Peers} from '../../src/mesh/peers/peers.js';
-import {eventually} from '../support/eventually.js';
+import {until} from '../support/fleet.js';
 import {PlatformStore} from '../support/platform_store.js';
 
 interface AdapterState {
@@ -202,7 +202,7 @@
   const options = {store: client, peers, self, log, onStoreRegained};
   void source.run(end.signal);
   void new VmRegistry(options).run(end.signal);
-  await eventually(() => keeper.version === 1, 2000);
+  await until('version 1', () => keeper.version === 1, 2000);
 });
 
 Given('a daemon that is listed', async function () {
@@ -213,7 +213,7 @@
   const onStoreRegained = () => undefined;
   const options = {store: client, peers, self, log, onStoreRegained};
   void new VmRegistry(options).run(end.signal);
-  await eventually(() => store.keys(VMS).length === 1, 2000);
+  await until('listed', () => store.keys(VMS).length === 1, 2000);
 });
 
 When('its lease lapses', function () {
@@ -229,7 +229,7 @@
   const state = stateOf(this);
   writeDocument(state, documentOf('00000002').slice(0, 100));
   const isRefused = () => state.events.includes('configuration-refused');
-  await eventually(isRefused, 1000);
+  await until('refused', isRefused, 1000);
 });
 
 When(
@@ -263,14 +263,16 @@
   'version {int} is in force within {int} ms',
   async function (version: number, withinMs: number) {
     const {keeper} = stateOf(this);
-    await eventually(() => keeper.version === version, withinMs);
+    const isInForce = () => keeper.version === version;
+    await until(`version ${version}`, isInForce, withinMs);
   },
 );
 
 Then('the log tells one loss and one return of the store', async function () {
   const {events} = stateOf(this);
   const countOf = (event: string) => events.filter(e => e === event).length;
-  await eventually(() => countOf('store-regained') === 1, 2000);
+  const isRegained = () => countOf('store-regained') === 1;
+  await until('the return is told', isRegained, 2000);
   assert.equal(countOf('store-lost'), 1);
 });
 
@@ -285,6 +287,7 @@
   'the daemon is listed again within {int} ms',
   async function (withinMs: number) {
     const {store} = stateOf(this);
-    await eventually(() => store.keys(VMS).length === 1, withinMs);
+    const isListed = () => store.keys(VMS).length === 1;
+    await until('listed again', isListed, withinMs);
   },
 );
--- a/features/support/mesh_fleet.ts
+++ b/features/support/mesh_fleet.ts
@@ -8,7 +8,7 @@
   type IncomingMessage,
   type ServerResponse,
 } from 'node:http';
-import type {AddressInfo} from 'node:net';
+import {listen} from '../../src/http/listener.js';
 import type {DecisionLog, LogFields} from '../../src/log/decision_log.js';
 import {DEFAULT_HEADER_NAMES as NAMES} from '../../src/mesh/header_names.js';
 import {MeshDaemon} from '../../src/mesh/mesh_daemon.js';
@@ -25,11 +25,8 @@
   behaviour: keyof typeof BEHAVIOURS = 'answers';
   readonly #server = createServer((req, res) => this.#serve(req, res));
 
-  async start(): Promise<string> {
-    await new Promise<void>(resolve =>
-      this.#server.listen(0, '127.0.0.1', resolve),
-    );
-    return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
+  start(): Promise<string> {
+    return listen(this.#server, ANY_PORT, 'backend server');
   }
 
   stop(): void {
--- a/features/support/platform_store.ts
+++ b/features/support/platform_store.ts
@@ -7,7 +7,7 @@
   type IncomingMessage,
   type ServerResponse,
 } from 'node:http';
-import type {AddressInfo} from 'node:net';
+import {listen} from '../../src/http/listener.js';
 
 interface Item {
   readonly Key: string;
@@ -29,6 +29,8 @@
 ) => void | Promise<void>;
 
 const WATCH_CHECK_MS = 10;
+/** The system gives the port. */
+const ANY_PORT = '127.0.0.1:0';
 
 /** The store. */
 export class PlatformStore {
@@ -70,11 +72,8 @@
     },
   };
 
-  async start(): Promise<string> {
-    await new Promise<void>(resolve =>
-      this.#server.listen(0, '127.0.0.1', resolve),
-    );
-    return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
+  start(): Promise<string> {
+    return listen(this.#server, ANY_PORT, 'store');
   }
 
   stop(): void {
--- a/src/mesh/gate/work.ts
+++ b/src/mesh/gate/work.ts
@@ -46,7 +46,6 @@
   readonly body: Buffer;
   /** Time left until the caller has gone. */
   readonly leftMs: number;
-  readonly isIdempotent: boolean;
 }
 
 /** The instance answered; the answer is whole and belongs to the request. */
--- a/src/mesh/limits/shared_limits.ts
+++ b/src/mesh/limits/shared_limits.ts
@@ -57,6 +57,8 @@
 
 /** Below this share of all daemons a side of a cut has no owners. */
 const QUORUM_SHARE = 0.5;
+/** How long after the first start an owner's bucket may start full. */
+const FIRST_START_MS = 20_000;
 /** Tokens that a limit has at a daemon's start that isn't the first. */
 const RESTART_TOKENS = 1;
 
@@ -137,20 +139,17 @@
 
   /** Nothing was spent before the first start, and nobody knows after it. */
   #firstLevel(limit: Limit): number {
-    const isFresh = this.#options.isFirstStart && this.#isNew();
+    const isNew = this.#now() - this.#startedAtMs < FIRST_START_MS;
+    const isFresh = this.#options.isFirstStart && isNew;
     return isFresh ? limit.capacity : RESTART_TOKENS;
   }
 
-  #isNew(): boolean {
-    return this.#now() - this.#startedAtMs < FIRST_START_MS;
-  }
-
   /** The daemon that owns a limit; undefined on the smaller side of a cut. */
   ownerOf(name: string): string | undefined {
     const {peers} = this.#options;
     const ids = [peers.selfId, ...peers.reachable()];
     if (ids.length < QUORUM_SHARE * peers.knownCount()) return undefined;
-    const members = ids.toSorted().join(' ');
+    const members = ids.join(' ');
     if (members !== this.#members) this.#owners.clear();
     this.#members = members;
     const known = this.#owners.get(name);
@@ -165,9 +164,6 @@
   }
 }
 
-/** How long after the first start an owner's bucket may start full. */
-const FIRST_START_MS = 20_000;
-
 function answerOf(waitMs: number): ShareAnswer {
   return {isGranted: waitMs === 0, retryAfterMs: waitMs};
 }
--- a/src/mesh/router/dispatcher.ts
+++ b/src/mesh/router/dispatcher.ts
@@ -62,7 +62,6 @@
 
 /** Reasons to end a run; made once, since each new one has a stack trace. */
 const DEADLINE = new Error('deadline');
-const CALLER_GONE = new Error('the caller has gone');
 const OTHER_WON = new Error('another instance answered first');
 
 /** The name of the shared limit on repeats of a service. */
@@ -83,7 +82,7 @@
     const end = new AbortController();
     const leftMs = request.deadlineAtMs - performance.now();
     const timer = setTimeout(() => end.abort(DEADLINE), Math.max(0, leftMs));
-    const onGone = () => end.abort(CALLER_GONE);
+    const onGone = () => end.abort(request.callerGone.reason);
     request.callerGone.addEventListener('abort', onGone, {once: true});
     if (request.callerGone.aborted) onGone();
     const task = new Dispatch(request, this.#options, end.signal);
@@ -145,7 +144,6 @@
       if (outcome.kind === 'answered') return outcome;
       if (outcome.kind === 'unknown') return this.#unknown(outcome.reason);
       why = outcome.reason;
-      this.#excluded.add(found.vm);
       if (outcome.hasArrived && !(await this.#mayRepeat('rejected'))) break;
     }
     return this.#notRun(why ?? 'busy', 0);
@@ -174,7 +172,6 @@
         return outcome;
       }
       last = outcome;
-      this.#excluded.add(run.found.vm);
       if (this.#signal.aborted) return this.#unknown('deadline');
       const next = await this.#startSecond(
         reasonText(outcome),
@@ -244,9 +241,8 @@
   }
 
   #start(found: Found): Run {
-    const {id, method, path, headers, body, route} = this.#request;
+    const {id, method, path, headers, body} = this.#request;
     const leftMs = this.#request.callerDeadlineAtMs - performance.now();
-    const isIdempotent = route.isIdempotent;
     const work: Work = {
       requestId: id,
       method,
@@ -254,7 +250,6 @@
       headers,
       body,
       leftMs,
-      isIdempotent,
     };
     const cancel = new AbortController();
     const onEnd = () => cancel.abort(this.#signal.reason);
--- a/src/mesh/router/route_table.ts
+++ b/src/mesh/router/route_table.ts
@@ -10,7 +10,6 @@
   readonly hasCustomers: boolean;
   readonly #routesByHost: ReadonlyMap<string, readonly Route[]>;
   readonly #customersByKey: ReadonlyMap<string, Customer>;
-  readonly #customersByName: ReadonlyMap<string, Customer>;
 
   constructor(configuration: FleetConfiguration) {
     const {version, routes, customers} = configuration;
@@ -22,9 +21,6 @@
         customer.keys.map(key => [key, customer] as const),
       ),
     );
-    this.#customersByName = new Map(
-      customers.map(customer => [customer.name, customer]),
-    );
   }
 
   /** The route of a request; `host` may carry a port. */
@@ -39,10 +35,6 @@
   customerOfKey(key: string): Customer | undefined {
     return this.#customersByKey.get(key);
   }
-
-  customer(name: string): Customer | undefined {
-    return this.#customersByName.get(name);
-  }
 }
 
 /** Routes by host, the longest prefix first. */
