--- a/src/mesh/router/front_door.ts
+++ b/src/mesh/router/front_door.ts
@@ -6,12 +6,12 @@
 import {
   createServer,
   type IncomingMessage,
-  type OutgoingHttpHeaders,
   type ServerResponse,
 } from 'node:http';
 import polka from 'polka';
 import {reasonOf} from '../../errors/failure.js';
 import {listen} from '../../http/listener.js';
+import {endWithProblem} from '../../http/problem.js';
 import type {DecisionLog} from '../../log/decision_log.js';
 import type {HeaderNames} from '../header_names.js';
 import type {SharedLimits} from '../limits/shared_limits.js';
@@ -92,7 +92,6 @@
       {maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0},
       app.handler,
     );
-    this.#server.maxRequestsPerSocket = 0;
   }
 
   /** Requests that are not answered yet. */
@@ -231,8 +230,7 @@
     this.#note(exchange, status, 'answered', {instance: verdict.instance});
     if (res.destroyed) return;
     if (this.#isStopping) res.setHeader('connection', 'close');
-    const pairs = headersForCaller(headers, body.length);
-    res.writeHead(status, headerObject(res, pairs));
+    res.writeHead(status, [...headersForCaller(headers, body.length)]);
     res.end(body);
   }
 
@@ -255,24 +253,19 @@
   #refuse(exchange: Exchange, refusal: Refusal): void {
     const {res, id} = exchange;
     const {name, detail, retryAfterMs} = refusal;
-    const {status, title, ran} = REFUSALS[name];
+    const {status, ran} = REFUSALS[name];
     this.#note(exchange, status, name, {
       ran,
       detail,
       retryAfterMs: retryAfterMs && Math.round(retryAfterMs),
     });
     if (res.destroyed || res.headersSent) return;
-    const type = `urn:chicorycourse:refusal:${name}`;
-    const body = JSON.stringify({type, status, title, ran, detail});
-    res.statusCode = status;
     if (id !== '') res.setHeader(this.#options.names.requestId, id);
-    res.setHeader('content-type', 'application/problem+json');
-    res.setHeader('content-length', Buffer.byteLength(body));
     if (retryAfterMs !== undefined) {
       res.setHeader('retry-after', (retryAfterMs / 1000).toFixed(2));
     }
     if (this.#isStopping) res.setHeader('connection', 'close');
-    res.end(body);
+    endWithProblem(res, name, REFUSALS[name], {detail});
   }
 
   #note(
@@ -327,23 +320,3 @@
   const ms = Number(req.headers[names.deadline]);
   return Number.isFinite(ms) && ms > 0 ? ms : undefined;
 }
-
-/** Keeps fields that occur more than once, and those that are set already. */
-function headerObject(
-  res: ServerResponse,
-  pairs: readonly string[],
-): OutgoingHttpHeaders {
-  const fields = new Map<string, string[]>();
-  pairs.forEach((name, index) => {
-    if (index % 2 !== 0) return;
-    const key = name.toLowerCase();
-    fields.set(key, [...(fields.get(key) ?? []), pairs[index + 1] ?? '']);
-  });
-  const set = Object.entries(res.getHeaders()).map(
-    ([name, value]) => [name, String(value)] as const,
-  );
-  const kept = [...fields].map(([name, values]) => {
-    return [name, values.length === 1 ? values[0] : values] as const;
-  });
-  return Object.fromEntries([...kept, ...set]);
-}
--- a/src/mesh/router/refusals.ts
+++ b/src/mesh/router/refusals.ts
@@ -2,12 +2,7 @@
  * Every refusal of the router, in one table. A status that promises callers
  * that the request has not run is used only where that is certain.
  */
-
-interface RefusalKind {
-  readonly status: number;
-  readonly title: string;
-  readonly ran: 'no' | 'unknown';
-}
+import type {RefusalKind} from '../../http/problem.js';
 
 /** The table; a key is the stable name in answers, logs and metrics. */
 export const REFUSALS = {
--- a/src/router/refusals.ts
+++ b/src/router/refusals.ts
@@ -4,14 +4,9 @@
  * `unknown` means that it may have run.
  */
 import type {ServerResponse} from 'node:http';
+import {endWithProblem, type RefusalKind} from '../http/problem.js';
 import type {FirstRun} from '../idempotency/messages.js';
 
-interface RefusalKind {
-  readonly status: number;
-  readonly title: string;
-  readonly ran: 'no' | 'unknown';
-}
-
 /** The table; a key is the stable end of the problem's type. */
 export const REFUSALS = {
   'bad-request': {status: 400, title: 'The request is malformed', ran: 'no'},
@@ -79,21 +74,11 @@
   name: RefusalName,
   detail: RefusalDetail = {},
 ): void {
-  const {status, title, ran} = REFUSALS[name];
-  const body = JSON.stringify({
-    type: `urn:chicorycourse:refusal:${name}`,
-    status,
-    title,
-    ran,
-    ...detail,
-  });
-  res.statusCode = status;
-  res.setHeader('content-type', 'application/problem+json');
-  res.setHeader('content-length', Buffer.byteLength(body));
+  const kind = REFUSALS[name];
   if (detail.retryAfterMs !== undefined) {
     const seconds = Math.max(1, Math.ceil(detail.retryAfterMs / 1000));
     res.setHeader('retry-after', String(seconds));
   }
-  if (status === 401) res.setHeader('www-authenticate', 'Bearer');
-  res.end(body);
+  if (kind.status === 401) res.setHeader('www-authenticate', 'Bearer');
+  endWithProblem(res, name, kind, {...detail});
 }
