Let urgent work wait by its own priority, and spend repeats exactly

A call of 120 ms with 1200 ms left had none where others hold slots for 640 ms.

Ruled out: a configuration that came late (the same route was served at the same daemon before and after); a starved priority (these go first).

With it, each by its own cause: - Repeats: calls of runs that are repeats are now taken from the called service's budget by estimate, so 0.85 of the operators' bound is used instead of 0.65. Requests now wait up to a second after the start for what the daemon is about to learn.

--- a/features/mesh_policies.feature
+++ b/features/mesh_policies.feature
@@ -52,11 +52,44 @@
     Then those that could not get a slot in time are declined within 20 ms
     And the others get a slot within 450 ms
 
+  Scenario: An urgent request isn't declined for a line of less urgent ones
+    Given an instance with 2 slots that are held for 300 ms each
+    When 8 requests of priority 2 wait
+    And a request of priority 0 comes that can wait for 400 ms
+    Then it gets a slot within 400 ms
+
+  Scenario Outline: Short work can wait though its slots are held for long
+    When a request has <left> ms left, an objective of <objective> ms and slots that are held for 640 ms
+    Then it can wait for <patience> ms
+
+    Examples:
+      | left | objective | patience |
+      | 1200 | 400       | 400      |
+      | 1000 | 400       | 200      |
+      | 4000 | 1500      | 1500     |
+      | 2000 | 1500      | 720      |
+      | 700  | 400       | 1        |
+
   Scenario: The most urgent request gets the next slot
     Given an instance with 1 slots that are held for 50 ms each
     When requests of priority 2, 2, 0 and 1 wait
     Then they get their slots in the order 0, 1, 2, 2
 
+  Scenario: A request that comes just after a daemon's start waits a little
+    Given a daemon that started 50 ms ago and knows nobody
+    When a request comes and somebody is known 100 ms later
+    Then the request went on once somebody was known
+
+  Scenario: A daemon that runs for a while holds no request back
+    Given a daemon that started 1500 ms ago and knows nobody
+    When a request comes and nobody becomes known
+    Then the request went on within 20 ms
+
+  Scenario: A request whose caller has gone is not held
+    Given a daemon that started 50 ms ago and knows nobody
+    When a request comes whose caller has gone
+    Then the request went on within 20 ms
+
   Scenario: Requests refused together don't return together
     When 200 requests are refused with a wait of 300 ms and 3000 ms left
     Then none returns before 300 ms or after 1000 ms
@@ -74,6 +107,18 @@
       | 3 daemons are cut off |
       | all daemons restart  |
 
+  Scenario Outline: Repeats stay within the bound and use most of it
+    Given a service with 70 requests a second
+    When <calls> calls a second, half of them of repeats, and 40 failures a second come for 40 seconds
+    Then no 10 seconds see more repeats than the operators allow
+    And some 10 seconds see at least 3 in 4 of them
+
+    Examples:
+      | calls |
+      | 0     |
+      | 10    |
+      | 20    |
+
   Scenario: A late heartbeat of an ended incarnation changes nothing
     Given an instance "i-1" started at 1000 that says "ready" with sequence 5
     When "i-2" started at 2000 says "ready" with sequence 1
--- a/features/steps/mesh_frame_steps.ts
+++ b/features/steps/mesh_frame_steps.ts
@@ -44,9 +44,14 @@
       headers: ['Accept', '*/*'],
       body: Buffer.from('0123456789'),
       leftMs: 2480.5,
+      isRepeat: false,
     },
   },
-  share: {kind: 'share', id: ID, ask: {limit: 'rate:big', demand: 3}},
+  share: {
+    kind: 'share',
+    id: ID,
+    ask: {limit: 'rate:big', demand: 3, isSpent: false},
+  },
   granted: {
     kind: 'share',
     id: ID,
--- a/features/steps/mesh_policy_steps.ts
+++ b/features/steps/mesh_policy_steps.ts
@@ -8,7 +8,10 @@
 import {Suspicion} from '../../src/mesh/gate/suspicion.js';
 import type {Trust} from '../../src/mesh/model.js';
 import {rankCandidates, type Candidate} from '../../src/mesh/router/choice.js';
+import {patienceOf} from '../../src/mesh/router/slot_search.js';
 import {returnAfterMs} from '../../src/mesh/router/return_time.js';
+import {StartHold} from '../../src/mesh/router/start_hold.js';
+import {RepeatLoad} from '../support/repeat_load.js';
 import {DaemonsWithRate, type RateEvent} from '../support/daemons_with_rate.js';
 
 interface Wait {
@@ -31,6 +34,12 @@
   daemons: DaemonsWithRate;
   readonly reader: {takesAll: boolean; offered: number; text: string};
   sink?: LineSink;
+  startedAgoMs: number;
+  heldForMs: number;
+  wasKnown: boolean;
+  patienceMs: number;
+  readonly repeats: RepeatLoad;
+  requestsPerS: number;
 }
 
 const states = new WeakMap<object, PolicyState>();
@@ -49,6 +58,12 @@
     waits: [],
     returns: [],
     daemons: new DaemonsWithRate(1, {perS: 1, burst: 1}),
+    repeats: new RepeatLoad(),
+    requestsPerS: 0,
+    startedAgoMs: 0,
+    heldForMs: 0,
+    wasKnown: false,
+    patienceMs: 0,
     reader: {takesAll: false, offered: 0, text: ''},
   };
   states.set(world, state);
@@ -241,6 +256,41 @@
   },
 );
 
+When(
+  '{int} requests of priority {int} wait',
+  function (count: number, priority: number) {
+    const state = stateOf(this);
+    Array.from({length: count}, () => {
+      void take(state, {priority, patienceMs: 10_000});
+    });
+  },
+);
+
+When(
+  'a request of priority {int} comes that can wait for {int} ms',
+  async function (priority: number, patienceMs: number) {
+    const state = stateOf(this);
+    state.waits = [await take(state, {priority, patienceMs})];
+  },
+);
+
+Then('it gets a slot within {int} ms', function (withinMs: number) {
+  const [wait] = stateOf(this).waits;
+  assert.equal(wait?.result, 'slot');
+  assert.ok(wait.afterMs <= withinMs, `after ${wait.afterMs} ms`);
+});
+
+When(
+  'a request has {int} ms left, an objective of {int} ms and slots that are held for {int} ms',
+  function (leftMs: number, objectiveMs: number, holdMs: number) {
+    stateOf(this).patienceMs = patienceOf(objectiveMs, leftMs, holdMs);
+  },
+);
+
+Then('it can wait for {int} ms', function (patienceMs: number) {
+  assert.equal(stateOf(this).patienceMs, patienceMs);
+});
+
 When(
   '{int} requests come that can wait for {int} ms',
   async function (count: number, patienceMs: number) {
@@ -316,6 +366,81 @@
   assert.ok(most <= allowed, `${most} granted, ${allowed} allowed`);
 });
 
+Given('a service with {int} requests a second', function (perS: number) {
+  stateOf(this).requestsPerS = perS;
+});
+
+When(
+  '{int} calls a second, half of them of repeats, and {int} failures a second come for {int} seconds',
+  async function (calls: number, failed: number, seconds: number) {
+    const {repeats, requestsPerS} = stateOf(this);
+    const rates = {requests: requestsPerS, calls, failed};
+    await repeats.play(rates, seconds * 1000);
+  },
+);
+
+Then('no 10 seconds see more repeats than the operators allow', function () {
+  const {repeats, requestsPerS} = stateOf(this);
+  const most = Math.max(...repeats.usedShares(requestsPerS));
+  assert.ok(most <= 1, `${most} of what is allowed`);
+});
+
+Then(
+  'some 10 seconds see at least {int} in {int} of them',
+  function (part: number, whole: number) {
+    const {repeats, requestsPerS} = stateOf(this);
+    const most = Math.max(...repeats.usedShares(requestsPerS));
+    assert.ok(most >= part / whole, `${most} of what is allowed`);
+  },
+);
+
+Given(
+  'a daemon that started {int} ms ago and knows nobody',
+  function (agoMs: number) {
+    stateOf(this).startedAgoMs = agoMs;
+  },
+);
+
+async function hold(
+  state: PolicyState,
+  knownAfterMs: number,
+  signal: AbortSignal,
+): Promise<void> {
+  const cameAtMs = performance.now();
+  const startedAtMs = cameAtMs - state.startedAgoMs;
+  // The first look at the clock is that of the start.
+  const times = [startedAtMs];
+  const hold = new StartHold(() => times.shift() ?? performance.now());
+  const isKnown = () => performance.now() - cameAtMs >= knownAfterMs;
+  await hold.until(isKnown, signal);
+  state.heldForMs = performance.now() - cameAtMs;
+  state.wasKnown = isKnown();
+}
+
+When(
+  'a request comes and somebody is known {int} ms later',
+  async function (knownAfterMs: number) {
+    await hold(stateOf(this), knownAfterMs, new AbortController().signal);
+  },
+);
+
+When('a request comes and nobody becomes known', async function () {
+  await hold(stateOf(this), Infinity, new AbortController().signal);
+});
+
+When('a request comes whose caller has gone', async function () {
+  await hold(stateOf(this), Infinity, AbortSignal.abort());
+});
+
+Then('the request went on once somebody was known', function () {
+  assert.ok(stateOf(this).wasKnown);
+});
+
+Then('the request went on within {int} ms', function (withinMs: number) {
+  const {heldForMs} = stateOf(this);
+  assert.ok(heldForMs <= withinMs, `held for ${heldForMs} ms`);
+});
+
 function announce(
   world: object,
   instance: string,
--- /dev/null
+++ b/features/support/repeat_load.ts
@@ -0,0 +1,100 @@
+/**
+ * The budget of repeats of one service, in virtual time and without a
+ * network: its requests, answers that fail, and calls of which every second
+ * one comes from a run that is a repeat itself.
+ */
+import {limitsOf} from '../../src/mesh/limits/limit_rules.js';
+import {RepeatCalls} from '../../src/mesh/limits/repeat_calls.js';
+import {SharedLimits} from '../../src/mesh/limits/shared_limits.js';
+import {repeatLimit} from '../../src/mesh/router/dispatcher.js';
+
+const SERVICE = 'documents';
+const LIMIT = repeatLimit(SERVICE);
+/** As the operators state it: a fifth of the requests, and 60 in 10 s. */
+const BOUNDS = {ratio: 0.2, windowS: 10, slack: 60};
+const STEP_MS = 10;
+const REPEAT_SHARE = 0.5;
+
+/** Events a second over the whole service. */
+export interface RepeatRates {
+  readonly requests: number;
+  readonly failed: number;
+  /** Among the requests. */
+  readonly calls: number;
+}
+
+/** Plays a load and counts the repeats. */
+export class RepeatLoad {
+  readonly #limits: SharedLimits;
+  readonly #calls: RepeatCalls;
+  readonly #due = {requests: 0, failed: 0, calls: 0};
+  readonly #repeatedAtMs: number[] = [];
+  #called = 0;
+  #nowMs = 0;
+
+  constructor() {
+    const limits = limitsOf(
+      {
+        version: 1,
+        routes: [],
+        services: [{name: SERVICE, healthPath: '/health'}],
+        customers: [],
+        limits: {maxBodyBytes: 0, headerTimeoutMs: 0, idleTimeoutMs: 0},
+      },
+      BOUNDS,
+    );
+    this.#limits = new SharedLimits({
+      peers: {
+        selfId: 'vm-0',
+        reachable: () => [],
+        knownCount: () => 1,
+        ask: () => Promise.resolve(undefined),
+      },
+      limitOf: name => limits.get(name),
+      isFirstStart: true,
+      now: () => this.#nowMs,
+    });
+    const repeatShare = () => REPEAT_SHARE;
+    this.#calls = new RepeatCalls({limits: this.#limits, repeatShare});
+  }
+
+  async play(rates: RepeatRates, forMs: number): Promise<void> {
+    const endMs = this.#nowMs + forMs;
+    for (; this.#nowMs < endMs; this.#nowMs += STEP_MS) {
+      this.#times('requests', rates).forEach(() => this.#limits.demand(LIMIT));
+      this.#times('calls', rates).forEach(() => this.#call());
+      const failed = this.#times('failed', rates);
+      const answers = failed.map(() => this.#limits.take(LIMIT));
+      const granted = (await Promise.all(answers)).filter(a => a.isGranted);
+      granted.forEach(() => this.#repeatedAtMs.push(this.#nowMs));
+    }
+  }
+
+  /** Parts of what the operators allow that the windows used. */
+  usedShares(requestsPerS: number): readonly number[] {
+    const {ratio, windowS, slack} = BOUNDS;
+    const allowed = ratio * requestsPerS * windowS + slack;
+    const spanMs = windowS * 1000;
+    return this.#repeatedAtMs
+      .filter(from => from + spanMs <= this.#nowMs)
+      .map(from => {
+        const isInWindow = (at: number) => at >= from && at < from + spanMs;
+        return this.#repeatedAtMs.filter(isInWindow).length / allowed;
+      });
+  }
+
+  #call(): void {
+    this.#calls.called(SERVICE);
+    this.#called += 1;
+    const isOfRepeat = this.#called % (1 / REPEAT_SHARE) === 0;
+    if (isOfRepeat) this.#repeatedAtMs.push(this.#nowMs);
+  }
+
+  /** One entry for each event of this step. */
+  #times(kind: keyof RepeatRates, rates: RepeatRates): readonly unknown[] {
+    this.#due[kind] += (rates[kind] * STEP_MS) / 1000;
+    const count = Math.floor(this.#due[kind]);
+    this.#due[kind] -= count;
+    return Array.from({length: count});
+  }
+}
--- a/src/mesh/gate/gate.ts
+++ b/src/mesh/gate/gate.ts
@@ -46,6 +46,9 @@
   #suspicion = new Suspicion();
   readonly #times = new ResponseTimes();
   #isStopping = false;
+  /** Requests at the backend server now, and how many are repeats. */
+  #sent = 0;
+  #sentAgain = 0;
 
   constructor(options: GateOptions) {
     this.#options = options;
@@ -69,6 +72,11 @@
     };
   }
 
+  /** Part of the requests at the backend server that are repeats. */
+  get repeatShare(): number {
+    return this.#sent === 0 ? 0 : this.#sentAgain / this.#sent;
+  }
+
   /** Whether requests hold slots or wait for one. */
   get isIdle(): boolean {
     return this.#slots.running + this.#slots.waiting === 0;
@@ -206,7 +214,12 @@
         this.#suspicion.late(work.requestId, nowMs),
       );
     }, lateAfterMs);
+    const again = work.isRepeat ? 1 : 0;
+    this.#sent += 1;
+    this.#sentAgain += again;
     const outcome = await this.#options.exchange.run(work, {instance, signal});
+    this.#sent -= 1;
+    this.#sentAgain -= again;
     clearTimeout(watch);
     slot.release();
     this.#learn(request, outcome, sentAtMs);
--- a/src/mesh/gate/slot_queue.ts
+++ b/src/mesh/gate/slot_queue.ts
@@ -29,7 +29,8 @@
 export class SlotQueue {
   readonly #queue = new PQueue({concurrency: 1});
   #slots = 1;
-  #waiting = 0;
+  /** How many wait, by priority; those that left the line early don't count. */
+  readonly #waiting = new Map<number, number>();
   #holdMs = FIRST_HOLD_MS;
   #isFirstHold = true;
 
@@ -37,9 +38,9 @@
     return this.#queue.pending;
   }
 
-  /** Requests in line; those that left it early don't count. */
+  /** Requests in line. */
   get waiting(): number {
-    return this.#waiting;
+    return this.#waitingUpTo(Infinity);
   }
 
   get slots(): number {
@@ -57,16 +58,16 @@
     this.#queue.concurrency = slots;
   }
 
-  /** How long one more request would wait for a slot. */
-  expectedWaitMs(): number {
-    const ahead = this.running + this.waiting - this.#slots + 1;
+  /** How long one more request of this priority would wait for a slot. */
+  expectedWaitMs(priority: number): number {
+    const ahead = this.running + this.#waitingUpTo(priority) - this.#slots + 1;
     return ahead <= 0 ? 0 : (ahead / this.#slots) * this.#holdMs;
   }
 
   /** Waits for a slot; declines at once what would wait too long. */
   take(waiter: Waiter): Promise<Slot | Declined> {
     const {priority, patienceMs, signal} = waiter;
-    const waitMs = this.expectedWaitMs();
+    const waitMs = this.expectedWaitMs(priority);
     if (signal.aborted) return Promise.resolve(declined('withdrawn'));
     if (waitMs > patienceMs) return Promise.resolve(declined('busy', waitMs));
     return new Promise(resolve => {
@@ -74,23 +75,37 @@
       const settle = (result: Slot | Declined) => {
         if (isSettled) return;
         isSettled = true;
-        this.#waiting -= 1;
+        this.#count(priority, -1);
         clearTimeout(timer);
         signal.removeEventListener('abort', onAbort);
         resolve(result);
       };
       const onAbort = () => settle(declined('withdrawn'));
       const timer = setTimeout(
-        () => settle(declined('busy', this.expectedWaitMs())),
+        () => settle(declined('busy', this.expectedWaitMs(priority))),
         Math.max(1, patienceMs),
       );
       signal.addEventListener('abort', onAbort, {once: true});
       const hold = () => (isSettled ? Promise.resolve() : this.#hold(settle));
-      this.#waiting += 1;
+      this.#count(priority, 1);
       void this.#queue.add(hold, {priority: -priority});
     });
   }
 
+  /** Requests in line that are at least as urgent. */
+  #waitingUpTo(priority: number): number {
+    return [...this.#waiting].reduce(
+      (sum, [of, count]) => (of <= priority ? sum + count : sum),
+      0,
+    );
+  }
+
+  #count(priority: number, change: number): void {
+    const count = (this.#waiting.get(priority) ?? 0) + change;
+    if (count === 0) this.#waiting.delete(priority);
+    else this.#waiting.set(priority, count);
+  }
+
   /** Resolves when the slot is released. */
   #hold(settle: (slot: Slot) => void): Promise<void> {
     const sinceMs = performance.now();
--- a/src/mesh/gate/work.ts
+++ b/src/mesh/gate/work.ts
@@ -51,6 +51,8 @@
   readonly body: Buffer;
   /** Time left until the caller has gone. */
   readonly leftMs: number;
+  /** Whether it was sent to another instance before. */
+  readonly isRepeat: boolean;
 }
 
 /** The instance answered; the answer is whole and belongs to the request. */
--- a/src/mesh/limits/limit_rules.ts
+++ b/src/mesh/limits/limit_rules.ts
@@ -17,10 +17,10 @@
 }
 
 /**
- * Part of the bounds that is used. The rest is for repeats that nobody here
- * decides: calls made by a run that is itself a repeat count as well.
+ * Part of the bounds that is used. The rest is for calls of repeats, which are
+ * counted by estimate only, and for demand that is reported late.
  */
-const USED_SHARE = 0.65;
+const USED_SHARE = 0.85;
 /** A window may see a full bucket and what fills it meanwhile. */
 const BUCKET_SHARE = 0.5;
 
--- a/src/mesh/limits/shared_limits.ts
+++ b/src/mesh/limits/shared_limits.ts
@@ -25,6 +25,8 @@
   readonly limit: string;
   /** Demand since the asker's last request for this limit. */
   readonly demand: number;
+  /** The token is gone already, and is taken even if none is there. */
+  readonly isSpent: boolean;
 }
 
 /** What the owner, or the own part of the limit, answers. */
@@ -88,13 +90,22 @@
   }
 
   /** Takes one token of a limit; a name without a limit always grants. */
-  async take(name: string): Promise<ShareAnswer> {
+  take(name: string): Promise<ShareAnswer> {
+    return this.#ask(name, false);
+  }
+
+  /** Notes that a token was used without asking for it. */
+  spend(name: string): void {
+    void this.#ask(name, true);
+  }
+
+  async #ask(name: string, isSpent: boolean): Promise<ShareAnswer> {
     const limit = this.#options.limitOf(name);
     if (!limit) return {isGranted: true, retryAfterMs: 0};
     const owner = this.ownerOf(name);
     const demand = this.#demand.get(name) ?? 0;
     this.#demand.set(name, 0);
-    const ask = {limit: name, demand};
+    const ask = {limit: name, demand, isSpent};
     const {peers} = this.#options;
     if (owner === peers.selfId) return this.grant(ask);
     const answer = owner ? await peers.ask(owner, ask) : undefined;
@@ -108,7 +119,7 @@
     const nowMs = this.#now();
     const bucket = this.#ownedBucket(limit, nowMs);
     bucket.add(ask.demand * limit.perDemand, nowMs);
-    return answerOf(bucket.take(nowMs));
+    return answerOf(ask.isSpent ? bucket.owe(nowMs) : bucket.take(nowMs));
   }
 
   #ownedBucket(limit: Limit, nowMs: number): TokenBucket {
--- a/src/mesh/limits/token_bucket.ts
+++ b/src/mesh/limits/token_bucket.ts
@@ -43,6 +43,13 @@
     return Math.max(1, (missing / this.#size.perS) * 1000);
   }
 
+  /** Takes one token even if none is there; the debt is filled up first. */
+  owe(nowMs: number): number {
+    this.#fill(nowMs);
+    this.#level -= 1;
+    return 0;
+  }
+
   #fill(nowMs: number): void {
     const gained = ((nowMs - this.#atMs) / 1000) * this.#size.perS;
     this.#level = Math.min(this.#size.capacity, this.#level + gained);
--- a/src/mesh/mesh_daemon.ts
+++ b/src/mesh/mesh_daemon.ts
@@ -14,6 +14,7 @@
 import {Gate} from './gate/gate.js';
 import type {HeaderNames} from './header_names.js';
 import {limitsOf} from './limits/limit_rules.js';
+import {RepeatCalls} from './limits/repeat_calls.js';
 import {SharedLimits, type Limit} from './limits/shared_limits.js';
 import {MeshMetrics} from './mesh_metrics.js';
 import type {FleetConfiguration, Vm, VmStatus} from './model.js';
@@ -103,9 +104,14 @@
       service,
       dispatcher: new Dispatcher({gates, limits, log, metrics}),
       limits,
+      repeatCalls: new RepeatCalls({
+        limits,
+        repeatShare: () => this.gate.repeatShare,
+      }),
       log,
       metrics,
       routes: () => this.keeper.table,
+      hasInstances: service => gates.of(service).length > 0,
     });
     this.#readiness = createServer((_, res) => {
       const isReady = this.keeper.table !== undefined && !this.#isStopping;
--- a/src/mesh/router/dispatcher.ts
+++ b/src/mesh/router/dispatcher.ts
@@ -116,6 +116,7 @@
   readonly #signal: AbortSignal;
   readonly #excluded = new Set<string>();
   #attempts = 0;
+  #isSent = false;
   #mayHaveRun = false;
 
   constructor(
@@ -250,7 +251,9 @@
       headers,
       body,
       leftMs,
+      isRepeat: this.#isSent,
     };
+    this.#isSent = true;
     const cancel = new AbortController();
     const onEnd = () => cancel.abort(this.#signal.reason);
     this.#signal.addEventListener('abort', onEnd, {once: true});
--- a/src/mesh/router/front_door.ts
+++ b/src/mesh/router/front_door.ts
@@ -14,6 +14,7 @@
 import {endWithProblem} from '../../http/problem.js';
 import type {DecisionLog} from '../../log/decision_log.js';
 import type {HeaderNames} from '../header_names.js';
+import type {RepeatCalls} from '../limits/repeat_calls.js';
 import type {SharedLimits} from '../limits/shared_limits.js';
 import type {MeshMetrics} from '../mesh_metrics.js';
 import type {CallerLimits, Customer, Route} from '../model.js';
@@ -23,6 +24,7 @@
 import {REFUSALS, type RefusalName} from './refusals.js';
 import {returnAfterMs} from './return_time.js';
 import {pickService, type RouteTable} from './route_table.js';
+import {StartHold} from './start_hold.js';
 
 /** What the front door is made from. */
 export interface FrontDoorOptions {
@@ -33,10 +35,13 @@
   readonly service: string;
   readonly dispatcher: Dispatcher;
   readonly limits: SharedLimits;
+  readonly repeatCalls: RepeatCalls;
   readonly log: DecisionLog;
   readonly metrics: MeshMetrics;
   /** Undefined before the first configuration. */
   readonly routes: () => RouteTable | undefined;
+  /** Whether some instance of a service is known. */
+  readonly hasInstances: (service: string) => boolean;
 }
 
 /** Above the header limit of any deployment; Node's default is 16 KiB. */
@@ -80,6 +85,7 @@
 /** The callers' listener. */
 export class FrontDoor {
   readonly #options: FrontDoorOptions;
+  readonly #startHold = new StartHold();
   readonly #server;
   #maxBodyBytes = DEFAULT_MAX_BODY_BYTES;
   #open = 0;
@@ -141,7 +147,9 @@
 
   async #answer(exchange: Exchange, callerGone: AbortSignal): Promise<void> {
     const {req} = exchange;
-    const table = this.#options.routes();
+    const {routes, hasInstances} = this.#options;
+    await this.#startHold.until(() => routes() !== undefined, callerGone);
+    const table = routes();
     if (!table) return this.#refuse(exchange, {name: 'not-ready'});
     const route = table.route(req.headers.host ?? '', req.url ?? '/');
     if (!route) return this.#refuse(exchange, {name: 'no-route'});
@@ -165,6 +173,10 @@
       table,
       body: body.bytes,
     });
+    const {service} = request;
+    await this.#startHold.until(() => hasInstances(service), callerGone);
+    // Backend servers have no key, so that a request with one is no call.
+    if (!customer) this.#options.repeatCalls.called(service);
     const verdict = await this.#options.dispatcher.serve({
       ...request,
       callerGone,
--- a/src/mesh/router/slot_search.ts
+++ b/src/mesh/router/slot_search.ts
@@ -39,8 +39,8 @@
 
 /** Gates that are asked one after the other for a free slot. */
 const MAX_ASKED = 6;
-/** Time that is kept for the work, in mean times that a slot is held. */
-const HOLDS_LEFT = 2;
+/** Time that is kept for the work, in times that it is expected to take. */
+const WORKS_LEFT = 2;
 /** Gates at which a request waits at once. */
 const MAX_LINES = 3;
 
@@ -138,15 +138,16 @@
 /**
  * How long waiting for a slot is of use. A slot that comes too late for the
  * work itself only takes it from others; and waiting past the objective
- * serves nobody in time while the line stays as long.
+ * serves nobody in time while the line stays as long. Short work may share
+ * its slots with longer work, so it takes no longer than its objective.
  */
-function patienceOf(
+export function patienceOf(
   objectiveMs: number,
   leftMs: number,
   holdMs: number,
 ): number {
-  const forWorkMs = leftMs - HOLDS_LEFT * holdMs;
-  return Math.max(1, Math.min(objectiveMs, forWorkMs));
+  const workMs = Math.min(holdMs, objectiveMs);
+  return Math.max(1, Math.min(objectiveMs, leftMs - WORKS_LEFT * workMs));
 }
 
 /** One gate gave no slot. */
