--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -65,6 +65,12 @@
     Then version 3 is in force within 1000 ms
     And the log tells one refused configuration
 
+  Scenario: A daemon that leaves isn't listed again
+    Given the platform's store with version 1
+    And a daemon that is listed
+    When it leaves
+    Then it is not listed when its next renewal is due
+
   Scenario: A lapsed lease lists the daemon again
     Given the platform's store with version 1
     And a daemon that is listed
--- a/features/steps/platform_adapter_steps.ts
+++ b/features/steps/platform_adapter_steps.ts
@@ -1,5 +1,6 @@
 /** Steps for the adapter to the platform, against its store's stand-in. */
 import assert from 'node:assert/strict';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {After, Given, Then, When} from '@cucumber/cucumber';
 import {
   CONFIGURATION_KEY,
@@ -27,9 +28,12 @@
   address: string;
   decoded?: FleetConfiguration;
   refusal: string;
+  registry?: VmRegistry;
 }
 
 const states = new WeakMap<object, AdapterState>();
+/** A lease is renewed every 3 s. */
+const RENEWAL_DUE_MS = 3500;
 const VMS = 'chicorycourse/vms/';
 
 function stateOf(world: object): AdapterState {
@@ -212,10 +216,26 @@
   const peers = new Peers({self: () => self, log, onStatus: () => undefined});
   const onStoreRegained = () => undefined;
   const options = {store: client, peers, self, log, onStoreRegained};
-  void new VmRegistry(options).run(end.signal);
+  const registry = new VmRegistry(options);
+  stateOf(this).registry = registry;
+  void registry.run(end.signal);
   await until('listed', () => store.keys(VMS).length === 1, 2000);
 });
 
+When('it leaves', async function () {
+  const {registry, store} = stateOf(this);
+  await registry?.withdraw();
+  assert.deepEqual(store.keys(VMS), []);
+});
+
+Then('it is not listed when its next renewal is due', async function () {
+  // No event tells that something doesn't happen.
+  await sleep(RENEWAL_DUE_MS);
+  const {store, events} = stateOf(this);
+  assert.deepEqual(store.keys(VMS), []);
+  assert.ok(!events.includes('vm-lease-lost'));
+});
+
 When('its lease lapses', function () {
   stateOf(this).store.lapse();
   assert.deepEqual(stateOf(this).store.keys(VMS), []);
--- a/features/support/platform_store.ts
+++ b/features/support/platform_store.ts
@@ -70,6 +70,10 @@
       const lease = Number(url.pathname.split('/').at(-1));
       send(res, this.#leases.has(lease) ? 200 : 404, {});
     },
+    'DELETE /kv-lease-end': (url, _, res) => {
+      this.#end(Number(url.pathname.split('/').at(-1)));
+      send(res, 200, {});
+    },
   };
 
   start(): Promise<string> {
@@ -98,10 +102,7 @@
 
   /** Ends all leases and removes their items. */
   lapse(): void {
-    this.#leases.clear();
-    [...this.#items.values()]
-      .filter(({Lease}) => Lease !== 0)
-      .forEach(({Key}) => this.#items.delete(Key));
+    [...this.#leases].forEach(lease => this.#end(lease));
   }
 
   /** Cuts every connection, as an outage does. */
@@ -109,6 +110,13 @@
     this.#server.closeAllConnections();
   }
 
+  #end(lease: number): void {
+    this.#leases.delete(lease);
+    [...this.#items.values()]
+      .filter(({Lease}) => Lease === lease)
+      .forEach(({Key}) => this.#items.delete(Key));
+  }
+
   #below(prefix: string): readonly Item[] {
     return [...this.#items.values()].filter(({Key}) => Key.startsWith(prefix));
   }
