Keep what may be repeated out of instances that answer nothing as well

Such requests now pass over these instances too, but for single trials, and take them only when no other gate has a slot.

--- a/src/mesh/router/slot_search.ts
+++ b/src/mesh/router/slot_search.ts
@@ -58,14 +58,14 @@
   const found = await askInTurn(
     ranked,
     search,
-    isIdempotent ? 'none' : 'trusted',
+    isIdempotent ? 'answering' : 'trusted',
   );
   if (found.kind === 'found' || !mayWait) return found;
   if (signal.aborted) return declined('withdrawn');
   // The gates that were asked have told how full and how trusted they are.
   const lines = rankedGates(gates, search).slice(0, MAX_LINES);
   const waited = await waitInLines(lines, search);
-  if (isIdempotent || waited.kind === 'found' || signal.aborted) return waited;
+  if (waited.kind === 'found' || signal.aborted) return waited;
   // One in two of the instances in doubt still answers; a refusal never does.
   const last = await askInTurn(rankedGates(gates, search), search, 'none');
   return last.kind === 'found' ? last : waited;
@@ -114,7 +114,7 @@
   const waits = gates.map(async ({vm, gate, backend}) => {
     const leftMs = deadlineAtMs - performance.now();
     const patienceMs = patienceOf(search.objectiveMs, leftMs, backend.holdMs);
-    const assurance = search.isIdempotent ? 'none' : 'answering';
+    const assurance = 'answering';
     const request = {...slotRequest(search), patienceMs, assurance} as const;
     const result = await gate.reserve(request, leave.signal);
     if (result.kind === 'declined') return Promise.reject(new NoSlot(result));
