--- a/src/mesh/router/slot_search.ts
+++ b/src/mesh/router/slot_search.ts
@@ -4,8 +4,11 @@
  * the first slot that becomes free and withdraws from the others. Waiting
  * costs nothing to promise: only a reserved slot that is used runs anything.
  *
- * Pattern: load that fills most slots, where each router sees the others'
- * choices late.
+ * An instance that hangs fills its slots with what it will never answer, so
+ * requests pass over it until no other gate has a slot for them.
+ *
+ * Patterns: load that fills most slots, where each router sees the others'
+ * choices late; and some instances that hang under such a load.
  */
 import {
   declined,
@@ -49,7 +52,7 @@
 
 /** Searches for a slot. */
 export async function findSlot(
-  gates: Gates,
+  gates: Pick<Gates, 'of'>,
   search: Search,
 ): Promise<Found | Declined> {
   const ranked = rankedGates(gates, search);
@@ -71,7 +74,10 @@
   return last.kind === 'found' ? last : waited;
 }
 
-function rankedGates(gates: Gates, search: Search): readonly KnownGate[] {
+function rankedGates(
+  gates: Pick<Gates, 'of'>,
+  search: Search,
+): readonly KnownGate[] {
   const {excluded, service} = search;
   const usable = gates.of(service).filter(({vm}) => !excluded.has(vm));
   return rankCandidates(usable, search);
