Read a dropped history once, and wait by the route's usual time

After a 410 the configuration was read and followed from the revision of its own last change, which lay before what the store still remembered, so that the next wait got 410 at once. The new scenario failed before; the stand-in forgets as a store does, up to its present revision.

Cause, from the no-slot lines: routes with a timeout of 0.4 to 1 s were declined as busy after 8 ms, since patience kept time for work as long as the mean at that instance, 0.7 s, though theirs takes 12 ms. The gate now decides patience by the route's own usual time there.

--- a/features/mesh_policies.feature
+++ b/features/mesh_policies.feature
@@ -58,17 +58,19 @@
     And a request of priority 0 comes that can wait for 400 ms
     Then it gets a slot within 400 ms
 
-  Scenario Outline: Short work can wait though its slots are held for long
-    When a request has <left> ms left, an objective of <objective> ms and slots that are held for 640 ms
+  Scenario Outline: A request waits for as long as its work leaves time
+    When a request has <left> ms left, an objective of <objective> ms and usually takes <usual> ms
     Then it can wait for <patience> ms
 
     Examples:
-      | left | objective | patience |
-      | 1200 | 400       | 400      |
-      | 1000 | 400       | 200      |
-      | 4000 | 1500      | 1500     |
-      | 2000 | 1500      | 720      |
-      | 700  | 400       | 1        |
+      | left | objective | usual | patience |
+      | 1200 | 400       | 120   | 400      |
+      | 400  | 400       | 12    | 376      |
+      | 1000 | 900       | 12    | 900      |
+      | 4000 | 1500      | 640   | 1500     |
+      | 2000 | 1500      | 640   | 720      |
+      | 1000 | 400       | 5000  | 200      |
+      | 700  | 400       | 640   | 1        |
 
   Scenario: The most urgent request gets the next slot
     Given an instance with 1 slots that are held for 50 ms each
--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -42,6 +42,13 @@
     When the store drops its history and the operators write version 2
     Then version 2 is in force within 1000 ms
 
+  Scenario: A store that drops its history is read anew once
+    Given the platform's store with version 1
+    And a daemon that follows the store
+    When the store drops its history
+    Then the log tells one dropped history
+    And the store gets no more than 3 reads in 1000 ms
+
   Scenario: An outage of the store is survived, and told once
     Given the platform's store with version 1
     And a daemon that follows the store
--- a/features/steps/mesh_frame_steps.ts
+++ b/features/steps/mesh_frame_steps.ts
@@ -29,7 +29,7 @@
       route: 'once',
       priority: 1,
       objectiveMs: 1500,
-      patienceMs: 0,
+      leftMs: 0,
       assurance: 'trusted',
     },
   },
--- a/features/steps/mesh_policy_steps.ts
+++ b/features/steps/mesh_policy_steps.ts
@@ -8,7 +8,7 @@
 import {Suspicion} from '../../src/mesh/gate/suspicion.js';
 import type {Trust} from '../../src/mesh/model.js';
 import {rankCandidates, type Candidate} from '../../src/mesh/router/choice.js';
-import {patienceOf} from '../../src/mesh/router/slot_search.js';
+import {patienceOf} from '../../src/mesh/gate/patience.js';
 import {returnAfterMs} from '../../src/mesh/router/return_time.js';
 import {StartHold} from '../../src/mesh/router/start_hold.js';
 import {RepeatLoad} from '../support/repeat_load.js';
@@ -281,9 +281,9 @@
 });
 
 When(
-  'a request has {int} ms left, an objective of {int} ms and slots that are held for {int} ms',
-  function (leftMs: number, objectiveMs: number, holdMs: number) {
-    stateOf(this).patienceMs = patienceOf(objectiveMs, leftMs, holdMs);
+  'a request has {int} ms left, an objective of {int} ms and usually takes {int} ms',
+  function (leftMs: number, objectiveMs: number, usualMs: number) {
+    stateOf(this).patienceMs = patienceOf(objectiveMs, leftMs, usualMs);
   },
 );
 
--- a/features/steps/platform_adapter_steps.ts
+++ b/features/steps/platform_adapter_steps.ts
@@ -252,6 +252,30 @@
   await until('refused', isRefused, 1000);
 });
 
+When('the store drops its history', function () {
+  const {store} = stateOf(this);
+  store.dropHistory();
+  store.reads = 0;
+});
+
+Then('the log tells one dropped history', async function () {
+  const {events} = stateOf(this);
+  const isTold = () => events.includes('store-history-dropped');
+  await until('dropped history', isTold, 1000);
+});
+
+Then(
+  'the store gets no more than {int} reads in {int} ms',
+  async function (most: number, forMs: number) {
+    const {store, events} = stateOf(this);
+    // No event tells that something doesn't happen.
+    await sleep(forMs);
+    assert.ok(store.reads <= most, `${store.reads} reads`);
+    const drops = events.filter(event => event === 'store-history-dropped');
+    assert.equal(drops.length, 1);
+  },
+);
+
 When(
   'the store drops its history and the operators write version {int}',
   function (version: number) {
--- a/features/support/platform_store.ts
+++ b/features/support/platform_store.ts
@@ -37,6 +37,8 @@
   isAway = false;
   /** Calls get no answer, and those that wait never will. */
   isSilent = false;
+  /** Reads of one item, and waits for changes. */
+  reads = 0;
   readonly #items = new Map<string, Item>();
   readonly #leases = new Set<number>();
   #revision = 1;
@@ -96,8 +98,10 @@
     return this.#below(prefix).map(({Key}) => Key);
   }
 
+  /** Something else changes, and what led there is forgotten. */
   dropHistory(): void {
-    this.#historyFrom = this.#revision + 1;
+    this.#revision += 1;
+    this.#historyFrom = this.#revision;
   }
 
   /** Ends all leases and removes their items. */
@@ -126,6 +130,7 @@
     for await (const chunk of req as AsyncIterable<Buffer>) chunks.push(chunk);
     const url = new URL(req.url ?? '/', 'http://store');
     const [, call] = url.pathname.split('/');
+    if (call === 'kv-key' || call === 'kv-watch') this.reads += 1;
     const handle = this.#handlers[`${req.method} /${call}`];
     if (this.isSilent) return;
     if (this.isAway) return void res.writeHead(503).end();
--- a/src/mesh/gate/gate.ts
+++ b/src/mesh/gate/gate.ts
@@ -8,6 +8,7 @@
 import type {Announcement, BackendStatus} from '../model.js';
 import {BackendIdentity, type Identity} from './backend_identity.js';
 import type {Exchange} from './exchange.js';
+import {patienceOf} from './patience.js';
 import {ResponseTimes} from './response_times.js';
 import {SlotQueue, type Slot} from './slot_queue.js';
 import {Suspicion, type FailureSign} from './suspicion.js';
@@ -118,7 +119,8 @@
   ): Promise<Reservation | Declined> {
     const refusal = this.#refusal(request, this.#slots.running);
     if (refusal) return refusal;
-    const {priority, patienceMs} = request;
+    const {priority} = request;
+    const patienceMs = this.#patienceMs(request);
     const slot = await this.#slots.take({priority, patienceMs, signal});
     if (slot.kind === 'declined') return slot;
     // Much may have changed while it waited; its own slot is held by now.
@@ -128,6 +130,12 @@
     return late;
   }
 
+  #patienceMs({route, objectiveMs, leftMs}: SlotRequest): number {
+    if (leftMs === 0) return 0;
+    const usualMs = this.#times.usualMs(route, objectiveMs);
+    return patienceOf(objectiveMs, leftMs, usualMs);
+  }
+
   /** Why the request gets no slot while `running` others hold one. */
   #refusal(request: SlotRequest, running: number): Declined | undefined {
     const {service, assurance} = request;
--- a/src/mesh/gate/response_times.ts
+++ b/src/mesh/gate/response_times.ts
@@ -36,6 +36,12 @@
     this.#estimates.set(route, {meanMs, deviationMs});
   }
 
+  /** How long an answer usually takes. */
+  usualMs(route: string, objectiveMs: number): number {
+    const known = this.#estimates.get(route);
+    return known?.meanMs ?? FIRST_MEAN_SHARE * objectiveMs;
+  }
+
   /** How long after it was sent an answer is late. */
   lateAfterMs(route: string, objectiveMs: number): number {
     const firstMs = FIRST_MEAN_SHARE * objectiveMs;
--- a/src/mesh/gate/work.ts
+++ b/src/mesh/gate/work.ts
@@ -12,8 +12,8 @@
   /** 0 is the most urgent. */
   readonly priority: number;
   readonly objectiveMs: number;
-  /** How long it may wait for a slot; 0: only a free slot will do. */
-  readonly patienceMs: number;
+  /** Until its answer is of no use; 0: it takes a free slot or none. */
+  readonly leftMs: number;
   readonly assurance: Assurance;
 }
 
--- a/src/mesh/peers/frames.ts
+++ b/src/mesh/peers/frames.ts
@@ -86,7 +86,7 @@
     'route',
     'priority',
     'objectiveMs',
-    'patienceMs',
+    'leftMs',
     'assurance',
   ],
   ['requestId', 'method', 'path', 'headers', 'body', 'leftMs', 'isRepeat'],
--- a/src/mesh/router/slot_search.ts
+++ b/src/mesh/router/slot_search.ts
@@ -21,7 +21,7 @@
 import type {Gates, KnownGate} from './gates.js';
 
 /** What is searched for. */
-export interface Search extends Omit<SlotRequest, 'patienceMs' | 'assurance'> {
+export interface Search extends Omit<SlotRequest, 'leftMs' | 'assurance'> {
   readonly isIdempotent: boolean;
   readonly bodyBytes: number;
   /** VMs that have already failed this request. */
@@ -42,8 +42,6 @@
 
 /** Gates that are asked one after the other for a free slot. */
 const MAX_ASKED = 6;
-/** Time that is kept for the work, in times that it is expected to take. */
-const WORKS_LEFT = 2;
 /** Gates at which a request waits at once. */
 const MAX_LINES = 3;
 
@@ -94,7 +92,7 @@
     const result = await gate.reserve(
       {
         ...slotRequest(search),
-        patienceMs: 0,
+        leftMs: 0,
         assurance,
       },
       search.signal,
@@ -117,11 +115,10 @@
   const onAbort = () => leave.abort(signal.reason);
   signal.addEventListener('abort', onAbort, {once: true});
   let isWon = false;
-  const waits = gates.map(async ({vm, gate, backend}) => {
+  const waits = gates.map(async ({vm, gate}) => {
     const leftMs = deadlineAtMs - performance.now();
-    const patienceMs = patienceOf(search.objectiveMs, leftMs, backend.holdMs);
     const assurance = 'answering';
-    const request = {...slotRequest(search), patienceMs, assurance} as const;
+    const request = {...slotRequest(search), leftMs, assurance} as const;
     const result = await gate.reserve(request, leave.signal);
     if (result.kind === 'declined') return Promise.reject(new NoSlot(result));
     if (isWon) {
@@ -141,21 +138,6 @@
   }
 }
 
-/**
- * How long waiting for a slot is of use. A slot that comes too late for the
- * work itself only takes it from others; and waiting past the objective
- * serves nobody in time while the line stays as long. Short work may share
- * its slots with longer work, so it takes no longer than its objective.
- */
-export function patienceOf(
-  objectiveMs: number,
-  leftMs: number,
-  holdMs: number,
-): number {
-  const workMs = Math.min(holdMs, objectiveMs);
-  return Math.max(1, Math.min(objectiveMs, leftMs - WORKS_LEFT * workMs));
-}
-
 /** One gate gave no slot. */
 class NoSlot extends Error {
   readonly why: Declined;
@@ -173,7 +155,7 @@
 
 function slotRequest(
   search: Search,
-): Omit<SlotRequest, 'patienceMs' | 'assurance'> {
+): Omit<SlotRequest, 'leftMs' | 'assurance'> {
   const {requestId, service, route, priority, objectiveMs} = search;
   return {requestId, service, route, priority, objectiveMs};
 }
