--- a/features/steps/mesh_frame_steps.ts
+++ b/features/steps/mesh_frame_steps.ts
@@ -98,7 +98,6 @@
   state: 'ready',
   slots: 5,
   isCold: false,
-  holdMs: 640,
   ...LOAD,
 };
 const STATUS: VmStatus = {
@@ -145,7 +144,7 @@
 });
 
 When('a gate tells its load', function () {
-  encode(this, {kind: 'load', load: {...LOAD, isCold: false, holdMs: 640}});
+  encode(this, {kind: 'load', load: {...LOAD, isCold: false}});
 });
 
 Then('it carries none of the names of its fields', function () {
--- a/features/steps/mesh_policy_steps.ts
+++ b/features/steps/mesh_policy_steps.ts
@@ -94,7 +94,6 @@
       trust,
       running,
       waiting: 0,
-      holdMs: 200,
     },
   };
 }
--- a/features/steps/mesh_slot_search_steps.ts
+++ b/features/steps/mesh_slot_search_steps.ts
@@ -78,7 +78,6 @@
       trust: 'clear',
       running: 0,
       waiting: 0,
-      holdMs: 200,
     },
   };
 }
--- a/src/mesh/gate/gate.ts
+++ b/src/mesh/gate/gate.ts
@@ -69,7 +69,6 @@
       trust: this.#suspicion.trust(nowMs),
       running: this.#slots.running,
       waiting: this.#slots.waiting,
-      holdMs: Math.round(this.#slots.holdMs),
     };
   }
 
--- a/src/mesh/model.ts
+++ b/src/mesh/model.ts
@@ -106,8 +106,6 @@
   readonly running: number;
   /** Requests that wait for a slot. */
   readonly waiting: number;
-  /** Mean time that a request holds a slot. */
-  readonly holdMs: number;
 }
 
 /** What a daemon tells its peers about itself. */
--- a/src/mesh/peers/frames.ts
+++ b/src/mesh/peers/frames.ts
@@ -27,7 +27,7 @@
 export type Load = Pick<BackendStatus, 'running' | 'waiting' | 'trust'>;
 
 /** What changes all the time of a gate that stays the same otherwise. */
-export type BackendLoad = Load & Pick<BackendStatus, 'isCold' | 'holdMs'>;
+export type BackendLoad = Load & Pick<BackendStatus, 'isCold'>;
 
 /** Frames of the daemon that accepted the connection. */
 export type Response =
@@ -106,7 +106,7 @@
 });
 
 /** What each daemon tells all others now and then, as lists of values. */
-const LOAD_KEYS = ['running', 'waiting', 'trust', 'isCold', 'holdMs'] as const;
+const LOAD_KEYS = ['running', 'waiting', 'trust', 'isCold'] as const;
 const IDENTITY_KEYS = ['instance', 'service', 'state', 'slots'] as const;
 const STATUS_KEYS = [
   ...IDENTITY_KEYS,
