--- a/src/mesh/router/slot_search.ts
+++ b/src/mesh/router/slot_search.ts
@@ -67,7 +67,7 @@
   const lines = rankedGates(gates, search).slice(0, MAX_LINES);
   const waited = await waitInLines(lines, search);
   if (waited.kind === 'found' || signal.aborted) return waited;
-  // One in two of the instances in doubt still answers; a refusal never does.
+  // Four in ten of those sent to instances in doubt are answered still.
   const last = await askInTurn(rankedGates(gates, search), search, 'none');
   return last.kind === 'found' ? last : waited;
 }
@@ -90,11 +90,7 @@
   let last = declined('busy');
   for (const {vm, gate} of free) {
     const result = await gate.reserve(
-      {
-        ...slotRequest(search),
-        leftMs: 0,
-        assurance,
-      },
+      {...slotRequest(search), leftMs: 0, assurance},
       search.signal,
     );
     if (result.kind === 'reserved') {
