Drop two getters that nothing reads, and put a comment back in its place

SlotQueue told its slots and its mean hold time; since gates decide patience themselves nobody asks.

--- a/src/mesh/gate/slot_queue.ts
+++ b/src/mesh/gate/slot_queue.ts
@@ -31,6 +31,7 @@
   #slots = 1;
   /** How many wait, by priority; those that left the line early don't count. */
   readonly #waiting = new Map<number, number>();
+  /** Mean time that a request holds a slot. */
   #holdMs = FIRST_HOLD_MS;
   #isFirstHold = true;
 
@@ -43,15 +44,6 @@
     return this.#waitingUpTo(Infinity);
   }
 
-  get slots(): number {
-    return this.#slots;
-  }
-
-  /** Mean time that a request holds a slot. */
-  get holdMs(): number {
-    return this.#holdMs;
-  }
-
   resize(slots: number): void {
     if (slots === this.#slots) return;
     this.#slots = slots;
