--- a/src/log/decision_log.ts
+++ b/src/log/decision_log.ts
@@ -92,10 +92,3 @@
     this.#consola.log(JSON.stringify(line));
   }
 }
-
-/** A log that goes nowhere, for tests. */
-export const silentLog: DecisionLog = {
-  step: () => undefined,
-  failure: () => undefined,
-  belief: () => undefined,
-};
