Log who granted a repeat, and each call charged as one

`repeat` and `repeat-over-budget` name the owner that was asked, or the own part; `repeat-call` is new. No decision changes.

--- a/features/support/repeat_load.ts
+++ b/features/support/repeat_load.ts
@@ -7,6 +7,7 @@
 import {RepeatCalls} from '../../src/mesh/limits/repeat_calls.js';
 import {SharedLimits} from '../../src/mesh/limits/shared_limits.js';
 import {repeatLimit} from '../../src/mesh/router/dispatcher.js';
+import {SILENT_LOG} from './silent_log.js';
 
 const SERVICE = 'documents';
 const LIMIT = repeatLimit(SERVICE);
@@ -55,7 +56,11 @@
       now: () => this.#nowMs,
     });
     const repeatShare = () => REPEAT_SHARE;
-    this.#calls = new RepeatCalls({limits: this.#limits, repeatShare});
+    this.#calls = new RepeatCalls({
+      limits: this.#limits,
+      repeatShare,
+      log: SILENT_LOG,
+    });
   }
 
   async play(rates: RepeatRates, forMs: number): Promise<void> {
@@ -84,7 +89,7 @@
   }
 
   #call(): void {
-    this.#calls.called(SERVICE);
+    this.#calls.called('call', SERVICE);
     this.#called += 1;
     const isOfRepeat = this.#called % (1 / REPEAT_SHARE) === 0;
     if (isOfRepeat) this.#repeatedAtMs.push(this.#nowMs);
--- a/src/mesh/limits/repeat_calls.ts
+++ b/src/mesh/limits/repeat_calls.ts
@@ -7,6 +7,7 @@
  * Pattern: instances hang, requests are repeated elsewhere, and each repeat
  * calls a second service whose instances hang as well.
  */
+import type {DecisionLog} from '../../log/decision_log.js';
 import {repeatLimit} from '../router/dispatcher.js';
 import type {SharedLimits} from './shared_limits.js';
 
@@ -15,6 +16,7 @@
   readonly limits: Pick<SharedLimits, 'spend'>;
   /** Part of what runs at this VM's backend server that is a repeat. */
   readonly repeatShare: () => number;
+  readonly log: DecisionLog;
 }
 
 /** Counts the calls of this VM's backend server. */
@@ -31,11 +33,13 @@
    * Notes a request that may be a call. A call doesn't say which run makes it,
    * so it counts by the part of the runs that are repeats.
    */
-  called(service: string): void {
+  called(id: string, service: string): void {
     const share = this.#options.repeatShare();
     if (share === 0) return;
     const owed = (this.#owed.get(service) ?? 0) + share;
     this.#owed.set(service, owed >= 1 ? owed - 1 : owed);
-    if (owed >= 1) this.#options.limits.spend(repeatLimit(service));
+    if (owed < 1) return;
+    this.#options.limits.spend(repeatLimit(service));
+    this.#options.log.step('repeat-call', {id, service, share});
   }
 }
--- a/src/mesh/limits/shared_limits.ts
+++ b/src/mesh/limits/shared_limits.ts
@@ -35,6 +35,12 @@
   readonly retryAfterMs: number;
 }
 
+/** An answer and who gave it. */
+export interface ShareVerdict extends ShareAnswer {
+  /** The daemon that answered as the owner; undefined: the own part. */
+  readonly owner: string | undefined;
+}
+
 /** The daemons that share limits, as this one sees them. */
 export interface LimitPeers {
   readonly selfId: string;
@@ -90,7 +96,7 @@
   }
 
   /** Takes one token of a limit; a name without a limit always grants. */
-  take(name: string): Promise<ShareAnswer> {
+  take(name: string): Promise<ShareVerdict> {
     return this.#ask(name, false);
   }
 
@@ -99,17 +105,18 @@
     void this.#ask(name, true);
   }
 
-  async #ask(name: string, isSpent: boolean): Promise<ShareAnswer> {
+  async #ask(name: string, isSpent: boolean): Promise<ShareVerdict> {
     const limit = this.#options.limitOf(name);
-    if (!limit) return {isGranted: true, retryAfterMs: 0};
+    if (!limit) return {isGranted: true, retryAfterMs: 0, owner: undefined};
     const owner = this.ownerOf(name);
     const demand = this.#demand.get(name) ?? 0;
     this.#demand.set(name, 0);
     const ask = {limit: name, demand, isSpent};
     const {peers} = this.#options;
-    if (owner === peers.selfId) return this.grant(ask);
+    if (owner === peers.selfId) return {...this.grant(ask), owner};
     const answer = owner ? await peers.ask(owner, ask) : undefined;
-    return answer ?? this.#takePart(limit);
+    if (answer) return {...answer, owner};
+    return {...this.#takePart(limit), owner: undefined};
   }
 
   /** Answers for a limit that this daemon owns, as asked by another. */
--- a/src/mesh/mesh_daemon.ts
+++ b/src/mesh/mesh_daemon.ts
@@ -107,6 +107,7 @@
       repeatCalls: new RepeatCalls({
         limits,
         repeatShare: () => this.gate.repeatShare,
+        log,
       }),
       log,
       metrics,
--- a/src/mesh/router/dispatcher.ts
+++ b/src/mesh/router/dispatcher.ts
@@ -217,9 +217,11 @@
     if (this.#isSpent || this.#signal.aborted) return false;
     const {id, route, service} = this.#request;
     const limit = repeatLimit(service);
-    const {isGranted} = await this.#options.limits.take(limit);
+    const {isGranted, owner} = await this.#options.limits.take(limit);
     const event = isGranted ? 'repeat' : 'repeat-over-budget';
-    this.#options.log.step(event, {id, route: route.name, service, reason});
+    const asked = owner ?? 'own part';
+    const line = {id, route: route.name, service, reason, asked};
+    this.#options.log.step(event, line);
     if (isGranted) this.#options.metrics.repeated(route.name, reason);
     return isGranted;
   }
--- a/src/mesh/router/front_door.ts
+++ b/src/mesh/router/front_door.ts
@@ -176,7 +176,7 @@
     const {service} = request;
     await this.#startHold.until(() => hasInstances(service), callerGone);
     // Backend servers have no key, so that a request with one is no call.
-    if (!customer) this.#options.repeatCalls.called(service);
+    if (!customer) this.#options.repeatCalls.called(request.id, service);
     const verdict = await this.#options.dispatcher.serve({
       ...request,
       callerGone,
