--- /dev/null
+++ b/features/mesh_repeats.feature
@@ -0,0 +1,34 @@
+Feature: Repeats stay within what the operators allow
+  In any window a service may see repeats by a share of its requests and a
+  fixed number beside it, over all daemons together. Each scenario is played
+  without a network and names the pattern that it answers.
+
+  # Guards against budgets that add up when daemons disagree on who owns one.
+  Scenario Outline: Daemons share one budget while <trouble>
+    Given 30 daemons that share a budget of repeats
+    When 70 requests and 40 failures a second come for 40 seconds while <trouble>
+    Then no 10 seconds see more repeats than the budget allows
+    And some 10 seconds use at least <used> percent of it
+
+    Examples:
+      | trouble                                      | used |
+      | nothing happens                              | 75   |
+      | asks go unanswered now and then              | 50   |
+      | half of the daemons lose each owner by turns | 30   |
+      | a third is cut off for 12 seconds            | 50   |
+      | daemons restart one after the other          | 30   |
+      | all daemons restart at once                  | 50   |
+
+  # Guards against calls of repeats that nobody counts: work that makes no such
+  # calls ran beside the repeats and hid them.
+  Scenario: Each call of a repeat is charged, whatever runs beside it
+    Given a backend server that runs 2 payments at any time
+    When 40 lookups are repeated there and each of them calls once
+    Then at least 40 calls are charged as repeats
+    And at most 40 calls are charged as repeats
+
+  # Guards against charging calls while nothing is repeated.
+  Scenario: Calls of requests that are no repeats aren't charged
+    Given a backend server that runs 2 payments at any time
+    When 40 lookups run there for the first time and each of them calls once
+    Then at most 0 calls are charged as repeats
--- /dev/null
+++ b/features/support/daemons_with_repeats.ts
@@ -0,0 +1,170 @@
+/**
+ * Daemons that share the budget of repeats of one service, in virtual time and
+ * without a network: who reaches whom is set by the test, and answers come at
+ * once. Requests and failures come to all daemons in turn.
+ */
+import {limitsOf} from '../../src/mesh/limits/limit_rules.js';
+import {SharedLimits} from '../../src/mesh/limits/shared_limits.js';
+import {repeatLimit} from '../../src/mesh/router/dispatcher.js';
+import {RepeatWindows, REPEAT_BOUNDS} from './repeat_windows.js';
+import {SeededRandom} from './seeded_random.js';
+
+/** What goes wrong while the load comes. */
+export type RepeatTrouble =
+  | 'nothing happens'
+  | 'asks go unanswered now and then'
+  | 'half of the daemons lose each owner by turns'
+  | 'a third is cut off for 12 seconds'
+  | 'daemons restart one after the other'
+  | 'all daemons restart at once';
+
+/** Events a second over all daemons. */
+export interface FleetLoad {
+  readonly requests: number;
+  readonly failed: number;
+}
+
+interface Daemon {
+  readonly id: string;
+  limits: SharedLimits;
+  /** Until when it takes another one as silent. */
+  readonly silentUntilMs: Map<string, number>;
+}
+
+const SERVICE = 'documents';
+const LIMIT = repeatLimit(SERVICE);
+const STEP_MS = 10;
+const SEED = 16;
+
+/** The daemons and what they repeated. */
+export class DaemonsWithRepeats {
+  readonly windows = new RepeatWindows();
+  readonly #random = new SeededRandom(SEED);
+  readonly #cut = new Set<string>();
+  readonly #daemons: readonly Daemon[];
+  readonly #limits = limitsOf(
+    {
+      version: 1,
+      routes: [],
+      services: [{name: SERVICE, healthPath: '/health'}],
+      customers: [],
+      limits: {maxBodyBytes: 0, headerTimeoutMs: 0, idleTimeoutMs: 0},
+    },
+    REPEAT_BOUNDS,
+  );
+  #nowMs = 0;
+
+  constructor(count: number) {
+    this.#daemons = Array.from({length: count}, (_, index): Daemon => {
+      const id = `vm-${index}`;
+      const limits = this.#limitsFor(id, true);
+      return {id, limits, silentUntilMs: new Map()};
+    });
+  }
+
+  async play(
+    load: FleetLoad,
+    forMs: number,
+    trouble: RepeatTrouble,
+  ): Promise<void> {
+    const endMs = this.#nowMs + forMs;
+    const due = {requests: 0, failed: 0};
+    for (; this.#nowMs < endMs; this.#nowMs += STEP_MS) {
+      TROUBLES[trouble](this, this.#nowMs);
+      due.requests += (load.requests * STEP_MS) / 1000;
+      for (; due.requests >= 1; due.requests -= 1) {
+        this.#anyDaemon().limits.demand(LIMIT);
+        this.windows.requested(this.#nowMs);
+      }
+      due.failed += (load.failed * STEP_MS) / 1000;
+      for (; due.failed >= 1; due.failed -= 1) await this.#fail();
+    }
+  }
+
+  /** One daemon in `share` takes the present owner as silent for a while. */
+  loseOwner(share: number, forMs: number): void {
+    this.#daemons
+      .filter(() => this.#random.next() < share)
+      .forEach(daemon => {
+        const owner = daemon.limits.ownerOf(LIMIT);
+        if (!owner || owner === daemon.id) return;
+        daemon.silentUntilMs.set(owner, this.#nowMs + forMs);
+      });
+  }
+
+  /** Cuts the first `share` of the daemons off from the others, or heals. */
+  cutOff(share: number): void {
+    this.#cut.clear();
+    this.#daemons
+      .slice(0, Math.round(share * this.#daemons.length))
+      .forEach(({id}) => this.#cut.add(id));
+  }
+
+  restart(index: number): void {
+    const daemon = this.#daemons[index % this.#daemons.length];
+    if (daemon) daemon.limits = this.#limitsFor(daemon.id, false);
+  }
+
+  restartAll(): void {
+    this.#daemons.forEach((_, index) => this.restart(index));
+  }
+
+  async #fail(): Promise<void> {
+    const {isGranted} = await this.#anyDaemon().limits.take(LIMIT);
+    if (isGranted) this.windows.repeated(this.#nowMs);
+  }
+
+  #anyDaemon(): Daemon {
+    const index = Math.floor(this.#random.next() * this.#daemons.length);
+    return this.#daemons[index] as Daemon;
+  }
+
+  #limitsFor(id: string, isFirstStart: boolean): SharedLimits {
+    return new SharedLimits({
+      peers: {
+        selfId: id,
+        reachable: () => this.#reachableFrom(id),
+        knownCount: () => this.#daemons.length,
+        ask: (vm, ask) => {
+          const daemon = this.#daemons.find(other => other.id === vm);
+          return Promise.resolve(daemon?.limits.grant(ask));
+        },
+      },
+      limitOf: name => this.#limits.get(name),
+      isFirstStart,
+      now: () => this.#nowMs,
+    });
+  }
+
+  #reachableFrom(id: string): readonly string[] {
+    const self = this.#daemons.find(daemon => daemon.id === id);
+    return this.#daemons
+      .map(other => other.id)
+      .filter(other => other !== id)
+      .filter(other => this.#cut.has(other) === this.#cut.has(id))
+      .filter(other => (self?.silentUntilMs.get(other) ?? 0) <= this.#nowMs);
+  }
+}
+
+type TroubleAt = (all: DaemonsWithRepeats, nowMs: number) => void;
+
+/** What each trouble does at a moment of virtual time. */
+const TROUBLES: Readonly<Record<RepeatTrouble, TroubleAt>> = {
+  'nothing happens': () => undefined,
+  'asks go unanswered now and then': (all, nowMs) => {
+    if (nowMs % 1000 === 0) all.loseOwner(0.1, 1000);
+  },
+  'half of the daemons lose each owner by turns': (all, nowMs) => {
+    if (nowMs % 2000 === 0) all.loseOwner(0.5, 1500);
+  },
+  'a third is cut off for 12 seconds': (all, nowMs) => {
+    if (nowMs === 10_000) all.cutOff(1 / 3);
+    if (nowMs === 22_000) all.cutOff(0);
+  },
+  'daemons restart one after the other': (all, nowMs) => {
+    if (nowMs % 500 === 0) all.restart(nowMs / 500);
+  },
+  'all daemons restart at once': (all, nowMs) => {
+    if (nowMs === 15_000) all.restartAll();
+  },
+};
--- a/src/mesh/gate/gate.ts
+++ b/src/mesh/gate/gate.ts
@@ -26,7 +26,7 @@
 export interface GateOptions {
   /** The service of this VM's backend server. */
   readonly service: string;
-  readonly exchange: Exchange;
+  readonly exchange: Pick<Exchange, 'run'>;
   readonly log: DecisionLog;
   readonly metrics: MeshMetrics;
   /** Called when routers should hear of a change at once. */
