Charge each call that a repeat makes, whatever runs beside it

What callers saw: repeats beyond what the operators allow. Cause: a call doesn't say which run makes it, so its chance of being a repeat's was taken as the part of all runs at the instance that are repeats. Routes that make no such calls ran there too and diluted it. Now the calls of one run are taken as a repeat's while one runs; how many one run makes is learned while it runs alone.

--- a/features/support/calling_backend.ts
+++ b/features/support/calling_backend.ts
@@ -53,10 +53,9 @@
     const spend = (limit: string) => {
       if (limit === repeatLimit(CALLED)) this.charged += 1;
     };
-    const repeatShare = () => this.#gate.repeatShare;
     this.#calls = new RepeatCalls({
       limits: {spend},
-      repeatShare,
+      runs: this.#gate.runs,
       log: SILENT_LOG,
     });
   }
--- a/features/support/repeat_load.ts
+++ b/features/support/repeat_load.ts
@@ -55,10 +55,9 @@
       isFirstStart: true,
       now: () => this.#nowMs,
     });
-    const repeatShare = () => REPEAT_SHARE;
     this.#calls = new RepeatCalls({
       limits: this.#limits,
-      repeatShare,
+      runs: {called: () => this.#isOfRepeat()},
       log: SILENT_LOG,
     });
   }
@@ -89,10 +88,14 @@
   }
 
   #call(): void {
-    this.#calls.called('call', SERVICE);
     this.#called += 1;
-    const isOfRepeat = this.#called % (1 / REPEAT_SHARE) === 0;
-    if (isOfRepeat) this.#repeatedAtMs.push(this.#nowMs);
+    this.#calls.called('call', SERVICE);
+    if (this.#isOfRepeat()) this.#repeatedAtMs.push(this.#nowMs);
+  }
+
+  /** Whether a repeat makes the present call. */
+  #isOfRepeat(): boolean {
+    return this.#called % (1 / REPEAT_SHARE) === 0;
   }
 
   /** One entry for each event of this step. */
--- a/src/mesh/gate/gate.ts
+++ b/src/mesh/gate/gate.ts
@@ -6,6 +6,7 @@
 import type {DecisionLog} from '../../log/decision_log.js';
 import type {MeshMetrics} from '../mesh_metrics.js';
 import type {Announcement, BackendStatus} from '../model.js';
+import {BackendRuns} from './backend_runs.js';
 import {BackendIdentity, type Identity} from './backend_identity.js';
 import type {Exchange} from './exchange.js';
 import {patienceOf} from './patience.js';
@@ -41,15 +42,14 @@
 
 /** The gate of one VM. */
 export class Gate implements GateClient {
+  /** What runs at the backend server now. */
+  readonly runs = new BackendRuns();
   readonly #options: GateOptions;
   readonly #identity = new BackendIdentity();
   readonly #slots = new SlotQueue();
   #suspicion = new Suspicion();
   readonly #times = new ResponseTimes();
   #isStopping = false;
-  /** Requests at the backend server now, and how many are repeats. */
-  #sent = 0;
-  #sentAgain = 0;
 
   constructor(options: GateOptions) {
     this.#options = options;
@@ -72,11 +72,6 @@
     };
   }
 
-  /** Part of the requests at the backend server that are repeats. */
-  get repeatShare(): number {
-    return this.#sent === 0 ? 0 : this.#sentAgain / this.#sent;
-  }
-
   /** Whether requests hold slots or wait for one. */
   get isIdle(): boolean {
     return this.#slots.running + this.#slots.waiting === 0;
@@ -221,12 +216,9 @@
         this.#suspicion.late(work.requestId, nowMs),
       );
     }, lateAfterMs);
-    const again = work.isRepeat ? 1 : 0;
-    this.#sent += 1;
-    this.#sentAgain += again;
+    const run = this.runs.started(work.isRepeat);
     const outcome = await this.#options.exchange.run(work, {instance, signal});
-    this.#sent -= 1;
-    this.#sentAgain -= again;
+    this.runs.ended(run);
     clearTimeout(watch);
     slot.release();
     this.#learn(request, outcome, sentAtMs);
--- a/src/mesh/mesh_daemon.ts
+++ b/src/mesh/mesh_daemon.ts
@@ -104,11 +104,7 @@
       service,
       dispatcher: new Dispatcher({gates, limits, log, metrics}),
       limits,
-      repeatCalls: new RepeatCalls({
-        limits,
-        repeatShare: () => this.gate.repeatShare,
-        log,
-      }),
+      repeatCalls: new RepeatCalls({limits, runs: this.gate.runs, log}),
       log,
       metrics,
       routes: () => this.keeper.table,
