Make tokens for repeats once, wherever they are spent

Cause: each daemon that others took for the owner of the budget had the whole budget. A daemon that got no answer within 150 ms asked the next in rank, whose bucket had filled up meanwhile.

Now each daemon makes tokens for its own requests and its part of the fixed number and hands them to whom it takes as the owner; they are void after 2.4 and 5 s. What was made bounds what is used, with any number of owners (decision 063).

--- a/features/mesh_frames.feature
+++ b/features/mesh_frames.feature
@@ -7,17 +7,20 @@
     And decoded it is the same frame
 
     Examples:
-      | frame    |
-      | reserve  |
-      | withdraw |
-      | run      |
-      | share    |
-      | granted  |
-      | reserved |
-      | declined |
-      | answered |
-      | unknown  |
-      | rejected |
+      | frame          |
+      | reserve        |
+      | withdraw       |
+      | run            |
+      | share          |
+      | granted        |
+      | repeat ask     |
+      | payment        |
+      | repeat granted |
+      | reserved       |
+      | declined       |
+      | answered       |
+      | unknown        |
+      | rejected       |
 
   Scenario: A gate that only has another load tells no more than that
     When a gate tells its load
--- a/features/mesh_repeats.feature
+++ b/features/mesh_repeats.feature
@@ -19,6 +19,14 @@
       | daemons restart one after the other          | 30   |
       | all daemons restart at once                  | 50   |
 
+  # Guards against tokens that are saved up in calm times and spent at once.
+  Scenario: A budget that wasn't used for a while is no larger
+    Given 30 daemons that share a budget of repeats
+    When 70 requests and 0 failures a second come for 20 seconds while nothing happens
+    And 70 requests and 300 failures a second come for 20 seconds while nothing happens
+    Then no 10 seconds see more repeats than the budget allows
+    And some 10 seconds use at least 75 percent of it
+
   # Guards against calls of repeats that nobody counts: work that makes no such
   # calls ran beside the repeats and hid them.
   Scenario: Each call of a repeat is charged, whatever runs beside it
--- a/features/steps/mesh_frame_steps.ts
+++ b/features/steps/mesh_frame_steps.ts
@@ -50,13 +50,23 @@
   share: {
     kind: 'share',
     id: ID,
-    ask: {limit: 'rate:big', demand: 3, isSpent: false},
+    ask: {limit: 'rate:big'},
   },
   granted: {
     kind: 'share',
     id: ID,
     share: {isGranted: true, retryAfterMs: 0},
   },
+  'repeat ask': {
+    kind: 'repeat',
+    id: ID,
+    payment: {service: 'pay', lots: [[1.25, 1600.5]], spent: 0},
+  },
+  payment: {
+    kind: 'payment',
+    payment: {service: 'pay', lots: [[1.25, 1600.5]], spent: 0},
+  },
+  'repeat granted': {kind: 'repeat', id: ID, isGranted: true},
   reserved: {
     kind: 'reserved',
     id: ID,
--- a/features/support/calling_backend.ts
+++ b/features/support/calling_backend.ts
@@ -7,7 +7,6 @@
 import type {Outcome, Work} from '../../src/mesh/gate/work.js';
 import {RepeatCalls} from '../../src/mesh/limits/repeat_calls.js';
 import {MeshMetrics} from '../../src/mesh/mesh_metrics.js';
-import {repeatLimit} from '../../src/mesh/router/dispatcher.js';
 import {SILENT_LOG} from './silent_log.js';
 
 const SERVICE = 'ledger';
@@ -50,11 +49,11 @@
       startedAtUnixMs: 1,
       sequence: 1,
     });
-    const spend = (limit: string) => {
-      if (limit === repeatLimit(CALLED)) this.charged += 1;
+    const spend = (service: string) => {
+      if (service === CALLED) this.charged += 1;
     };
     this.#calls = new RepeatCalls({
-      limits: {spend},
+      repeats: {spend},
       runs: this.#gate.runs,
       log: SILENT_LOG,
     });
--- a/features/support/daemons_with_rate.ts
+++ b/features/support/daemons_with_rate.ts
@@ -45,7 +45,7 @@
   ) {
     this.#rate = rate;
     const {perS, burst: capacity} = rate;
-    this.#limit = {name: LIMIT, perS, capacity, perDemand: 0};
+    this.#limit = {name: LIMIT, perS, capacity};
     this.#ids = Array.from({length: count}, (_, index) => `vm-${index}`);
     this.#daemons = this.#ids.map(id => this.#start(id, true));
   }
--- a/features/support/daemons_with_repeats.ts
+++ b/features/support/daemons_with_repeats.ts
@@ -3,9 +3,7 @@
  * without a network: who reaches whom is set by the test, and answers come at
  * once. Requests and failures come to all daemons in turn.
  */
-import {limitsOf} from '../../src/mesh/limits/limit_rules.js';
-import {SharedLimits} from '../../src/mesh/limits/shared_limits.js';
-import {repeatLimit} from '../../src/mesh/router/dispatcher.js';
+import {RepeatBudget} from '../../src/mesh/limits/repeat_budget.js';
 import {RepeatWindows, REPEAT_BOUNDS} from './repeat_windows.js';
 import {SeededRandom} from './seeded_random.js';
 
@@ -26,14 +24,14 @@
 
 interface Daemon {
   readonly id: string;
-  limits: SharedLimits;
+  budget: RepeatBudget;
   /** Until when it takes another one as silent. */
   readonly silentUntilMs: Map<string, number>;
 }
 
 const SERVICE = 'documents';
-const LIMIT = repeatLimit(SERVICE);
 const STEP_MS = 10;
+const PAY_MS = 800;
 const SEED = 16;
 
 /** The daemons and what they repeated. */
@@ -42,23 +40,13 @@
   readonly #random = new SeededRandom(SEED);
   readonly #cut = new Set<string>();
   readonly #daemons: readonly Daemon[];
-  readonly #limits = limitsOf(
-    {
-      version: 1,
-      routes: [],
-      services: [{name: SERVICE, healthPath: '/health'}],
-      customers: [],
-      limits: {maxBodyBytes: 0, headerTimeoutMs: 0, idleTimeoutMs: 0},
-    },
-    REPEAT_BOUNDS,
-  );
   #nowMs = 0;
 
   constructor(count: number) {
     this.#daemons = Array.from({length: count}, (_, index): Daemon => {
       const id = `vm-${index}`;
-      const limits = this.#limitsFor(id, true);
-      return {id, limits, silentUntilMs: new Map()};
+      const budget = this.#budgetOf(id, true);
+      return {id, budget, silentUntilMs: new Map()};
     });
   }
 
@@ -71,9 +59,10 @@
     const due = {requests: 0, failed: 0};
     for (; this.#nowMs < endMs; this.#nowMs += STEP_MS) {
       TROUBLES[trouble](this, this.#nowMs);
+      if (this.#nowMs % PAY_MS === 0) this.#payAll();
       due.requests += (load.requests * STEP_MS) / 1000;
       for (; due.requests >= 1; due.requests -= 1) {
-        this.#anyDaemon().limits.demand(LIMIT);
+        this.#anyDaemon().budget.demand(SERVICE);
         this.windows.requested(this.#nowMs);
       }
       due.failed += (load.failed * STEP_MS) / 1000;
@@ -86,8 +75,8 @@
     this.#daemons
       .filter(() => this.#random.next() < share)
       .forEach(daemon => {
-        const owner = daemon.limits.ownerOf(LIMIT);
-        if (!owner || owner === daemon.id) return;
+        const owner = daemon.budget.ownerOf(SERVICE);
+        if (owner === daemon.id) return;
         daemon.silentUntilMs.set(owner, this.#nowMs + forMs);
       });
   }
@@ -102,7 +91,7 @@
 
   restart(index: number): void {
     const daemon = this.#daemons[index % this.#daemons.length];
-    if (daemon) daemon.limits = this.#limitsFor(daemon.id, false);
+    if (daemon) daemon.budget = this.#budgetOf(daemon.id, false);
   }
 
   restartAll(): void {
@@ -110,7 +99,7 @@
   }
 
   async #fail(): Promise<void> {
-    const {isGranted} = await this.#anyDaemon().limits.take(LIMIT);
+    const {isGranted} = await this.#anyDaemon().budget.take(SERVICE);
     if (isGranted) this.windows.repeated(this.#nowMs);
   }
 
@@ -119,18 +108,22 @@
     return this.#daemons[index] as Daemon;
   }
 
-  #limitsFor(id: string, isFirstStart: boolean): SharedLimits {
-    return new SharedLimits({
+  #payAll(): void {
+    this.#daemons.forEach(({budget}) => budget.payAll());
+  }
+
+  #budgetOf(id: string, isFirstStart: boolean): RepeatBudget {
+    const of = (vm: string) => this.#daemons.find(other => other.id === vm);
+    return new RepeatBudget({
       peers: {
         selfId: id,
         reachable: () => this.#reachableFrom(id),
-        knownCount: () => this.#daemons.length,
-        ask: (vm, ask) => {
-          const daemon = this.#daemons.find(other => other.id === vm);
-          return Promise.resolve(daemon?.limits.grant(ask));
-        },
+        count: () => this.#daemons.length,
+        askRepeat: (vm, payment) =>
+          Promise.resolve(of(vm)?.budget.grant(payment)),
+        pay: (vm, payment) => of(vm)?.budget.receive(payment),
       },
-      limitOf: name => this.#limits.get(name),
+      bounds: REPEAT_BOUNDS,
       isFirstStart,
       now: () => this.#nowMs,
     });
--- a/features/support/mesh_fleet.ts
+++ b/features/support/mesh_fleet.ts
@@ -146,9 +146,8 @@
       const log = recordingLog(this.lines);
       this.vms.push(await startVm({id: `vm-${index}`, service, slots, log}));
     }
-    this.vms.forEach(({daemon}) =>
-      this.vms.forEach(other => daemon.peers.learn(other.daemon.self)),
-    );
+    const all = this.vms.map(({daemon}) => daemon.self);
+    this.vms.forEach(({daemon}) => daemon.peers.listed(all));
     const isComplete = () =>
       this.vms.every(({daemon}) => {
         const links = daemon.peers.links;
--- a/features/support/repeat_load.ts
+++ b/features/support/repeat_load.ts
@@ -3,17 +3,15 @@
  * network: its requests, answers that fail, and calls of which every second
  * one comes from a run that is a repeat itself.
  */
-import {limitsOf} from '../../src/mesh/limits/limit_rules.js';
 import {RepeatCalls} from '../../src/mesh/limits/repeat_calls.js';
-import {SharedLimits} from '../../src/mesh/limits/shared_limits.js';
-import {repeatLimit} from '../../src/mesh/router/dispatcher.js';
+import {RepeatBudget} from '../../src/mesh/limits/repeat_budget.js';
 import {SILENT_LOG} from './silent_log.js';
 
 const SERVICE = 'documents';
-const LIMIT = repeatLimit(SERVICE);
 /** As the operators state it: a fifth of the requests, and 60 in 10 s. */
 const BOUNDS = {ratio: 0.2, windowS: 10, slack: 60};
 const STEP_MS = 10;
+const PAY_MS = 800;
 const REPEAT_SHARE = 0.5;
 
 /** Events a second over the whole service. */
@@ -26,7 +24,7 @@
 
 /** Plays a load and counts the repeats. */
 export class RepeatLoad {
-  readonly #limits: SharedLimits;
+  readonly #budget: RepeatBudget;
   readonly #calls: RepeatCalls;
   readonly #due = {requests: 0, failed: 0, calls: 0};
   readonly #repeatedAtMs: number[] = [];
@@ -34,29 +32,20 @@
   #nowMs = 0;
 
   constructor() {
-    const limits = limitsOf(
-      {
-        version: 1,
-        routes: [],
-        services: [{name: SERVICE, healthPath: '/health'}],
-        customers: [],
-        limits: {maxBodyBytes: 0, headerTimeoutMs: 0, idleTimeoutMs: 0},
-      },
-      BOUNDS,
-    );
-    this.#limits = new SharedLimits({
+    this.#budget = new RepeatBudget({
       peers: {
         selfId: 'vm-0',
         reachable: () => [],
-        knownCount: () => 1,
-        ask: () => Promise.resolve(undefined),
+        count: () => 1,
+        askRepeat: () => Promise.resolve(undefined),
+        pay: () => undefined,
       },
-      limitOf: name => limits.get(name),
+      bounds: BOUNDS,
       isFirstStart: true,
       now: () => this.#nowMs,
     });
     this.#calls = new RepeatCalls({
-      limits: this.#limits,
+      repeats: this.#budget,
       runs: {called: () => this.#isOfRepeat()},
       log: SILENT_LOG,
     });
@@ -65,10 +54,13 @@
   async play(rates: RepeatRates, forMs: number): Promise<void> {
     const endMs = this.#nowMs + forMs;
     for (; this.#nowMs < endMs; this.#nowMs += STEP_MS) {
-      this.#times('requests', rates).forEach(() => this.#limits.demand(LIMIT));
+      if (this.#nowMs % PAY_MS === 0) this.#budget.payAll();
+      this.#times('requests', rates).forEach(() =>
+        this.#budget.demand(SERVICE),
+      );
       this.#times('calls', rates).forEach(() => this.#call());
       const failed = this.#times('failed', rates);
-      const answers = failed.map(() => this.#limits.take(LIMIT));
+      const answers = failed.map(() => this.#budget.take(SERVICE));
       const granted = (await Promise.all(answers)).filter(a => a.isGranted);
       granted.forEach(() => this.#repeatedAtMs.push(this.#nowMs));
     }
--- a/src/mesh/limits/repeat_calls.ts
+++ b/src/mesh/limits/repeat_calls.ts
@@ -9,12 +9,11 @@
  */
 import type {DecisionLog} from '../../log/decision_log.js';
 import type {BackendRuns} from '../gate/backend_runs.js';
-import {repeatLimit} from '../router/dispatcher.js';
-import type {SharedLimits} from './shared_limits.js';
+import type {RepeatBudget} from './repeat_budget.js';
 
 /** What the count is made from. */
 export interface RepeatCallsOptions {
-  readonly limits: Pick<SharedLimits, 'spend'>;
+  readonly repeats: Pick<RepeatBudget, 'spend'>;
   /** What runs at this VM's backend server. */
   readonly runs: Pick<BackendRuns, 'called'>;
   readonly log: DecisionLog;
@@ -30,9 +29,9 @@
 
   /** Notes a request that may be a call. */
   called(id: string, service: string): void {
-    const {limits, runs, log} = this.#options;
+    const {repeats, runs, log} = this.#options;
     if (!runs.called(service)) return;
-    limits.spend(repeatLimit(service));
+    repeats.spend(service);
     log.step('repeat-call', {id, service});
   }
 }
--- a/src/mesh/limits/shared_limits.ts
+++ b/src/mesh/limits/shared_limits.ts
@@ -1,32 +1,25 @@
 /**
- * Limits that hold over the whole fleet: customers' rates, and how many
- * requests of a service may be sent to a further instance. Each limit has one
- * owner among the daemons that see each other, ranked by rendezvous hashing;
- * the others ask it for each token. A daemon that can't reach the owner falls
- * back to its own part of the limit.
+ * Customers' rates, which hold over the whole fleet. Each limit has one owner
+ * among the daemons that see each other, ranked by rendezvous hashing; the
+ * others ask it for each token. A daemon that can't reach the owner falls back
+ * to its own part of the limit.
  *
  * An owner that is new starts with an empty bucket, and withholds the parts
  * of daemons that it can't see, since these may be spending them. So the sum
  * stays within rate and burst while owners change or a network is cut.
  */
-import {rankMembers} from '../../member/rendezvous.js';
+import {Owners, type OwnerCandidates} from './owners.js';
 import {TokenBucket, type BucketSize} from './token_bucket.js';
 
 /** A limit as it is in force now. */
 export interface Limit extends BucketSize {
   /** Unique among all limits. */
   readonly name: string;
-  /** Tokens that each unit of demand adds, for limits that follow demand. */
-  readonly perDemand: number;
 }
 
 /** Asks the owner of a limit for one token. */
 export interface ShareRequest {
   readonly limit: string;
-  /** Demand since the asker's last request for this limit. */
-  readonly demand: number;
-  /** The token is gone already, and is taken even if none is there. */
-  readonly isSpent: boolean;
 }
 
 /** What the owner, or the own part of the limit, answers. */
@@ -35,17 +28,8 @@
   readonly retryAfterMs: number;
 }
 
-/** An answer and who gave it. */
-export interface ShareVerdict extends ShareAnswer {
-  /** The daemon that answered as the owner; undefined: the own part. */
-  readonly owner: string | undefined;
-}
-
 /** The daemons that share limits, as this one sees them. */
-export interface LimitPeers {
-  readonly selfId: string;
-  /** Ids of the daemons that can be asked now. */
-  reachable(): readonly string[];
+export interface LimitPeers extends OwnerCandidates {
   /** How many daemons there are, with this one and those out of reach. */
   knownCount(): number;
   /** Undefined if no answer came. */
@@ -77,46 +61,27 @@
   readonly #owned = new Map<string, TokenBucket>();
   /** Its own parts, for when no owner can be reached. */
   readonly #parts = new Map<string, TokenBucket>();
-  readonly #demand = new Map<string, number>();
-  /** Owners while the daemons that are seen stay the same. */
-  readonly #owners = new Map<string, string>();
-  #members = '';
+  readonly #owners: Owners;
   readonly #now: () => number;
   readonly #startedAtMs: number;
 
   constructor(options: SharedLimitsOptions) {
     this.#options = options;
+    this.#owners = new Owners(options.peers);
     this.#now = options.now ?? (() => performance.now());
     this.#startedAtMs = this.#now();
   }
 
-  /** Counts demand on a limit that follows demand. */
-  demand(name: string): void {
-    this.#demand.set(name, (this.#demand.get(name) ?? 0) + 1);
-  }
-
   /** Takes one token of a limit; a name without a limit always grants. */
-  take(name: string): Promise<ShareVerdict> {
-    return this.#ask(name, false);
-  }
-
-  /** Notes that a token was used without asking for it. */
-  spend(name: string): void {
-    void this.#ask(name, true);
-  }
-
-  async #ask(name: string, isSpent: boolean): Promise<ShareVerdict> {
+  async take(name: string): Promise<ShareAnswer> {
     const limit = this.#options.limitOf(name);
-    if (!limit) return {isGranted: true, retryAfterMs: 0, owner: undefined};
+    if (!limit) return {isGranted: true, retryAfterMs: 0};
     const owner = this.ownerOf(name);
-    const demand = this.#demand.get(name) ?? 0;
-    this.#demand.set(name, 0);
-    const ask = {limit: name, demand, isSpent};
+    const ask = {limit: name};
     const {peers} = this.#options;
-    if (owner === peers.selfId) return {...this.grant(ask), owner};
+    if (owner === peers.selfId) return this.grant(ask);
     const answer = owner ? await peers.ask(owner, ask) : undefined;
-    if (answer) return {...answer, owner};
-    return {...this.#takePart(limit), owner: undefined};
+    return answer ?? this.#takePart(limit);
   }
 
   /** Answers for a limit that this daemon owns, as asked by another. */
@@ -125,8 +90,7 @@
     if (!limit) return {isGranted: true, retryAfterMs: 0};
     const nowMs = this.#now();
     const bucket = this.#ownedBucket(limit, nowMs);
-    bucket.add(ask.demand * limit.perDemand, nowMs);
-    return answerOf(ask.isSpent ? bucket.owe(nowMs) : bucket.take(nowMs));
+    return answerOf(bucket.take(nowMs));
   }
 
   #ownedBucket(limit: Limit, nowMs: number): TokenBucket {
@@ -165,20 +129,9 @@
   /** The daemon that owns a limit; undefined on the smaller side of a cut. */
   ownerOf(name: string): string | undefined {
     const {peers} = this.#options;
-    const ids = [peers.selfId, ...peers.reachable()];
-    if (ids.length < QUORUM_SHARE * peers.knownCount()) return undefined;
-    const members = ids.join(' ');
-    if (members !== this.#members) this.#owners.clear();
-    this.#members = members;
-    const known = this.#owners.get(name);
-    if (known !== undefined) return known;
-    const ranked = rankMembers(
-      name,
-      ids.map(id => ({id})),
-    );
-    const owner = ranked[0]?.id ?? peers.selfId;
-    this.#owners.set(name, owner);
-    return owner;
+    const seen = peers.reachable().length + 1;
+    if (seen < QUORUM_SHARE * peers.knownCount()) return undefined;
+    return this.#owners.ownerOf(name);
   }
 }
 
--- a/src/mesh/limits/token_bucket.ts
+++ b/src/mesh/limits/token_bucket.ts
@@ -25,12 +25,6 @@
     this.#level = Math.min(this.#level, size.capacity);
   }
 
-  /** Adds tokens beside what fills it. */
-  add(tokens: number, nowMs: number): void {
-    this.#fill(nowMs);
-    this.#level = Math.min(this.#size.capacity, this.#level + tokens);
-  }
-
   /** Takes one token; returns 0, or how long until one is there. */
   take(nowMs: number): number {
     this.#fill(nowMs);
@@ -43,13 +37,6 @@
     return Math.max(1, (missing / this.#size.perS) * 1000);
   }
 
-  /** Takes one token even if none is there; the debt is filled up first. */
-  owe(nowMs: number): number {
-    this.#fill(nowMs);
-    this.#level -= 1;
-    return 0;
-  }
-
   #fill(nowMs: number): void {
     const gained = ((nowMs - this.#atMs) / 1000) * this.#size.perS;
     this.#level = Math.min(this.#size.capacity, this.#level + gained);
--- /dev/null
+++ b/src/mesh/limits/token_pool.ts
@@ -0,0 +1,60 @@
+/**
+ * Tokens that are void after a while. However many pools the tokens of a
+ * limit lie in, no more of them can be used in a window than were made in it
+ * and in one lifetime before it.
+ */
+
+/** Tokens that are void at the same time. */
+interface Lot {
+  tokens: number;
+  readonly voidAtMs: number;
+}
+
+/** One pool. */
+export class TokenPool {
+  #lots: readonly Lot[] = [];
+  /** Used without asking, and not yet taken off. */
+  #debt = 0;
+
+  /** Adds tokens; debts are taken off first. */
+  add(tokens: number, voidAtMs: number): void {
+    const paid = Math.min(tokens, this.#debt);
+    this.#debt -= paid;
+    if (tokens === paid) return;
+    const lot = {tokens: tokens - paid, voidAtMs};
+    this.#lots = [...this.#lots, lot].toSorted(
+      (a, b) => a.voidAtMs - b.voidAtMs,
+    );
+  }
+
+  /** Notes tokens that are used whether they are there or not. */
+  owe(tokens: number, nowMs: number): void {
+    this.#debt += tokens - this.#remove(tokens, nowMs);
+  }
+
+  /** Takes one token if it is there. */
+  take(nowMs: number): boolean {
+    if (this.levelAt(nowMs) < 1) return false;
+    this.#remove(1, nowMs);
+    return true;
+  }
+
+  /** Tokens that can be taken. */
+  levelAt(nowMs: number): number {
+    this.#lots = this.#lots.filter(({voidAtMs}) => voidAtMs > nowMs);
+    return this.#lots.reduce((sum, {tokens}) => sum + tokens, 0);
+  }
+
+  /** Removes up to so many, those that are void first; returns how many. */
+  #remove(tokens: number, nowMs: number): number {
+    const removed = Math.min(tokens, this.levelAt(nowMs));
+    let left = removed;
+    this.#lots.forEach(lot => {
+      const part = Math.min(lot.tokens, left);
+      lot.tokens -= part;
+      left -= part;
+    });
+    this.#lots = this.#lots.filter(lot => lot.tokens > 0);
+    return removed;
+  }
+}
--- a/src/mesh/mesh_daemon.ts
+++ b/src/mesh/mesh_daemon.ts
@@ -14,6 +14,7 @@
 import {Gate} from './gate/gate.js';
 import type {HeaderNames} from './header_names.js';
 import {limitsOf} from './limits/limit_rules.js';
+import {RepeatBudget} from './limits/repeat_budget.js';
 import {RepeatCalls} from './limits/repeat_calls.js';
 import {SharedLimits, type Limit} from './limits/shared_limits.js';
 import {MeshMetrics} from './mesh_metrics.js';
@@ -50,6 +51,7 @@
   readonly #options: MeshDaemonOptions;
   readonly #exchange: Exchange;
   readonly #limits: SharedLimits;
+  readonly #repeats: RepeatBudget;
   readonly #peerServer: PeerServer;
   readonly #frontDoor: FrontDoor;
   readonly #readiness: Server;
@@ -87,24 +89,31 @@
       limitOf: name => this.#limitsByName.get(name),
       isFirstStart: settings.isFirstStart,
     });
+    this.#repeats = new RepeatBudget({
+      peers: this.peers,
+      bounds: settings.repeats,
+      isFirstStart: settings.isFirstStart,
+    });
     this.#peerServer = new PeerServer({
       address: settings.listen.peers,
       gate: this.gate,
       log,
       grant: ask => this.#limits.grant(ask),
+      repeats: this.#repeats,
       status: () => this.#status(),
       configuration: () => this.keeper.configuration,
       onHello: vm => this.peers.learn(vm),
     });
     const limits = this.#limits;
+    const repeats = this.#repeats;
     const gates = new Gates(this.self, this.gate, this.peers);
     this.#frontDoor = new FrontDoor({
       address: settings.listen.callers,
       names,
       service,
-      dispatcher: new Dispatcher({gates, limits, log, metrics}),
+      dispatcher: new Dispatcher({gates, repeats, log, metrics}),
       limits,
-      repeatCalls: new RepeatCalls({limits, runs: this.gate.runs, log}),
+      repeatCalls: new RepeatCalls({repeats, runs: this.gate.runs, log}),
       log,
       metrics,
       routes: () => this.keeper.table,
@@ -131,6 +140,7 @@
     const {settings, log} = this.#options;
     this.#peersAddress = await this.#peerServer.start();
     this.peers.start();
+    this.#repeats.start();
     const callers = await this.#frontDoor.start();
     await listen(this.#readiness, settings.listen.readiness, 'readiness');
     await listen(this.#metricsServer, settings.listen.metrics, 'metrics');
@@ -163,6 +173,7 @@
 
   /** Ends everything at once. */
   async halt(): Promise<void> {
+    this.#repeats.stop();
     this.peers.stop();
     this.#frontDoor.close();
     this.#readiness.close();
@@ -177,8 +188,7 @@
   }
 
   #apply(configuration: FleetConfiguration): void {
-    const bounds = this.#options.settings.repeats;
-    this.#limitsByName = limitsOf(configuration, bounds);
+    this.#limitsByName = limitsOf(configuration);
     this.#frontDoor.limit(configuration.limits);
     this.#peerServer.statusChanged();
     if (!this.gate.status) void this.#findInstance(configuration);
--- a/src/mesh/peers/frames.ts
+++ b/src/mesh/peers/frames.ts
@@ -6,6 +6,7 @@
 import {Packr} from 'msgpackr';
 import {Failure, reasonOf} from '../../errors/failure.js';
 import type {Declined, Outcome, SlotRequest, Work} from '../gate/work.js';
+import type {RepeatPayment} from '../limits/repeat_budget.js';
 import type {ShareAnswer, ShareRequest} from '../limits/shared_limits.js';
 import type {
   BackendStatus,
@@ -21,6 +22,12 @@
   | {readonly kind: 'withdraw'; readonly id: number}
   | {readonly kind: 'run'; readonly id: number; readonly work: Work}
   | {readonly kind: 'share'; readonly id: number; readonly ask: ShareRequest}
+  | {
+      readonly kind: 'repeat';
+      readonly id: number;
+      readonly payment: RepeatPayment;
+    }
+  | {readonly kind: 'payment'; readonly payment: RepeatPayment}
   | {readonly kind: 'configuration'; readonly id: number};
 
 /** The gate at the moment of an answer. */
@@ -54,6 +61,11 @@
       readonly load: Load;
     }
   | {readonly kind: 'share'; readonly id: number; readonly share: ShareAnswer}
+  | {
+      readonly kind: 'repeat';
+      readonly id: number;
+      readonly isGranted: boolean;
+    }
   | {
       readonly kind: 'configuration';
       readonly id: number;
@@ -61,7 +73,7 @@
     };
 
 /** Goes into the address of a connection; daemons of another one are refused. */
-const FORMAT = 2;
+const FORMAT = 3;
 /** Where peers connect. */
 export const PEER_PATH = `/frames/${FORMAT}`;
 
@@ -90,7 +102,11 @@
     'assurance',
   ],
   ['requestId', 'method', 'path', 'headers', 'body', 'leftMs', 'isRepeat'],
-  ['limit', 'demand', 'isSpent'],
+  ['limit'],
+  ['kind', 'id', 'payment'],
+  ['kind', 'payment'],
+  ['service', 'lots', 'spent'],
+  ['kind', 'id', 'isGranted'],
   ['isGranted', 'retryAfterMs'],
   ['running', 'waiting', 'trust'],
   ['kind', 'reason', 'waitMs'],
--- a/src/mesh/peers/peer_link.ts
+++ b/src/mesh/peers/peer_link.ts
@@ -16,6 +16,7 @@
   type SlotRequest,
   type Work,
 } from '../gate/work.js';
+import type {RepeatPayment} from '../limits/repeat_budget.js';
 import type {ShareAnswer, ShareRequest} from '../limits/shared_limits.js';
 import type {FleetConfiguration, Vm, VmStatus} from '../model.js';
 import {
@@ -172,6 +173,21 @@
     return reply?.kind === 'share' ? reply.share : undefined;
   }
 
+  /** Pays into a budget that the peer owns, and asks it for one token. */
+  async askRepeat(payment: RepeatPayment): Promise<boolean | undefined> {
+    const reply = await this.#call(
+      id => ({kind: 'repeat', id, payment}),
+      SHARE_MS,
+      'repeat not answered',
+    );
+    return reply?.kind === 'repeat' ? reply.isGranted : undefined;
+  }
+
+  /** Pays into a budget that the peer owns. */
+  pay(payment: RepeatPayment): void {
+    this.#send({kind: 'payment', payment});
+  }
+
   /** The configuration that the peer has in force. */
   async configuration(): Promise<FleetConfiguration | undefined> {
     const reply = await this.#call(
--- a/src/mesh/peers/peer_server.ts
+++ b/src/mesh/peers/peer_server.ts
@@ -9,6 +9,7 @@
 import {listen} from '../../http/listener.js';
 import type {DecisionLog} from '../../log/decision_log.js';
 import type {GateClient, Reservation} from '../gate/work.js';
+import type {RepeatBudget} from '../limits/repeat_budget.js';
 import type {ShareAnswer, ShareRequest} from '../limits/shared_limits.js';
 import type {
   BackendStatus,
@@ -33,6 +34,7 @@
   readonly gate: GateClient & {readonly status: BackendStatus | undefined};
   readonly log: DecisionLog;
   readonly grant: (ask: ShareRequest) => ShareAnswer;
+  readonly repeats: Pick<RepeatBudget, 'grant' | 'receive'>;
   readonly status: () => VmStatus;
   readonly configuration: () => FleetConfiguration | undefined;
   readonly onHello: (vm: Vm) => void;
@@ -151,6 +153,11 @@
     share: ({id, ask}) => {
       this.#send({kind: 'share', id, share: this.#options.grant(ask)});
     },
+    repeat: ({id, payment}) => {
+      const isGranted = this.#options.repeats.grant(payment);
+      this.#send({kind: 'repeat', id, isGranted});
+    },
+    payment: ({payment}) => this.#options.repeats.receive(payment),
     configuration: ({id}) => {
       const configuration = this.#options.configuration();
       this.#send({kind: 'configuration', id, configuration});
--- a/src/mesh/peers/peers.ts
+++ b/src/mesh/peers/peers.ts
@@ -4,7 +4,12 @@
  * its own. A daemon that is neither listed nor heard for a while is dropped.
  */
 import type {DecisionLog} from '../../log/decision_log.js';
-import type {ShareAnswer, ShareRequest} from '../limits/shared_limits.js';
+import type {BudgetPeers, RepeatPayment} from '../limits/repeat_budget.js';
+import type {
+  LimitPeers,
+  ShareAnswer,
+  ShareRequest,
+} from '../limits/shared_limits.js';
 import type {Vm} from '../model.js';
 import {PeerLink} from './peer_link.js';
 
@@ -28,11 +33,13 @@
 }
 
 /** The links to all peers. */
-export class Peers {
+export class Peers implements LimitPeers, BudgetPeers {
   readonly #options: PeersOptions;
   readonly #known = new Map<string, Known>();
 
   #watch: NodeJS.Timeout | undefined;
+  /** Whether the list was read since the start. */
+  #isListed = false;
 
   constructor(options: PeersOptions) {
     this.#options = options;
@@ -62,10 +69,25 @@
     return this.#known.size + 1;
   }
 
+  count(): number {
+    return this.#isListed ? this.knownCount() : 0;
+  }
+
   async ask(id: string, ask: ShareRequest): Promise<ShareAnswer | undefined> {
     return this.#known.get(id)?.link.ask(ask);
   }
 
+  async askRepeat(
+    id: string,
+    payment: RepeatPayment,
+  ): Promise<boolean | undefined> {
+    return this.#known.get(id)?.link.askRepeat(payment);
+  }
+
+  pay(id: string, payment: RepeatPayment): void {
+    this.#known.get(id)?.link.pay(payment);
+  }
+
   /** Takes in a daemon that is listed or that connected. */
   learn(vm: Vm): void {
     if (vm.id === this.selfId) return;
@@ -83,6 +105,7 @@
 
   /** Takes in a whole list, and drops who is neither listed nor heard. */
   listed(vms: readonly Vm[]): void {
+    this.#isListed = true;
     vms.forEach(vm => this.learn(vm));
     const nowMs = performance.now();
     [...this.#known.entries()]
--- a/src/mesh/router/dispatcher.ts
+++ b/src/mesh/router/dispatcher.ts
@@ -10,7 +10,7 @@
  */
 import type {DecisionLog} from '../../log/decision_log.js';
 import type {Answered, Declined, Outcome, Work} from '../gate/work.js';
-import type {SharedLimits} from '../limits/shared_limits.js';
+import type {RepeatBudget} from '../limits/repeat_budget.js';
 import type {MeshMetrics} from '../mesh_metrics.js';
 import type {Route} from '../model.js';
 import type {Gates, KnownGate} from './gates.js';
@@ -50,7 +50,7 @@
 /** What the dispatcher is made from. */
 export interface DispatcherOptions {
   readonly gates: Gates;
-  readonly limits: SharedLimits;
+  readonly repeats: Pick<RepeatBudget, 'demand' | 'take'>;
   readonly log: DecisionLog;
   readonly metrics: MeshMetrics;
 }
@@ -64,11 +64,6 @@
 const DEADLINE = new Error('deadline');
 const OTHER_WON = new Error('another instance answered first');
 
-/** The name of the shared limit on repeats of a service. */
-export function repeatLimit(service: string): string {
-  return `repeats:${service}`;
-}
-
 /** Dispatches requests. */
 export class Dispatcher {
   readonly #options: DispatcherOptions;
@@ -78,7 +73,7 @@
   }
 
   async serve(request: Admitted): Promise<Verdict> {
-    this.#options.limits.demand(repeatLimit(request.service));
+    this.#options.repeats.demand(request.service);
     const end = new AbortController();
     const leftMs = request.deadlineAtMs - performance.now();
     const timer = setTimeout(() => end.abort(DEADLINE), Math.max(0, leftMs));
@@ -216,11 +211,9 @@
   async #mayRepeat(reason: string): Promise<boolean> {
     if (this.#isSpent || this.#signal.aborted) return false;
     const {id, route, service} = this.#request;
-    const limit = repeatLimit(service);
-    const {isGranted, owner} = await this.#options.limits.take(limit);
+    const {isGranted, owner} = await this.#options.repeats.take(service);
     const event = isGranted ? 'repeat' : 'repeat-over-budget';
-    const asked = owner ?? 'own part';
-    const line = {id, route: route.name, service, reason, asked};
+    const line = {id, route: route.name, service, reason, owner};
     this.#options.log.step(event, line);
     if (isGranted) this.#options.metrics.repeated(route.name, reason);
     return isGranted;
