Bound what a backend server may answer

Heads were bounded by Node's parser; a body and interim answers were read until the route's timeout, 504, and the body filled the gate's memory. Now an answer over 8 MiB, half of what a frame between daemons carries, or a 17th interim answer ends the connection: 502, and it speaks against the instance.

--- a/features/mesh_path.feature
+++ b/features/mesh_path.feature
@@ -10,6 +10,7 @@
     Then all are answered with 200
     And every request has run exactly once
 
+  # The last three guard against bytes without end that fill a gate's memory.
   Scenario Outline: A request that may run once isn't repeated when its server <behaviour>
     Given every backend server <behaviour>
     When a caller sends a request to "/once/"
@@ -29,6 +30,9 @@
       | answers without signature         | 502    | 1    |
       | fails                             | 500    | 1    |
       | answers 503 after running         | 502    | 1    |
+      | sends a head without end          | 502    | 1    |
+      | sends interim answers without end | 502    | 1    |
+      | sends a body without end          | 502    | 1    |
 
   Scenario Outline: A request that may be repeated is served though one server <behaviour>
     Given one backend server <behaviour>
--- a/features/support/mesh_fleet.ts
+++ b/features/support/mesh_fleet.ts
@@ -8,6 +8,7 @@
   type IncomingMessage,
   type ServerResponse,
 } from 'node:http';
+import type {Writable} from 'node:stream';
 import {listen} from '../../src/http/listener.js';
 import type {DecisionLog, LogFields} from '../../src/log/decision_log.js';
 import {DEFAULT_HEADER_NAMES as NAMES} from '../../src/mesh/header_names.js';
@@ -99,9 +100,31 @@
     res.setHeader(NAMES.notExecuted, '1');
     res.writeHead(503).end();
   },
+  'sends a head without end': (_, res) => {
+    const {socket} = res;
+    socket?.write('HTTP/1.1 200 OK\r\n');
+    if (socket) sendWithoutEnd(socket, `x-more: ${'x'.repeat(1000)}\r\n`);
+  },
+  'sends interim answers without end': (_, res) => {
+    const {socket} = res;
+    if (socket) sendWithoutEnd(socket, 'HTTP/1.1 102 Processing\r\n\r\n');
+  },
+  'sends a body without end': (_, res) => {
+    res.writeHead(200);
+    sendWithoutEnd(res, 'x'.repeat(64 * 1024));
+  },
   'answers 503 after running': (_, res) => res.writeHead(503).end(),
 } as const satisfies Readonly<Record<string, Behaviour>>;
 
+/** Sends a piece again and again until the other side closes. */
+function sendWithoutEnd(out: Writable, piece: string): void {
+  const send = () => {
+    if (!out.destroyed) out.write(piece, () => setImmediate(send));
+  };
+  out.on('error', () => undefined);
+  send();
+}
+
 /** A line that a daemon of the fleet wrote. */
 export interface WrittenLine extends LogFields {
   readonly event: string;
--- a/src/mesh/gate/exchange.ts
+++ b/src/mesh/gate/exchange.ts
@@ -35,6 +35,14 @@
 const CONNECT_TIMEOUT_MS = 1000;
 const PROBE_TIMEOUT_MS = 1000;
 
+/**
+ * Largest body of an answer; half of what a frame between daemons carries, so
+ * that a full set of slots fits the memory of a small VM.
+ */
+const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
+/** Interim answers (1xx) before the final one; servers send one or two. */
+const MAX_INTERIM_ANSWERS = 16;
+
 /** Codes of failures before a connection stood: nothing was sent. */
 const NOT_SENT_CODES: ReadonlySet<string> = new Set([
   'ECONNREFUSED',
@@ -57,6 +65,11 @@
   readonly code = 'CONNECT_TIMEOUT';
 }
 
+/** An answer that doesn't end; what was read of it is dropped. */
+class AnswerTooLong extends Error {
+  readonly code = 'ANSWER_TOO_LONG';
+}
+
 /** The connection ended before the answer did. */
 class AnswerCutShort extends Error {
   readonly code = 'ANSWER_CUT_SHORT';
@@ -160,6 +173,7 @@
         signal,
       });
       limitConnecting(req);
+      limitInterim(req);
       const resets = noticeReset(req);
       let answer: IncomingMessage | undefined;
       req.on('error', err => {
@@ -223,6 +237,16 @@
   req.once('close', stop);
 }
 
+/** Ends a request whose server sends interim answers without end. */
+function limitInterim(req: ClientRequest): void {
+  let count = 0;
+  req.on('information', () => {
+    count += 1;
+    if (count <= MAX_INTERIM_ANSWERS) return;
+    req.destroy(new AnswerTooLong('interim answers without end'));
+  });
+}
+
 /** Tells whether a connection that ended was reset. */
 type ResetNotice = () => Promise<boolean>;
 
@@ -277,8 +301,15 @@
 
 function readToEnd(res: IncomingMessage): Promise<RawAnswer> {
   const chunks: Buffer[] = [];
+  let size = 0;
   return new Promise((resolve, reject) => {
-    res.on('data', (chunk: Buffer) => chunks.push(chunk));
+    res.on('data', (chunk: Buffer) => {
+      size += chunk.length;
+      chunks.push(chunk);
+      if (size <= MAX_ANSWER_BYTES) return;
+      chunks.length = 0;
+      res.destroy(new AnswerTooLong('body without end'));
+    });
     res.on('end', () => {
       if (!res.complete) return reject(new AnswerCutShort('answer cut short'));
       const status = res.statusCode ?? 0;
