Say what was answered other than 200 under a steady load

'All instances slow at once' fails now and then: the answers are the instance's own 503 for overload.

--- a/features/steps/health_steps.ts
+++ b/features/steps/health_steps.ts
@@ -239,7 +239,8 @@
     const all = counts.reduce((sum, [, count]) => sum + count, 0);
     const served = this.load?.statuses.get(200) ?? 0;
     process.stdout.write(`\n${JSON.stringify(counts)}\n`);
-    assert.ok((served / all) * 1000 >= bound, `${served} of ${all}`);
+    const others = this.load?.others.join('; ');
+    assert.ok((served / all) * 1000 >= bound, `${served} of ${all}: ${others}`);
   },
 );
 
--- a/features/support/health_watch.ts
+++ b/features/support/health_watch.ts
@@ -1,7 +1,7 @@
 /** Watches the grades of instances on every daemon, and keeps up a load. */
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {Fleet} from './fleet.js';
-import type {World} from './world.js';
+import type {CallerAnswer, World} from './world.js';
 
 /** How many instances were ejected at one moment. */
 export interface EjectedSample {
@@ -84,6 +84,8 @@
 /** A steady load on all daemons in turn; counts answers by status. */
 export class SteadyLoad {
   readonly statuses = new Map<number, number>();
+  /** What was answered other than 200. */
+  readonly others: string[] = [];
   readonly #timer: NodeJS.Timeout;
   readonly #open = new Set<Promise<void>>();
   #turn = 0;
@@ -106,9 +108,14 @@
 
   async #send(world: World, daemon: string, path: string): Promise<void> {
     const signal = AbortSignal.timeout(5000);
-    const answer = await world
-      .request(daemon, path, {signal})
-      .catch(() => undefined);
+    let answer: CallerAnswer | undefined;
+    try {
+      answer = await world.request(daemon, path, {signal});
+    } catch (err) {
+      this.others.push(String(err));
+    }
+    if (answer && answer.status !== 200)
+      this.others.push(`${answer.status} ${answer.text}`);
     const status = answer?.status ?? 0;
     this.statuses.set(status, (this.statuses.get(status) ?? 0) + 1);
   }
