Specify tokens for repeats that are made once

Each of four rules left out is found (deduct before paying, own part only, expiry, age from the making).

--- a/spec/specifications.feature
+++ b/spec/specifications.feature
@@ -65,6 +65,21 @@
       | vouchFromSend      |
       | shrinkBeforeGrow   |
 
+  Scenario: Tokens for repeats are safe
+    When "repeat tokens" is explored
+    Then no state is unsafe
+
+  Scenario Outline: Tokens for repeats need each of their rules
+    When "repeat tokens" is explored without the rule "<rule>"
+    Then an unsafe state is found
+
+    Examples:
+      | rule            |
+      | deductBeforePay |
+      | ownPart         |
+      | expire          |
+      | ageFromMaking   |
+
   Scenario: At most once is safe
     When "at most once" is explored
     Then no state is unsafe
--- a/spec/steps/specification_steps.ts
+++ b/spec/steps/specification_steps.ts
@@ -7,6 +7,7 @@
 import {escrow, ESCROW_RULES} from '../escrow.js';
 import {ejectionFloor} from '../ejection_floor.js';
 import {explore, rulesWithout, type Exploration} from '../explore.js';
+import {repeatTokens, TOKENS_RULES} from '../repeat_tokens.js';
 import {witnesses, WITNESS_RULES} from '../witnesses.js';
 
 interface SpecificationWorld {
@@ -44,6 +45,8 @@
     explore(configurationForce(rulesWithout(FORCE_RULES, without))),
   'configuration order': without =>
     explore(configurationOrder(rulesWithout(ORDER_RULES, without))),
+  'repeat tokens': without =>
+    explore(repeatTokens(rulesWithout(TOKENS_RULES, without))),
   'ejection floor': without =>
     explore(ejectionFloor(rulesWithout(FLOOR_RULES, without))),
 };
