--- a/features/mesh_repeats.feature
+++ b/features/mesh_repeats.feature
@@ -27,6 +27,19 @@
     Then no 10 seconds see more repeats than the budget allows
     And some 10 seconds use at least 75 percent of it
 
+  # Guards against days that come near to the budget and that nobody sees.
+  Scenario: The logs tell the busiest window of repeats and who kept the budget
+    Given log lines of "documents":
+      | second | event              | owner |
+      | 0      | repeat             | vm-1  |
+      | 11     | repeat             | vm-1  |
+      | 12     | repeat-call        |       |
+      | 13     | repeat-over-budget | vm-2  |
+      | 20.9   | repeat             | vm-2  |
+      | 21.1   | repeat-call        |       |
+    Then its busiest window has 2 repeats, 1 call and 1 over the budget
+    And the budget was kept by "vm-1,vm-2" in it
+
   # Guards against calls of repeats that nobody counts: work that makes no such
   # calls ran beside the repeats and hid them.
   Scenario: Each call of a repeat is charged, whatever runs beside it
--- a/features/steps/mesh_repeat_steps.ts
+++ b/features/steps/mesh_repeat_steps.ts
@@ -1,12 +1,17 @@
 /** Steps for the budget of repeats, each without a network. */
 import assert from 'node:assert/strict';
-import {Given, Then, When} from '@cucumber/cucumber';
+import {Given, Then, When, type DataTable} from '@cucumber/cucumber';
+import {
+  busiestRepeats,
+  type RepeatWindow,
+} from '../../src/commands/repeat_windows.js';
 import {CallingBackend} from '../support/calling_backend.js';
 import {
   DaemonsWithRepeats,
   type RepeatTrouble,
 } from '../support/daemons_with_repeats.js';
 
+const windowOf = new WeakMap<object, RepeatWindow | undefined>();
 const daemonsOf = new WeakMap<object, DaemonsWithRepeats>();
 const backendOf = new WeakMap<object, CallingBackend>();
 
@@ -84,3 +89,28 @@
     assert.ok(isKept, `${charged} charged`);
   },
 );
+
+Given('log lines of {string}:', function (service: string, table: DataTable) {
+  const lines = table.hashes().map(({second, event = '', owner}) => ({
+    time: new Date(Number(second) * 1000).toISOString(),
+    event,
+    service,
+    owner: owner === '' ? undefined : owner,
+  }));
+  windowOf.set(this, busiestRepeats(lines)[0]);
+});
+
+Then(
+  'its busiest window has {int} repeats, {int} call and {int} over the budget',
+  function (repeats: number, calls: number, overBudget: number) {
+    const window = windowOf.get(this);
+    assert.deepEqual(
+      [window?.repeats, window?.calls, window?.overBudget],
+      [repeats, calls, overBudget],
+    );
+  },
+);
+
+Then('the budget was kept by {string} in it', function (owners: string) {
+  assert.deepEqual(windowOf.get(this)?.owners, owners.split(','));
+});
--- a/src/commands/explain.ts
+++ b/src/commands/explain.ts
@@ -1,10 +1,11 @@
 /**
  * `explain`: finds one request's story in the decision logs of many daemons,
- * or counts why requests were not served. Lines are read from files, or from
+ * counts why requests were not served, or how many were repeated. Lines are read from files, or from
  * standard input if none is named.
  */
 import {readFileSync} from 'node:fs';
 import {command, flag, option, optional, restPositionals, string} from 'cmd-ts';
+import {busiestRepeats} from './repeat_windows.js';
 
 /** One line of a decision log. */
 interface LogLine {
@@ -31,15 +32,19 @@
       long: 'refused',
       description: 'Count requests that were not served, by cause.',
     }),
+    repeats: flag({
+      long: 'repeats',
+      description: 'Count the repeats of each service in its busiest 10 s.',
+    }),
     json: flag({long: 'json', description: 'Print JSON.'}),
     files: restPositionals({type: string, displayName: 'log files'}),
   },
-  handler: ({id, refused, json, files}) => {
+  handler: ({id, refused, repeats, json, files}) => {
     const sources = files.length > 0 ? files : [STDIN_FD];
     const lines = sources.flatMap(source =>
       parseLog(readFileSync(source, 'utf8')),
     );
-    const result = refused ? countRefusals(lines) : storyOf(lines, id ?? '');
+    const result = resultOf(lines, {id, refused, repeats});
     const text = json
       ? JSON.stringify(result)
       : result.map(row => textOf(row)).join('\n');
@@ -47,6 +52,21 @@
   },
 });
 
+interface Question {
+  readonly id: string | undefined;
+  readonly refused: boolean;
+  readonly repeats: boolean;
+}
+
+function resultOf(
+  lines: readonly LogLine[],
+  {id, refused, repeats}: Question,
+): readonly Readonly<Record<string, unknown>>[] {
+  if (refused) return countRefusals(lines);
+  if (repeats) return busiestRepeats(lines).map(window => ({...window}));
+  return storyOf(lines, id ?? '');
+}
+
 /** The lines of a log; what stands before a line's JSON is passed over. */
 export function parseLog(text: string): readonly LogLine[] {
   return text.split('\n').flatMap(line => {
