Drop void tokens of pools that nobody takes from

Found while reading the change over: a pool dropped void tokens only when one was taken, so that a service without repeats made its owner keep and sort every payment for good.

--- a/features/mesh_repeats.feature
+++ b/features/mesh_repeats.feature
@@ -27,6 +27,11 @@
     Then no 10 seconds see more repeats than the budget allows
     And some 10 seconds use at least 75 percent of it
 
+  # Guards against a pool that grows as long as nothing is repeated.
+  Scenario: Tokens that nobody takes are dropped
+    When a pool gets a token that lasts 5000 ms every 10 ms for 60 seconds
+    Then it holds at most 501 lots
+
   # Guards against days that come near to the budget and that nobody sees.
   Scenario: The logs tell the busiest window of repeats and who kept the budget
     Given log lines of "documents":
--- a/features/steps/mesh_repeat_steps.ts
+++ b/features/steps/mesh_repeat_steps.ts
@@ -5,12 +5,14 @@
   busiestRepeats,
   type RepeatWindow,
 } from '../../src/commands/repeat_windows.js';
+import {TokenPool} from '../../src/mesh/limits/token_pool.js';
 import {CallingBackend} from '../support/calling_backend.js';
 import {
   DaemonsWithRepeats,
   type RepeatTrouble,
 } from '../support/daemons_with_repeats.js';
 
+const poolOf = new WeakMap<object, TokenPool>();
 const windowOf = new WeakMap<object, RepeatWindow | undefined>();
 const daemonsOf = new WeakMap<object, DaemonsWithRepeats>();
 const backendOf = new WeakMap<object, CallingBackend>();
@@ -114,3 +116,20 @@
 Then('the budget was kept by {string} in it', function (owners: string) {
   assert.deepEqual(windowOf.get(this)?.owners, owners.split(','));
 });
+
+When(
+  'a pool gets a token that lasts {int} ms every {int} ms for {int} seconds',
+  function (lastsMs: number, everyMs: number, seconds: number) {
+    const pool = new TokenPool();
+    poolOf.set(this, pool);
+    Array.from({length: (seconds * 1000) / everyMs}, (_, index) => {
+      const nowMs = index * everyMs;
+      pool.add(1, nowMs + lastsMs, nowMs);
+    });
+  },
+);
+
+Then('it holds at most {int} lots', function (most: number) {
+  const size = poolOf.get(this)?.size ?? 0;
+  assert.ok(size > 0 && size <= most, `${size} lots`);
+});
--- a/src/mesh/limits/repeat_budget.ts
+++ b/src/mesh/limits/repeat_budget.ts
@@ -158,7 +158,7 @@
     const pool = this.#poolOf(service);
     lots
       .filter(([tokens, leftMs]) => tokens > 0 && leftMs > 0)
-      .forEach(([tokens, leftMs]) => pool.add(tokens, nowMs + leftMs));
+      .forEach(([tokens, leftMs]) => pool.add(tokens, nowMs + leftMs, nowMs));
     if (spent > 0) pool.owe(spent, nowMs);
   }
 
--- a/src/mesh/limits/token_pool.ts
+++ b/src/mesh/limits/token_pool.ts
@@ -16,8 +16,14 @@
   /** Used without asking, and not yet taken off. */
   #debt = 0;
 
+  /** How many lots it holds, void ones among them. */
+  get size(): number {
+    return this.#lots.length;
+  }
+
   /** Adds tokens; debts are taken off first. */
-  add(tokens: number, voidAtMs: number): void {
+  add(tokens: number, voidAtMs: number, nowMs: number): void {
+    this.#dropVoid(nowMs);
     const paid = Math.min(tokens, this.#debt);
     this.#debt -= paid;
     if (tokens === paid) return;
@@ -41,10 +47,14 @@
 
   /** Tokens that can be taken. */
   levelAt(nowMs: number): number {
-    this.#lots = this.#lots.filter(({voidAtMs}) => voidAtMs > nowMs);
+    this.#dropVoid(nowMs);
     return this.#lots.reduce((sum, {tokens}) => sum + tokens, 0);
   }
 
+  #dropVoid(nowMs: number): void {
+    this.#lots = this.#lots.filter(({voidAtMs}) => voidAtMs > nowMs);
+  }
+
   /** Removes up to so many, those that are void first; returns how many. */
   #remove(tokens: number, nowMs: number): number {
     const removed = Math.min(tokens, this.levelAt(nowMs));
