Let a broken rate show also where daemons restart slowly

The customer may start 60 and 5 a second more; 60 and then 40 at the restart come to 100 - 5t over its rate, where t is the time from the first to the second burst. Stays as strict: the promise's own scenarios keep their rates.

--- a/features/rates.feature
+++ b/features/rates.feature
@@ -136,7 +136,7 @@
       And the sheet:
         """
         kind;id;name;ratePerSecond;burst;floor;path;service
-        customer;hue;Công ty Huế;5;60;;;
+        customer;hue;Công ty Huế;1;60;;;
         service;ledger-read;;;;1;;
         route;ledger;;;;;/ledger;ledger-read
         """
@@ -148,4 +148,4 @@
       And daemon "d3" is killed
       And daemon "d2" is started again
       And daemon "d3" is started again
-      Then within 60 s "hue" started more than 60 + 5 a second in some window
+      Then within 50 s "hue" started more than 60 + 1 a second in some window
