Ask for the owner of each group once, and tidy what reads badly

Paying parts of rates looked every owner up twice. A comment was overlong, one was wrong, one was missing, and an if had no braces.

--- a/features/support/health_watch.ts
+++ b/features/support/health_watch.ts
@@ -114,8 +114,9 @@
     } catch (err) {
       this.others.push(String(err));
     }
-    if (answer && answer.status !== 200)
+    if (answer && answer.status !== 200) {
       this.others.push(`${answer.status} ${answer.text}`);
+    }
     const status = answer?.status ?? 0;
     this.statuses.set(status, (this.statuses.get(status) ?? 0) + 1);
   }
--- a/src/commands/explain.ts
+++ b/src/commands/explain.ts
@@ -1,7 +1,7 @@
 /**
  * `explain`: finds one request's story in the decision logs of many daemons,
- * counts why requests were not served, or how many were repeated. Lines are read from files, or from
- * standard input if none is named.
+ * counts why requests were not served, or how many were repeated. Lines are
+ * read from files, or from standard input if none is named.
  */
 import {readFileSync} from 'node:fs';
 import {command, flag, option, optional, restPositionals, string} from 'cmd-ts';
--- a/src/mesh/limits/rate_parts.ts
+++ b/src/mesh/limits/rate_parts.ts
@@ -117,9 +117,11 @@
     if (forMs <= 0) return;
     this.#paidAtMs = nowMs;
     const partMs = forMs * this.ownPart;
-    const all = Array.from({length: GROUPS}, (_, group) => group);
-    new Set(all.map(group => this.#ownerOf(group))).forEach(owner => {
-      const groups = all.filter(group => this.#ownerOf(group) === owner);
+    const owners = Array.from({length: GROUPS}, (_, group) =>
+      this.#ownerOf(group),
+    );
+    new Set(owners).forEach(owner => {
+      const groups = [...owners.keys()].filter(i => owners[i] === owner);
       if (owner === peers.selfId) this.receive({groups, partMs});
       else peers.payPart(owner, {groups, partMs});
     });
--- a/src/mesh/limits/repeat_budget.ts
+++ b/src/mesh/limits/repeat_budget.ts
@@ -179,6 +179,7 @@
     });
   }
 
+  /** The daemon that keeps the budget of a service, as this one sees it. */
   ownerOf(service: string): string {
     return this.#owners.ownerOf(`repeats:${service}`);
   }
--- a/src/mesh/limits/token_pool.ts
+++ b/src/mesh/limits/token_pool.ts
@@ -16,7 +16,7 @@
   /** Used without asking, and not yet taken off. */
   #debt = 0;
 
-  /** How many lots it holds, void ones among them. */
+  /** How many lots it holds; those that are void since may be among them. */
   get size(): number {
     return this.#lots.length;
   }
