Measure early refusals against a request that needs no slot

Cause: the time was taken at the caller, and what the caller and its 60 new connections took on a busy machine counted as the queue's. Traced by a header with the daemon's own time, beside ten busy processes: the refusals came to the caller after 265 to 329 ms, the daemon had decided each within 0 to 17 ms of its arrival.

The check is as strict, without what the machine adds: each request goes beside one that no route leads for, and its refusal may come at most 150 ms later than the other's answer.

--- a/features/steps/health_steps.ts
+++ b/features/steps/health_steps.ts
@@ -271,18 +271,33 @@
 
 interface TimedAnswer extends CallerAnswer {
   readonly tookMs: number;
+  /** What a request that needs no slot took, sent at the same moment. */
+  readonly twinTookMs?: number;
 }
 
 interface OverloadWorld extends HealthWorld {
   timed?: readonly TimedAnswer[];
 }
 
-async function sendTimed(world: World): Promise<TimedAnswer> {
+async function sendTimed(
+  world: World,
+  path = '/ledger/balances',
+): Promise<TimedAnswer> {
   const startedAtMs = performance.now();
-  const answer = await world.request('d1', '/ledger/balances');
+  const answer = await world.request('d1', path);
   return {...answer, tookMs: performance.now() - startedAtMs};
 }
 
+/** Sends a request that no route leads for beside one that needs a slot. */
+async function sendWithTwin(world: World): Promise<TimedAnswer> {
+  const [answer, twin] = await Promise.all([
+    sendTimed(world),
+    sendTimed(world, '/no-route'),
+  ]);
+  assert.equal(twin.status, 404);
+  return {...answer, twinTookMs: twin.tookMs};
+}
+
 Given(
   '{int} requests are sent one after the other',
   async function (this: OverloadWorld, count: number) {
@@ -291,27 +306,33 @@
 );
 
 When(
-  '{int} requests are sent at once',
+  '{int} requests are sent at once, each beside one that needs no slot',
   async function (this: OverloadWorld, count: number) {
-    const sends = Array.from({length: count}, () => sendTimed(this));
+    const sends = Array.from({length: count}, () => sendWithTwin(this));
     this.timed = await Promise.all(sends);
   },
 );
 
 Then(
-  'each was answered 200, or refused as busy within {int} ms with a time to come back',
+  'each was answered 200, or refused as busy within {int} ms of the other, with a time to come back',
   function (this: OverloadWorld, boundMs: number) {
-    const refused = (this.timed ?? []).filter(({status}) => status !== 200);
-    const slowest = Math.max(...refused.map(({tookMs}) => tookMs));
+    const refused = (this.timed ?? [])
+      .filter(({status}) => status !== 200)
+      .map(answer => ({
+        ...answer,
+        // What both took alike is the test's and the connection's, not the queue's.
+        laterMs: answer.tookMs - (answer.twinTookMs ?? 0),
+      }));
+    const latest = Math.max(...refused.map(({laterMs}) => laterMs));
     process.stdout.write(
-      `\n${refused.length} refused, the last after ${Math.round(slowest)} ms\n`,
+      `\n${refused.length} refused, at most ${Math.round(latest)} ms later than the other\n`,
     );
     assert.ok(refused.length > 0, 'nothing was refused');
-    refused.forEach(({status, text, headers, tookMs}) => {
+    refused.forEach(({status, text, headers, laterMs}) => {
       assert.equal(status, 503);
       assert.match(text, /"ran":"no"/);
       assert.ok(Number(headers.get('retry-after')) >= 1);
-      assert.ok(tookMs <= boundMs, `${tookMs} ms`);
+      assert.ok(laterMs <= boundMs, `${laterMs} ms`);
     });
   },
 );
