Keep the slot of work that was given up until it has probably ended

What callers saw: an instance's own 503 (x-overload: slots) although the gate knows how many requests it gave it.

Cause: when a caller leaves or the other of two sends wins, the gate closes the connection and gave the slot to the next request at once. An instance that doesn't notice goes on with its work, and refuses what is over its slots. The same early release also told the drain estimate that slots are held for a shorter time than they are.

Work that was given up now holds its slot until one and a half times the usual time has passed since it started, and counts for nothing in the estimate.

--- a/features/steps/health_steps.ts
+++ b/features/steps/health_steps.ts
@@ -313,6 +313,24 @@
   },
 );
 
+When(
+  '{int} callers leave {int} ms after their requests',
+  async function (this: OverloadWorld, count: number, afterMs: number) {
+    const leave = async () => {
+      const signal = AbortSignal.timeout(afterMs);
+      const sent = this.request('d1', '/ledger/balances', {signal});
+      await assert.rejects(sent, {name: 'TimeoutError'});
+    };
+    await Promise.all(Array.from({length: count}, leave));
+  },
+);
+
+Then('each was answered 200', function (this: OverloadWorld) {
+  const answers = (this.timed ?? []).map(({status, text}) => ({status, text}));
+  const others = answers.filter(({status}) => status !== 200);
+  assert.deepEqual(others, []);
+});
+
 Then(
   'each was answered 200, or refused as busy within {int} ms of the other, with a time to come back',
   function (this: OverloadWorld, boundMs: number) {
--- a/src/gate/drain_estimate.ts
+++ b/src/gate/drain_estimate.ts
@@ -17,6 +17,11 @@
     this.#heldMs = last + (heldMs - last) * WEIGHT;
   }
 
+  /** How long a slot is usually held, in milliseconds; 0 while unknown. */
+  get usualMs(): number {
+    return this.#heldMs ?? 0;
+  }
+
   /** Milliseconds until the turn after `ahead` others, if none is free now. */
   waitMs(ahead: number, slots: number): number {
     if (this.#heldMs === undefined || slots <= 0) return 0;
--- a/src/gate/gate.ts
+++ b/src/gate/gate.ts
@@ -137,8 +137,9 @@
         throw err;
       },
     );
-    if (outcome.kind !== 'answered') slot.release();
-    else outcome.body.once('close', slot.release);
+    if (outcome.kind === 'answered') outcome.body.once('close', slot.release);
+    else if (isAbandoned(outcome)) slot.abandon();
+    else slot.release();
     return outcome;
   }
 
@@ -193,6 +194,11 @@
   return {kind: 'unknown', reason: isOverdue ? 'timeout' : 'connection-lost'};
 }
 
+/** True if the instance may still work on what was given up. */
+function isAbandoned({kind, reason}: NotRun | Unknown): boolean {
+  return kind === 'unknown' && reason === 'cancelled';
+}
+
 function unstartedOf({isCancelled, isOverdue}: Ending): NotRunReason {
   if (isCancelled) return 'cancelled';
   return isOverdue ? 'deadline' : 'connect-failed';
--- a/src/gate/slots.ts
+++ b/src/gate/slots.ts
@@ -14,6 +14,11 @@
 export interface Slot {
   readonly instance: Instance;
   release(): void;
+  /**
+   * Releases the slot once work that was given up has probably ended: an
+   * instance that doesn't notice goes on with it.
+   */
+  abandon(): void;
 }
 
 /** Who wants a slot, and until when. */
@@ -38,6 +43,8 @@
 
 /** Waits are estimates: work that would just make it is refused as well. */
 const SAFE_SHARE = 0.8;
+/** Work that was given up is taken to last this many times the usual. */
+const ABANDONED_FACTOR = 1.5;
 /** Work that was taken may wait this much longer, since services slow down. */
 const TAKEN_FACTOR = 2;
 
@@ -132,14 +139,21 @@
     this.#held.add(held);
     this.#instances.occupy(instance.id, 1);
     return new Promise(resolve => {
-      const release = () => {
+      const free = once(() => {
         this.#held.delete(held);
-        this.#drainOf(service).add(performance.now() - sinceMs);
         this.#instances.occupy(instance.id, -1);
         this.resize();
         resolve();
+      });
+      const release = once(() => {
+        this.#drainOf(service).add(performance.now() - sinceMs);
+        free();
+      });
+      const abandon = () => {
+        const lastsMs = this.#drainOf(service).usualMs * ABANDONED_FACTOR;
+        setTimeout(free, sinceMs + lastsMs - performance.now());
       };
-      settle({instance, release: once(release)});
+      settle({instance, release, abandon});
     });
   }
 
