Wait for a holder of a rate that is only slow

Cause: a borrower called a holder silent after 80 ms and refused after 100 ms in all, though the holder's answer was on its way; the call itself is given 500 ms. Evidence: in the new scenario, without network, a customer's only holder answers after 300 ms; the request was refused as rate-unknown before and is admitted now. That a rate isn't known yet doesn't say that the request can't be served.

While nobody else can lend, a request now waits for answers that are late, up to the 500 ms that the call has. A holder that was silent in the ask before isn't waited for, so that a frozen one holds up one refill and not each (scenario: refused within 100 ms the second time). A daemon's own share and other holders are asked as before.

--- /dev/null
+++ b/features/steps/rate_account_steps.ts
@@ -0,0 +1,103 @@
+/** Steps that ask one account for tokens, with holders played here. */
+import {Given, Then, When} from '@cucumber/cucumber';
+import assert from 'node:assert/strict';
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {GenerationMember} from '../../src/member/generation.js';
+import {Account} from '../../src/rates/account.js';
+import type {Admission} from '../../src/rates/limiter.js';
+import type {DrawReply, DrawRequest} from '../../src/rates/messages.js';
+import {Pocket} from '../../src/rates/pocket.js';
+import type {Holder} from '../../src/rates/shares.js';
+import type {World} from '../support/world.js';
+
+interface AccountWorld extends World {
+  account?: Account;
+  admission?: Admission;
+  tookMs?: number;
+}
+
+/** Longer than any scenario waits. */
+const NEVER_MS = 10_000;
+const CUSTOMER = {id: 'can-tho', ratePerSecond: 40, burst: 30};
+
+/** An account whose holders answer after the given times, nearest first. */
+function accountOf(answerAfterMs: readonly number[]): Account {
+  const members = answerAfterMs.map((_, index): GenerationMember => ({
+    id: `d${index}`,
+    failureDomain: `domain-${index}`,
+    region: 'south',
+    peersAddress: `127.0.0.1:${index + 1}`,
+  }));
+  const indexOf = ({member}: Holder) =>
+    members.findIndex(({id}) => id === member.id);
+  let loans = 0;
+  return new Account({
+    customer: CUSTOMER,
+    generation: {number: 1, members, witnesses: [], previousWitnesses: []},
+    pocket: new Pocket(),
+    distance: indexOf,
+    nextLoan: () => `loan-${loans++}`,
+    draw: async (holder, ask) => {
+      await sleep(answerAfterMs[indexOf(holder)] ?? 0);
+      return grant(holder, ask);
+    },
+  });
+}
+
+function grant({share}: Holder, {wantedMicros}: DrawRequest): DrawReply {
+  return {
+    grants: true,
+    grantedMicros: wantedMicros,
+    balanceMicros: share.burstMicros,
+    rateMicros: share.rateMicros,
+  };
+}
+
+Given(
+  'a customer whose only holder answers after {int} ms',
+  function (this: AccountWorld, afterMs: number) {
+    this.account = accountOf([afterMs]);
+  },
+);
+
+Given(
+  'a customer whose nearer holder answers at once and the other after {int} ms',
+  function (this: AccountWorld, afterMs: number) {
+    this.account = accountOf([0, afterMs]);
+  },
+);
+
+Given(
+  'a customer whose only holder never answers',
+  function (this: AccountWorld) {
+    this.account = accountOf([NEVER_MS]);
+  },
+);
+
+When('a request asks for a token', async function (this: AccountWorld) {
+  const startedAtMs = performance.now();
+  this.admission = await this.account?.admit();
+  this.tookMs = performance.now() - startedAtMs;
+});
+
+Then('it was admitted', function (this: AccountWorld) {
+  assert.equal(this.admission?.admitted, true, JSON.stringify(this.admission));
+});
+
+Then(
+  'it was admitted within {int} ms',
+  function (this: AccountWorld, boundMs: number) {
+    assert.equal(this.admission?.admitted, true);
+    assert.ok((this.tookMs ?? Infinity) <= boundMs, `${this.tookMs} ms`);
+  },
+);
+
+Then(
+  'it was refused as {string} within {int} ms',
+  function (this: AccountWorld, reason: string, boundMs: number) {
+    const {admission} = this;
+    assert.ok(admission && !admission.admitted, 'it was admitted');
+    assert.equal(admission.reason, reason);
+    assert.ok((this.tookMs ?? Infinity) <= boundMs, `${this.tookMs} ms`);
+  },
+);
--- a/src/rates/account.ts
+++ b/src/rates/account.ts
@@ -50,6 +50,8 @@
 const MAX_TRIES = 5;
 /** After this no further refill is waited for. */
 const MAX_WAIT_MS = 100;
+/** A holder that is only late is waited for so long; its answer is due then. */
+const LATE_WAIT_MS = 500;
 /** Amounts below this aren't worth a message. */
 const LEAST_ASK_MICROS = 10_000;
 const LEAST_REFUSAL_MS = 25;
@@ -64,6 +66,8 @@
   readonly #views: readonly HolderView[];
   #refusal: Refusal | undefined;
   #refilling: Promise<void> | undefined;
+  /** Asks that went unanswered for the usual time and may still be. */
+  readonly #late = new Set<Promise<void>>();
   #waiting = 0;
   #demand = 0;
   #demandAtMs = performance.now();
@@ -135,17 +139,30 @@
     // Requests that came in the same turn count among the waiting.
     await Promise.resolve();
     const startMs = performance.now();
-    for (let round = 0; round < MAX_ROUNDS; round += 1) {
+    let rounds = 0;
+    while (rounds < MAX_ROUNDS) {
       const asks = this.#plan();
-      if (asks.length === 0) break;
-      if (performance.now() - startMs > MAX_WAIT_MS) return;
-      const draws = asks.map(ask => this.#draw(ask));
-      await Promise.all(draws.filter((_, i) => !asks[i]?.view.isSilent));
+      const waitedMs = performance.now() - startMs;
+      const isLate = this.#late.size > 0 && waitedMs < LATE_WAIT_MS;
+      if (asks.length === 0 && !isLate) break;
+      if (asks.length > 0 && !isLate && waitedMs > MAX_WAIT_MS) return;
+      if (asks.length > 0) rounds += 1;
+      await (asks.length > 0 ? this.#drawAll(asks) : this.#waitForLate());
       if (this.#missingNow() <= 0) return;
     }
     this.#refusal = this.#shortage();
   }
 
+  async #drawAll(asks: readonly Ask[]): Promise<void> {
+    const draws = asks.map(ask => this.#draw(ask));
+    await Promise.all(draws.filter((_, i) => !asks[i]?.view.isSilent));
+  }
+
+  /** Waits for a late answer, or until others may have gained something. */
+  async #waitForLate(): Promise<void> {
+    await Promise.race([...this.#late, sleep(PATIENCE_MS)]);
+  }
+
   #missingNow(): number {
     const neededMicros = Math.max(1, this.#waiting) * MICROS_PER_TOKEN;
     return neededMicros - this.pocket.left(performance.now());
@@ -182,11 +199,16 @@
   /** Waits a short time only; a grant that comes later is still taken. */
   async #draw(ask: Ask): Promise<void> {
     let answered = false;
+    const wasSilent = ask.view.isSilent;
     const reply = this.#ask(ask).finally(() => {
       answered = true;
+      this.#late.delete(reply);
     });
     await Promise.race([reply, sleep(PATIENCE_MS)]);
-    if (!answered) ask.view.noteSilence();
+    if (answered) return;
+    ask.view.noteSilence();
+    // One that was silent before would hold up requests again and again.
+    if (!wasSilent) this.#late.add(reply);
   }
 
   async #ask({view, wantedMicros}: Ask): Promise<void> {
