Wait for the generation to be in force before daemons are restarted

What callers saw: in "A rolling restart of all daemons loses no request", 382 to 782 of about 1,300 posts refused as rate-unknown beside load.

Cause: the one of "The gate's daemon is killed": daemons that start over a second apart make several generations, and shares that moved with the newest stay closed for about 7 s; the restart of the first daemon fell into that time.

--- a/features/leaving.feature
+++ b/features/leaving.feature
@@ -18,6 +18,7 @@
       route;nobody;;;;;/nobody;nobody;1000
       """
     And a key for "can-tho"
+    And the generation of all daemons is in force everywhere
     And the rate of "can-tho" is known everywhere
 
   Scenario: A draining instance gets no new work
