--- a/src/commands/explain.ts
+++ b/src/commands/explain.ts
@@ -17,6 +17,8 @@
 }
 
 const STDIN_FD = 0;
+/** Requests that `--slowest` lists. */
+const SLOWEST_COUNT = 20;
 
 /** The command itself. */
 export const explain = command({
@@ -32,6 +34,10 @@
       long: 'refused',
       description: 'Count requests that were not served, by cause.',
     }),
+    slowest: flag({
+      long: 'slowest',
+      description: 'List the requests that callers waited for longest.',
+    }),
     repeats: flag({
       long: 'repeats',
       description: 'Count the repeats of each service in its busiest 10 s.',
@@ -39,12 +45,12 @@
     json: flag({long: 'json', description: 'Print JSON.'}),
     files: restPositionals({type: string, displayName: 'log files'}),
   },
-  handler: ({id, refused, repeats, json, files}) => {
+  handler: ({id, refused, slowest, repeats, json, files}) => {
     const sources = files.length > 0 ? files : [STDIN_FD];
     const lines = sources.flatMap(source =>
       parseLog(readFileSync(source, 'utf8')),
     );
-    const result = resultOf(lines, {id, refused, repeats});
+    const result = resultOf(lines, {id, refused, slowest, repeats});
     const text = json
       ? JSON.stringify(result)
       : result.map(row => textOf(row)).join('\n');
@@ -55,14 +61,16 @@
 interface Question {
   readonly id: string | undefined;
   readonly refused: boolean;
+  readonly slowest: boolean;
   readonly repeats: boolean;
 }
 
 function resultOf(
   lines: readonly LogLine[],
-  {id, refused, repeats}: Question,
+  {id, refused, slowest, repeats}: Question,
 ): readonly Readonly<Record<string, unknown>>[] {
   if (refused) return countRefusals(lines);
+  if (slowest) return slowestOf(lines);
   if (repeats) return busiestRepeats(lines).map(window => ({...window}));
   return storyOf(lines, id ?? '');
 }
@@ -115,6 +123,25 @@
     }));
 }
 
+/** Requests by how long their callers waited, the longest first. */
+export function slowestOf(
+  lines: readonly LogLine[],
+): readonly Readonly<Record<string, unknown>>[] {
+  return lines
+    .filter(({event}) => event === 'answered' || event === 'not-served')
+    .filter(({tookMs}) => typeof tookMs === 'number')
+    .toSorted((a, b) => Number(b.tookMs) - Number(a.tookMs))
+    .slice(0, SLOWEST_COUNT)
+    .map(({tookMs, id, vm, route, status, reason}) => ({
+      tookMs,
+      id,
+      vm,
+      route,
+      status,
+      reason,
+    }));
+}
+
 function textOf(row: Readonly<Record<string, unknown>>): string {
   return Object.entries(row)
     .map(([name, value]) => `${name}=${String(value)}`)
