Wait for the generation before rates are measured

Daemons that start over a second apart make several generations; for about 7 s the shares that moved are closed, so that a customer has less than its rate, and what is over its rate can't be told from what isn't known. Ruled out: the new wait for slow holders, since the refusals come from holders that answer and may not grant.

--- a/features/rates.feature
+++ b/features/rates.feature
@@ -24,6 +24,7 @@
       And a key for "can-tho"
       And a key for "da-lat"
       And a key for "hue"
+      And the generation of all daemons is in force everywhere
       And "can-tho" is served through "d1 d2 d3"
 
     Scenario: Bursts arrive unevenly, eight times the rate
--- a/features/whole_path.feature
+++ b/features/whole_path.feature
@@ -15,10 +15,10 @@
       """
     And a key for "can-tho"
     And a key for "da-lat"
+    And the generation of all daemons is in force everywhere
 
   Scenario: A request with a key is served through any daemon
-    Given the generation of all daemons is in force everywhere
-    And "can-tho" is served through "d1 d2 d3"
+    Given "can-tho" is served through "d1 d2 d3"
     When "can-tho" requests "/ledger/balances" from daemon "d1"
     Then the answer is 200 from instance "ledger-1"
     When "can-tho" requests "/ledger/balances" from daemon "d3"
