--- a/features/steps/key_steps.ts
+++ b/features/steps/key_steps.ts
@@ -4,6 +4,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {until} from '../support/fleet.js';
 import {KeyStream} from '../support/key_stream.js';
+import {runsOfAll} from '../support/runs.js';
 import type {CallerAnswer, World} from '../support/world.js';
 
 interface KeyWorld extends World {
@@ -13,10 +14,6 @@
   oldKey: string;
 }
 
-interface Run {
-  readonly customer: string;
-}
-
 const OBSERVE_MS = 3000;
 const STREAM_START_MS = 15_000;
 
@@ -26,16 +23,6 @@
   return key;
 }
 
-async function allRuns(world: World): Promise<readonly Run[]> {
-  const runs = await Promise.all(
-    [...world.fleet.instances.values()].map(async ({address}) => {
-      const res = await fetch(`http://${address}/ran`);
-      return (await res.json()) as readonly Run[];
-    }),
-  );
-  return runs.flat();
-}
-
 After(async function (this: KeyWorld) {
   await this.stream?.stop();
 });
@@ -115,7 +102,7 @@
   async function (this: KeyWorld) {
     await this.stream?.stop();
     const served = this.stream?.requests.filter(r => r.status === 200) ?? [];
-    assert.equal((await allRuns(this)).length, served.length);
+    assert.equal((await runsOfAll(this)).length, served.length);
   },
 );
 
@@ -130,7 +117,7 @@
     const key = keyOf(this, customer);
     const headers = {'x-api-key': key, 'x-work-ms': String(workMs)};
     this.openRequest = this.request(daemon, '/ledger/slow', {headers});
-    const started = async () => (await allRuns(this)).length > 0;
+    const started = async () => (await runsOfAll(this)).length > 0;
     await until('the request runs', started, STREAM_START_MS);
   },
 );
@@ -221,7 +208,7 @@
 Then(
   'every run of the instances is of {string}',
   async function (this: World, customer: string) {
-    const customers = (await allRuns(this)).map(run => run.customer);
+    const customers = (await runsOfAll(this)).map(run => run.customer);
     assert.deepEqual(new Set(customers), new Set([customer]));
   },
 );
--- a/features/steps/leaving_steps.ts
+++ b/features/steps/leaving_steps.ts
@@ -4,7 +4,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {until} from '../support/fleet.js';
 import {Posting} from '../support/posting.js';
-import {runsOfAll} from '../support/runs.js';
+import {runsAt, runsOfAll} from '../support/runs.js';
 import type {CallerAnswer, World} from '../support/world.js';
 
 const SETTLE_MS = 20_000;
@@ -18,9 +18,7 @@
 const ends = new WeakMap<World, Promise<number | null>>();
 
 async function countRuns(world: World, instance: string): Promise<number> {
-  const {address} = world.fleet.instance(instance);
-  const res = await fetch(`http://${address}/ran`);
-  return ((await res.json()) as readonly unknown[]).length;
+  return (await runsAt(world.fleet.instance(instance))).length;
 }
 
 /**
--- a/features/steps/rate_steps.ts
+++ b/features/steps/rate_steps.ts
@@ -3,13 +3,9 @@
 import assert from 'node:assert/strict';
 import {until} from '../support/fleet.js';
 import {Load, tally, worstWindow, type LoadAnswer} from '../support/load.js';
+import {runsOfAll} from '../support/runs.js';
 import type {World} from '../support/world.js';
 
-interface Run {
-  readonly customer: string;
-  readonly startedMs: number;
-}
-
 /** Delivery of starts to the instances may bunch them by so much. */
 const JITTER_MS = 100;
 const SETTLE_MS = 20_000;
@@ -55,14 +51,8 @@
   world: World,
   customer: string,
 ): Promise<readonly number[]> {
-  const all = await Promise.all(
-    [...world.fleet.instances.values()].map(async ({address}) => {
-      const res = await fetch(`http://${address}/ran`);
-      return (await res.json()) as readonly Run[];
-    }),
-  );
-  return all
-    .flat()
+  const runs = await runsOfAll(world);
+  return runs
     .filter(run => run.customer === customer)
     .map(run => run.startedMs);
 }
--- a/features/steps/request_steps.ts
+++ b/features/steps/request_steps.ts
@@ -1,6 +1,7 @@
 /** Steps that send requests as callers do, and look at the answers. */
 import {Then, When} from '@cucumber/cucumber';
 import assert from 'node:assert/strict';
+import {runsAt} from '../support/runs.js';
 import type {CallerAnswer, World} from '../support/world.js';
 
 interface Problem {
@@ -8,10 +9,6 @@
   readonly type: string;
 }
 
-interface Run {
-  readonly customer: string;
-}
-
 function last(world: World): CallerAnswer {
   const answer = world.answers.at(-1);
   assert.ok(answer, 'no request was sent');
@@ -95,7 +92,7 @@
 Then(
   'instance {string} ran {int} requests',
   async function (this: World, instance: string, count: number) {
-    assert.equal((await runsOf(this, instance)).length, count);
+    assert.equal((await runsAt(this.fleet.instance(instance))).length, count);
   },
 );
 
@@ -108,14 +105,8 @@
     status: number,
   ) {
     const served = this.answers.filter(answer => answer.status === status);
-    const runs = await runsOf(this, instance);
+    const runs = await runsAt(this.fleet.instance(instance));
     const own = runs.filter(run => run.customer === customer);
     assert.equal(own.length, served.length);
   },
 );
-
-async function runsOf(world: World, instance: string): Promise<readonly Run[]> {
-  const {address} = world.fleet.instance(instance);
-  const res = await fetch(`http://${address}/ran`);
-  return (await res.json()) as readonly Run[];
-}
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -6,6 +6,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {Fleet, until} from '../features/support/fleet.js';
 import {Load, tally, worstWindow} from '../features/support/load.js';
+import {runsOfAll, type InstanceRun} from '../features/support/runs.js';
 import {Callers, type Told} from './callers.js';
 import {strikeAll} from './faults.js';
 import {planOf, type SoakSize} from './plan.js';
@@ -30,12 +31,6 @@
   readonly brokenRules: readonly string[];
 }
 
-interface Run {
-  readonly id: string;
-  readonly customer: string;
-  readonly startedMs: number;
-}
-
 const RATE_PER_S = 40;
 const BURST = 30;
 /** Delivery of starts to the instances may bunch them by so much. */
@@ -154,7 +149,7 @@
   await Promise.all([...callers.map(c => c.stop()), limited.stop()]);
   await sleep(SETTLE_MS);
   const told = callers.flatMap(c => c.told);
-  const runs = await runsOf(fleet);
+  const runs = await runsOfAll({fleet});
   const result = judge(told, runs);
   return {
     seed,
@@ -165,17 +160,9 @@
   };
 }
 
-async function runsOf(fleet: Fleet): Promise<readonly Run[]> {
-  const all = [...fleet.instances.values()].map(async ({address}) => {
-    const res = await fetch(`http://${address}/ran`);
-    return (await res.json()) as readonly Run[];
-  });
-  return (await Promise.all(all)).flat();
-}
-
 type Judged = Omit<SoakResult, 'seed' | 'faults' | 'limited' | 'brokenRules'>;
 
-function judge(told: readonly Told[], runs: readonly Run[]): Judged {
+function judge(told: readonly Told[], runs: readonly InstanceRun[]): Judged {
   const ran = new Map<string, number>();
   runs.forEach(({id}) => ran.set(id, (ran.get(id) ?? 0) + 1));
   const outcomes: Record<string, number> = {};
