--- a/features/steps/fleet_steps.ts
+++ b/features/steps/fleet_steps.ts
@@ -2,11 +2,10 @@
 import {Given, When} from '@cucumber/cucumber';
 import assert from 'node:assert/strict';
 import {until, type InstancePlan} from '../support/fleet.js';
+import {untilGenerationInForce} from '../support/generation.js';
 import type {World} from '../support/world.js';
 
 const SETTLE_MS = 10_000;
-/** Daemons that start one by one make several generations. */
-const IN_FORCE_MS = 40_000;
 
 /** Starts an instance and waits until all daemons know of its slots. */
 async function startKnown(world: World, plan: InstancePlan): Promise<void> {
@@ -73,15 +72,7 @@
 Given(
   'the generation of all daemons is in force everywhere',
   async function (this: World) {
-    const inForce = async () => {
-      const statuses = await this.statuses();
-      return statuses.every(
-        status =>
-          status.generationInForce &&
-          status.generationMembers.length === statuses.length,
-      );
-    };
-    await until('the generation is in force', inForce, IN_FORCE_MS);
+    await untilGenerationInForce(this.fleet);
   },
 );
 
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -5,6 +5,7 @@
  */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {Fleet, until} from '../features/support/fleet.js';
+import {untilGenerationInForce} from '../features/support/generation.js';
 import {Load, tally, worstWindow} from '../features/support/load.js';
 import {runsOfAll, type InstanceRun} from '../features/support/runs.js';
 import {Callers, type Told} from './callers.js';
@@ -89,15 +90,7 @@
     }),
   ]);
   await Promise.all(started);
-  const isInForce = async () => {
-    const all = await Promise.all(ids.map(id => fleet.status(id)));
-    return all.every(
-      status =>
-        status.generationInForce &&
-        status.generationMembers.length === ids.length,
-    );
-  };
-  await until('the generation is in force', isInForce, START_MS);
+  await untilGenerationInForce(fleet);
   await fleet.applySheet('d1', SHEET);
   const sweeps = await fleet.issueKey('d1', 'sweeps');
   const limited = await fleet.issueKey('d1', 'limited');
