Sleep and mend the soak's faults in one place

Ten handlers each began a fault, slept and took it back; the table now holds what begins and what mends a fault, and one function does the rest. SoakSize also named the mutant, so it is SoakOptions.

--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -4,7 +4,6 @@
  */
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {Fleet} from '../features/support/fleet.js';
-import type {TestProcess} from '../features/support/process.js';
 import type {Fault, FaultKind} from './plan.js';
 
 /** The names that a fault's indexes stand for. */
@@ -16,49 +15,67 @@
   readonly instance: string;
 }
 
-type Strike = (struck: Struck) => Promise<void>;
+/** How a fault begins and how it is mended. */
+interface Strike {
+  readonly begin: (struck: Struck) => unknown;
+  readonly mend: (struck: Struck) => unknown;
+}
 
 /** Added to each direction of a slow link. */
 const SLOW_LINK_MS = 300;
 
+const healLink = ({fleet, victim, other}: Struck) =>
+  fleet.network.heal(victim, other);
+const restart = ({fleet, victim}: Struck) => fleet.restartDaemon(victim);
+const daemonOf = ({fleet, victim}: Struck) => fleet.daemon(victim).process;
+const instanceOf = ({fleet, instance}: Struck) => fleet.instance(instance);
+const dropAnswers = (struck: Struck, dropAnswer: boolean) =>
+  struck.fleet.setFaults(instanceOf(struck).address, {dropAnswer});
+const takeStoreAway = ({fleet}: Struck, outage: boolean) =>
+  fleet.setFaults(fleet.storeAddress, {outage});
+const delayLink = ({fleet, victim, other}: Struck, delayMs: number) =>
+  fleet.network.link(`${victim}>${other}`, {delayMs});
+
 const STRIKES: Readonly<Record<FaultKind, Strike>> = {
-  kill: struck => endAndRestart(struck, 'SIGKILL'),
-  restart: struck => endAndRestart(struck, 'SIGTERM'),
-  pause: ({fleet, fault, victim}) =>
-    pause(fleet.daemon(victim).process, fault.forMs),
-  'pause-instance': ({fleet, fault, instance}) =>
-    pause(fleet.instance(instance).process, fault.forMs),
-  'drop-answers': async ({fleet, fault, instance}) => {
-    const {address} = fleet.instance(instance);
-    await fleet.setFaults(address, {dropAnswer: true});
-    await sleep(fault.forMs);
-    await fleet.setFaults(address, {});
+  kill: {
+    begin: struck => daemonOf(struck).end('SIGKILL'),
+    mend: restart,
+  },
+  restart: {
+    begin: struck => daemonOf(struck).end('SIGTERM'),
+    mend: restart,
+  },
+  pause: {
+    begin: struck => daemonOf(struck).signal('SIGSTOP'),
+    mend: struck => daemonOf(struck).signal('SIGCONT'),
+  },
+  'pause-instance': {
+    begin: struck => instanceOf(struck).process.signal('SIGSTOP'),
+    mend: struck => instanceOf(struck).process.signal('SIGCONT'),
   },
-  cut: async ({fleet, fault, victim, other}) => {
-    await fleet.network.cut(victim, other);
-    await sleep(fault.forMs);
-    await fleet.network.heal(victim, other);
+  'drop-answers': {
+    begin: struck => dropAnswers(struck, true),
+    mend: struck => dropAnswers(struck, false),
   },
-  'cut-one-way': async ({fleet, fault, victim, other}) => {
-    await fleet.network.cutOneWay(victim, other);
-    await sleep(fault.forMs);
-    await fleet.network.heal(victim, other);
+  cut: {
+    begin: ({fleet, victim, other}) => fleet.network.cut(victim, other),
+    mend: healLink,
   },
-  'slow-link': async ({fleet, fault, victim, other}) => {
-    const link = `${victim}>${other}`;
-    await fleet.network.link(link, {delayMs: SLOW_LINK_MS});
-    await sleep(fault.forMs);
-    await fleet.network.link(link, {delayMs: 0});
+  'cut-one-way': {
+    begin: ({fleet, victim, other}) => fleet.network.cutOneWay(victim, other),
+    mend: healLink,
   },
-  'cut-from-store': async ({fleet, fault, victim}) => {
-    await fleet.network.cut(victim, 'store');
-    await sleep(fault.forMs);
-    await fleet.network.heal(victim, 'store');
+  'slow-link': {
+    begin: struck => delayLink(struck, SLOW_LINK_MS),
+    mend: struck => delayLink(struck, 0),
   },
-  'store-outage': async ({fleet, fault}) => {
-    await fleet.setFaults(fleet.storeAddress, {outage: true});
-    await sleep(fault.forMs);
-    await fleet.setFaults(fleet.storeAddress, {});
+  'cut-from-store': {
+    begin: ({fleet, victim}) => fleet.network.cut(victim, 'store'),
+    mend: ({fleet, victim}) => fleet.network.heal(victim, 'store'),
+  },
+  'store-outage': {
+    begin: struck => takeStoreAway(struck, true),
+    mend: struck => takeStoreAway(struck, false),
   },
 };
 
@@ -93,7 +110,7 @@
     await sleep(Math.max(0, startedAtMs + fault.atMs - performance.now()));
     const turn = turnOf(struck);
     const last = turns.get(turn) ?? Promise.resolve();
-    const mended = last.then(() => STRIKES[fault.kind](struck));
+    const mended = last.then(() => strikeAndMend(struck));
     turns.set(turn, mended);
     await mended;
   };
@@ -106,17 +123,9 @@
   return OF_DAEMON.has(fault.kind) ? victim : JSON.stringify(fault);
 }
 
-async function endAndRestart(
-  {fleet, fault, victim}: Struck,
-  signal: NodeJS.Signals,
-): Promise<void> {
-  await fleet.daemon(victim).process.end(signal);
-  await sleep(fault.forMs);
-  await fleet.restartDaemon(victim);
-}
-
-async function pause(process: TestProcess, forMs: number): Promise<void> {
-  process.signal('SIGSTOP');
-  await sleep(forMs);
-  process.signal('SIGCONT');
+async function strikeAndMend(struck: Struck): Promise<void> {
+  const {begin, mend} = STRIKES[struck.fault.kind];
+  await begin(struck);
+  await sleep(struck.fault.forMs);
+  await mend(struck);
 }
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -32,8 +32,8 @@
   readonly other: number;
 }
 
-/** How large a run is. */
-export interface SoakSize {
+/** How large a run is, and of which program. */
+export interface SoakOptions {
   readonly daemons: number;
   readonly seconds: number;
   /** A mutant that all daemons run; the real program if undefined. */
@@ -46,18 +46,18 @@
 const LONGEST_MS = 6000;
 
 /** The faults of a seed, in order of their beginning. */
-export function planOf(seed: number, size: SoakSize): readonly Fault[] {
+export function planOf(seed: number, options: SoakOptions): readonly Fault[] {
   const random = new SeededRandom(seed);
   const below = (count: number) => Math.floor(random.next() * count);
-  const count = Math.ceil((size.seconds / 10) * FAULTS_PER_10_S);
+  const count = Math.ceil((options.seconds / 10) * FAULTS_PER_10_S);
   const fault = (): Fault => {
-    const victim = below(size.daemons);
+    const victim = below(options.daemons);
     return {
       kind: FAULT_KINDS[below(FAULT_KINDS.length)] ?? 'kill',
-      atMs: below(size.seconds * 1000),
+      atMs: below(options.seconds * 1000),
       forMs: SHORTEST_MS + below(LONGEST_MS - SHORTEST_MS),
       victim,
-      other: (victim + 1 + below(size.daemons - 1)) % size.daemons,
+      other: (victim + 1 + below(options.daemons - 1)) % options.daemons,
     };
   };
   return Array.from({length: count}, fault).toSorted((a, b) => a.atMs - b.atMs);
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -10,7 +10,7 @@
 import {runsOfAll, type InstanceRun} from '../features/support/runs.js';
 import {Callers, type Told} from './callers.js';
 import {strikeAll} from './faults.js';
-import {planOf, type SoakSize} from './plan.js';
+import {planOf, type SoakOptions} from './plan.js';
 
 /** What a run showed; the lists of ids are empty if all held. */
 export interface SoakResult {
@@ -52,11 +52,14 @@
 route;ledger;;;;;/ledger;ledger-read;2500`;
 
 /** Plays one seed; ends every process that it started. */
-export async function soak(seed: number, size: SoakSize): Promise<SoakResult> {
+export async function soak(
+  seed: number,
+  options: SoakOptions,
+): Promise<SoakResult> {
   const fleet = new Fleet();
   try {
-    const keys = await startFleet(fleet, size);
-    return await play(fleet, keys, seed, size);
+    const keys = await startFleet(fleet, options);
+    return await play(fleet, keys, seed, options);
   } finally {
     await fleet.stop();
   }
@@ -69,13 +72,13 @@
 
 const sweepInstanceOf = (daemon: string) => `sweep-${daemon}`;
 
-async function startFleet(fleet: Fleet, size: SoakSize): Promise<Keys> {
-  const ids = Array.from({length: size.daemons}, (_, i) => `d${i + 1}`);
+async function startFleet(fleet: Fleet, options: SoakOptions): Promise<Keys> {
+  const ids = Array.from({length: options.daemons}, (_, i) => `d${i + 1}`);
   await fleet.startStore();
   await fleet.startNetwork(ids);
   for (const [index, id] of ids.entries()) {
     const failureDomain = `domain-${(index % 3) + 1}`;
-    await fleet.startDaemon({id, failureDomain, mutant: size.mutant});
+    await fleet.startDaemon({id, failureDomain, mutant: options.mutant});
   }
   const started = ids.flatMap(id => [
     fleet.startInstance({
@@ -115,9 +118,9 @@
   fleet: Fleet,
   keys: Keys,
   seed: number,
-  size: SoakSize,
+  options: SoakOptions,
 ): Promise<SoakResult> {
-  const plan = planOf(seed, size);
+  const plan = planOf(seed, options);
   const daemons = [...fleet.daemons.keys()];
   const addressOf = (id: string) => fleet.daemon(id).addresses.callers;
   const callers = daemons.map(
