Model who reaches whom once for the limits' test fleets

Daemons with a rate and daemons with repeats each kept who is cut off and who takes whom as silent, and repeat_load.ts stated the operators' bounds a second time. Both use one Reachability, and the load uses REPEAT_BOUNDS.

--- a/features/support/daemons_with_rate.ts
+++ b/features/support/daemons_with_rate.ts
@@ -8,6 +8,7 @@
   type Limit,
   type LimitPeers,
 } from '../../src/mesh/limits/shared_limits.js';
+import {Reachability} from './reachability.js';
 import {SeededRandom} from './seeded_random.js';
 
 /** What happens from half time on. */
@@ -42,11 +43,8 @@
   readonly #rate: {readonly perS: number; readonly burst: number};
   readonly #limit: Limit;
   readonly #ids: readonly string[];
-  readonly #down = new Set<string>();
   readonly #random = new SeededRandom(SEED);
-  /** Until when a daemon, the first, takes another one as silent. */
-  readonly #silentUntilMs = new Map<string, number>();
-  readonly #cut = new Set<string>();
+  readonly #reachability: Reachability;
   readonly #granted: number[] = [];
   #daemons: readonly Daemon[];
   #nowMs = 0;
@@ -59,6 +57,7 @@
     const {perS, burst: capacity} = rate;
     this.#limit = {name: LIMIT, perS, capacity};
     this.#ids = Array.from({length: count}, (_, index) => `vm-${index}`);
+    this.#reachability = new Reachability(this.#ids, () => this.#nowMs);
     this.#daemons = this.#ids.map(id => this.#start(id, true));
   }
 
@@ -72,7 +71,7 @@
         due[index] = (due[index] ?? 0) + (perS * STEP_MS) / 1000;
         const count = Math.floor(due[index] ?? 0);
         due[index] = (due[index] ?? 0) - count;
-        if (!this.#down.has(id)) await this.#ask(limits, count);
+        if (!this.#reachability.isDown(id)) await this.#ask(limits, count);
       }
     }
   }
@@ -96,11 +95,12 @@
 
   killOwner(): void {
     const [first] = this.#daemons;
-    if (first) this.#down.add(first.limits.parts.ownerOf(LIMIT));
+    if (!first) return;
+    this.#reachability.takeDown(first.limits.parts.ownerOf(LIMIT));
   }
 
   cutOff(count: number): void {
-    this.#ids.slice(0, count).forEach(id => this.#cut.add(id));
+    this.#reachability.cutOff(count);
   }
 
   /** Every second daemon takes the present owner as silent for a while. */
@@ -109,8 +109,7 @@
       .filter(() => this.#random.next() < 0.5)
       .forEach(({id, limits}) => {
         const owner = limits.parts.ownerOf(LIMIT);
-        if (owner === id) return;
-        this.#silentUntilMs.set(`${id} ${owner}`, this.#nowMs + LOSS_MS);
+        this.#reachability.silence(id, owner, LOSS_MS);
       });
   }
 
@@ -135,14 +134,14 @@
     const step = (this.#nowMs / STEP_MS) % stepsOfPay;
     this.#daemons
       .filter((_, index) => (index * PRIME) % stepsOfPay === step)
-      .filter(({id}) => !this.#down.has(id))
+      .filter(({id}) => !this.#reachability.isDown(id))
       .forEach(({limits}) => limits.parts.payAll());
   }
 
   #start(id: string, isFirstStart: boolean): Daemon {
     const peers: LimitPeers = {
       selfId: id,
-      reachable: () => this.#reachableFrom(id),
+      reachable: () => this.#reachability.from(id),
       count: () => this.#ids.length,
       payPart: (vm, payment) => this.#daemon(vm)?.limits.parts.receive(payment),
       ask: (vm, ask) => {
@@ -157,16 +156,6 @@
     });
     return {id, limits};
   }
-
-  #reachableFrom(id: string): readonly string[] {
-    return this.#ids.filter(
-      other =>
-        other !== id &&
-        !this.#down.has(other) &&
-        (this.#silentUntilMs.get(`${id} ${other}`) ?? 0) <= this.#nowMs &&
-        this.#cut.has(other) === this.#cut.has(id),
-    );
-  }
 }
 
 type EventAt = (all: DaemonsWithRate, sinceMs: number) => void;
--- a/features/support/daemons_with_repeats.ts
+++ b/features/support/daemons_with_repeats.ts
@@ -5,6 +5,7 @@
  */
 import {PAY_MS} from '../../src/mesh/limits/payment_timer.js';
 import {RepeatBudget} from '../../src/mesh/limits/repeat_budget.js';
+import {Reachability} from './reachability.js';
 import {RepeatWindows, REPEAT_BOUNDS} from './repeat_windows.js';
 import {SeededRandom} from './seeded_random.js';
 
@@ -26,8 +27,6 @@
 interface Daemon {
   readonly id: string;
   budget: RepeatBudget;
-  /** Until when it takes another one as silent. */
-  readonly silentUntilMs: Map<string, number>;
 }
 
 const SERVICE = 'documents';
@@ -38,16 +37,14 @@
 export class DaemonsWithRepeats {
   readonly windows = new RepeatWindows();
   readonly #random = new SeededRandom(SEED);
-  readonly #cut = new Set<string>();
+  readonly #reachability: Reachability;
   readonly #daemons: readonly Daemon[];
   #nowMs = 0;
 
   constructor(count: number) {
-    this.#daemons = Array.from({length: count}, (_, index): Daemon => {
-      const id = `vm-${index}`;
-      const budget = this.#budgetOf(id, true);
-      return {id, budget, silentUntilMs: new Map()};
-    });
+    const ids = Array.from({length: count}, (_, index) => `vm-${index}`);
+    this.#reachability = new Reachability(ids, () => this.#nowMs);
+    this.#daemons = ids.map(id => ({id, budget: this.#budgetOf(id, true)}));
   }
 
   async play(
@@ -74,19 +71,14 @@
   loseOwner(share: number, forMs: number): void {
     this.#daemons
       .filter(() => this.#random.next() < share)
-      .forEach(daemon => {
-        const owner = daemon.budget.ownerOf(SERVICE);
-        if (owner === daemon.id) return;
-        daemon.silentUntilMs.set(owner, this.#nowMs + forMs);
+      .forEach(({id, budget}) => {
+        this.#reachability.silence(id, budget.ownerOf(SERVICE), forMs);
       });
   }
 
   /** Cuts the first `share` of the daemons off from the others, or heals. */
   cutOff(share: number): void {
-    this.#cut.clear();
-    this.#daemons
-      .slice(0, Math.round(share * this.#daemons.length))
-      .forEach(({id}) => this.#cut.add(id));
+    this.#reachability.cutOff(Math.round(share * this.#daemons.length));
   }
 
   restart(index: number): void {
@@ -117,7 +109,7 @@
     return new RepeatBudget({
       peers: {
         selfId: id,
-        reachable: () => this.#reachableFrom(id),
+        reachable: () => this.#reachability.from(id),
         count: () => this.#daemons.length,
         askRepeat: (vm, payment) =>
           Promise.resolve(of(vm)?.budget.grant(payment)),
@@ -128,15 +120,6 @@
       now: () => this.#nowMs,
     });
   }
-
-  #reachableFrom(id: string): readonly string[] {
-    const self = this.#daemons.find(daemon => daemon.id === id);
-    return this.#daemons
-      .map(other => other.id)
-      .filter(other => other !== id)
-      .filter(other => this.#cut.has(other) === this.#cut.has(id))
-      .filter(other => (self?.silentUntilMs.get(other) ?? 0) <= this.#nowMs);
-  }
 }
 
 type TroubleAt = (all: DaemonsWithRepeats, nowMs: number) => void;
--- a/features/support/repeat_load.ts
+++ b/features/support/repeat_load.ts
@@ -6,11 +6,10 @@
 import {PAY_MS} from '../../src/mesh/limits/payment_timer.js';
 import {RepeatCalls} from '../../src/mesh/limits/repeat_calls.js';
 import {RepeatBudget} from '../../src/mesh/limits/repeat_budget.js';
+import {REPEAT_BOUNDS} from './repeat_windows.js';
 import {SILENT_LOG} from './silent_log.js';
 
 const SERVICE = 'documents';
-/** As the operators state it: a fifth of the requests, and 60 in 10 s. */
-const BOUNDS = {ratio: 0.2, windowS: 10, slack: 60};
 const STEP_MS = 10;
 const REPEAT_SHARE = 0.5;
 
@@ -40,7 +39,7 @@
         askRepeat: () => Promise.resolve(undefined),
         pay: () => undefined,
       },
-      bounds: BOUNDS,
+      bounds: REPEAT_BOUNDS,
       isFirstStart: true,
       now: () => this.#nowMs,
     });
@@ -68,7 +67,7 @@
 
   /** Parts of what the operators allow that the windows used. */
   usedShares(requestsPerS: number): readonly number[] {
-    const {ratio, windowS, slack} = BOUNDS;
+    const {ratio, windowS, slack} = REPEAT_BOUNDS;
     const allowed = ratio * requestsPerS * windowS + slack;
     const spanMs = windowS * 1000;
     return this.#repeatedAtMs
