Say plainly when a refill asks and when it waits

The loop asked three times whether there was anybody to ask. One branch asks holders, the other waits for late answers; what ends it is the same.

--- a/src/rates/account.ts
+++ b/src/rates/account.ts
@@ -144,10 +144,14 @@
       const asks = this.#plan();
       const waitedMs = performance.now() - startMs;
       const isLate = this.#late.size > 0 && waitedMs < LATE_WAIT_MS;
-      if (asks.length === 0 && !isLate) break;
-      if (asks.length > 0 && !isLate && waitedMs > MAX_WAIT_MS) return;
-      if (asks.length > 0) rounds += 1;
-      await (asks.length > 0 ? this.#drawAll(asks) : this.#waitForLate());
+      if (asks.length > 0) {
+        if (!isLate && waitedMs > MAX_WAIT_MS) return;
+        rounds += 1;
+        await this.#drawAll(asks);
+      } else {
+        if (!isLate) break;
+        await this.#waitForLate();
+      }
       if (this.#missingNow() <= 0) return;
     }
     this.#refusal = this.#shortage();
