--- /dev/null
+++ b/features/steps/overload_steps.ts
@@ -0,0 +1,98 @@
+/** Steps that send more requests than there are slots. */
+import {Given, Then, When} from '@cucumber/cucumber';
+import assert from 'node:assert/strict';
+import type {CallerAnswer, World} from '../support/world.js';
+
+interface TimedAnswer extends CallerAnswer {
+  readonly tookMs: number;
+  /** What a request that needs no slot took, sent at the same moment. */
+  readonly twinTookMs?: number;
+}
+
+interface OverloadWorld extends World {
+  timed?: readonly TimedAnswer[];
+}
+
+async function sendTimed(
+  world: World,
+  path = '/ledger/balances',
+): Promise<TimedAnswer> {
+  const startedAtMs = performance.now();
+  const answer = await world.request('d1', path);
+  return {...answer, tookMs: performance.now() - startedAtMs};
+}
+
+/** Sends a request that no route leads for beside one that needs a slot. */
+async function sendWithTwin(world: World): Promise<TimedAnswer> {
+  const [answer, twin] = await Promise.all([
+    sendTimed(world),
+    sendTimed(world, '/no-route'),
+  ]);
+  assert.equal(twin.status, 404);
+  return {...answer, twinTookMs: twin.tookMs};
+}
+
+Given(
+  '{int} requests are sent one after the other',
+  async function (this: OverloadWorld, count: number) {
+    for (let sent = 0; sent < count; sent += 1) await sendTimed(this);
+  },
+);
+
+When(
+  '{int} requests are sent at once, each beside one that needs no slot',
+  async function (this: OverloadWorld, count: number) {
+    const sends = Array.from({length: count}, () => sendWithTwin(this));
+    this.timed = await Promise.all(sends);
+  },
+);
+
+When(
+  '{int} callers leave {int} ms after their requests',
+  async function (this: OverloadWorld, count: number, afterMs: number) {
+    const leave = async () => {
+      const signal = AbortSignal.timeout(afterMs);
+      const sent = this.request('d1', '/ledger/balances', {signal});
+      await assert.rejects(sent, {name: 'TimeoutError'});
+    };
+    await Promise.all(Array.from({length: count}, leave));
+  },
+);
+
+Then('each was answered 200', function (this: OverloadWorld) {
+  const answers = (this.timed ?? []).map(({status, text}) => ({status, text}));
+  const others = answers.filter(({status}) => status !== 200);
+  assert.deepEqual(others, []);
+});
+
+Then(
+  'each was answered 200, or refused as busy within {int} ms of the other, with a time to come back',
+  function (this: OverloadWorld, boundMs: number) {
+    const refused = (this.timed ?? [])
+      .filter(({status}) => status !== 200)
+      .map(answer => ({
+        ...answer,
+        // What both took alike is the test's and the connection's, not the queue's.
+        laterMs: answer.tookMs - (answer.twinTookMs ?? 0),
+      }));
+    const latest = Math.max(...refused.map(({laterMs}) => laterMs));
+    process.stdout.write(
+      `\n${refused.length} refused, at most ${Math.round(latest)} ms later than the other\n`,
+    );
+    assert.ok(refused.length > 0, 'nothing was refused');
+    refused.forEach(({status, text, headers, laterMs}) => {
+      assert.equal(status, 503);
+      assert.match(text, /"ran":"no"/);
+      assert.ok(Number(headers.get('retry-after')) >= 1);
+      assert.ok(laterMs <= boundMs, `${laterMs} ms`);
+    });
+  },
+);
+
+Then(
+  'at least {int} of them were answered 200',
+  function (this: OverloadWorld, bound: number) {
+    const served = (this.timed ?? []).filter(({status}) => status === 200);
+    assert.ok(served.length >= bound, `${served.length} served`);
+  },
+);
