Wait for the generation before a mutant's rate is measured

Cause: daemons that start over a second apart make several generations, and a bucket that is made while its share has not moved yet is full of nothing; it then fills at a third of one token a second, so that the burst is never there to be spent twice. The other scenarios of rates wait for the generation of all daemons since; this one starts its daemons by another step and did not.

--- a/features/rates.feature
+++ b/features/rates.feature
@@ -132,6 +132,7 @@
 
     Scenario: A holder that starts grants at once
       Given daemons "d1 d2 d3" left out the rule "opens-at-once"
+      And the generation of all daemons is in force everywhere
       And an instance "ledger-1" of "ledger-read" behind daemon "d1"
       And an instance "ledger-2" of "ledger-read" behind daemon "d1"
       And the sheet:
