Stop sending to a gate whose connection was lost

Callers saw 35 to 40 % of their idempotent requests answered 502 connection-lost for the 8 s after another VM's daemon was killed.

Cause: a router avoids a gate for a second when it can't be connected to, but not when the connection opens and then ends. Behind a link that accepts for a dead daemon every request counted as sent, the gate kept its room in the router's view, and the retry budget, a tenth of the load, was soon spent. The lost sends also used up tokens of the customer's rate.

Ruled out: an instance that cuts its answers says connection-lost too, through its gate; that is told by the gate and must not count against it, so the note is taken where the hop itself ends.

A post that may not run twice is still lost once a second until the fleet knows that the daemon died.

--- a/src/gate/remote_gate.ts
+++ b/src/gate/remote_gate.ts
@@ -39,6 +39,8 @@
   readonly reserve: (work: Work, timeoutMs: number) => Promise<ReserveReply>;
   /** Called with the room that the gate told with an outcome. */
   readonly onRoom: (service: string, room: number) => void;
+  /** Called when the connection ended before the gate told an outcome. */
+  readonly onLost: () => void;
 }
 
 const CONNECT_TIMEOUT_MS = 500;
@@ -52,12 +54,14 @@
   readonly #clock: GateClock;
   readonly #reserve: RemoteGateOptions['reserve'];
   readonly #onRoom: RemoteGateOptions['onRoom'];
+  readonly #onLost: RemoteGateOptions['onLost'];
 
   constructor(options: RemoteGateOptions) {
     this.#secret = options.secret;
     this.#clock = options.clock;
     this.#reserve = options.reserve;
     this.#onRoom = options.onRoom;
+    this.#onLost = options.onLost;
     this.#pool = new Pool(`http://${options.address}`, {
       pipelining: 1,
       connect: {timeout: CONNECT_TIMEOUT_MS},
@@ -98,8 +102,9 @@
       if (!(err instanceof ExchangeError)) throw err;
       if (!err.started) return notRun('connect-failed');
       if (work.signal.aborted) return {kind: 'unknown', reason: 'cancelled'};
-      const reason = err.timedOut ? 'timeout' : 'connection-lost';
-      return {kind: 'unknown', reason};
+      if (err.timedOut) return {kind: 'unknown', reason: 'timeout'};
+      this.#onLost();
+      return {kind: 'unknown', reason: 'connection-lost'};
     }
   }
 
--- a/src/router/gates.ts
+++ b/src/router/gates.ts
@@ -137,6 +137,7 @@
         return links.call(peersAddress, 'gate.reserve', body, timeoutMs);
       },
       onRoom: (service, room) => records.noteRoom(id, service, room),
+      onLost: () => records.noteSilent(id),
     });
   }
 }
