--- a/src/http/drain.ts
+++ b/src/http/drain.ts
@@ -4,7 +4,7 @@
 import {setImmediate as nextTurn} from 'node:timers/promises';
 
 /** A turn of the event loop that takes no longer leaves hardly a gap. */
-const SHORT_TURN_MS = 2;
+const SHORT_TURN_MS = 0.2;
 /** Turns that are tried; a process that is always busy closes after them. */
 const MAX_TURNS = 1000;
 
