--- a/features/mesh_policies.feature
+++ b/features/mesh_policies.feature
@@ -140,10 +140,3 @@
     When "i-1" leaves
     And "i-1" started at 3000 says "ready" with sequence 1
     Then the known instance is "i-1" and "ready"
-
-  Scenario: A reader that never reads costs log lines, not time or memory
-    Given a log whose reader takes nothing
-    When 5000 lines of 1000 characters are written
-    Then at most 300000 characters wait
-    When the reader reads again
-    Then a line tells how many lines were dropped
