Keep room for refusals in what waits for a slow log reader

On-call engineers found no line for a refused request when the reader of standard output had stopped for a while: 256 KiB wait for it, and ordinary lines (up to 40 a second and process) filled them before the refusal came. Ordinary lines now take at most half. A reader that stops for longer still costs lines, and their count is told.

--- a/features/log.feature
+++ b/features/log.feature
@@ -7,3 +7,13 @@
     Then at most 300000 characters wait
     When the reader reads again
     Then a line tells how many lines were dropped
+
+  # Guards against refusals without a line since ordinary lines had filled
+  # what waits for the reader.
+  Scenario: Refusals have their lines though ordinary ones came first
+    Given a log whose reader takes nothing
+    When 40 ordinary lines of 10000 characters are logged
+    And 150 requests are refused
+    And the reader reads again
+    Then each refused request has a line with its reason
+    And a line tells how many lines were dropped
--- a/features/steps/log_steps.ts
+++ b/features/steps/log_steps.ts
@@ -1,12 +1,16 @@
 /** Steps that write log lines for a reader that is slow. */
 import {Given, Then, When} from '@cucumber/cucumber';
 import assert from 'node:assert/strict';
+import {parseLog} from '../../src/commands/explain.js';
+import {StdoutDecisionLog} from '../../src/log/decision_log.js';
 import {HeldReader} from '../support/held_reader.js';
 import type {World} from '../support/world.js';
 
 interface LogWorld extends World {
   reader?: HeldReader;
+  log?: StdoutDecisionLog;
   read?: string;
+  refused?: readonly string[];
 }
 
 function readerOf({reader}: LogWorld): HeldReader {
@@ -16,6 +20,7 @@
 
 Given('a log whose reader takes nothing', function (this: LogWorld) {
   this.reader = new HeldReader();
+  this.log = new StdoutDecisionLog('vm-1', this.reader.sink);
 });
 
 When(
@@ -26,6 +31,21 @@
   },
 );
 
+When(
+  '{int} ordinary lines of {int} characters are logged',
+  function (this: LogWorld, count: number, length: number) {
+    const fields = {text: 'x'.repeat(length)};
+    Array.from({length: count}, () => this.log?.step('sent', fields));
+  },
+);
+
+When('{int} requests are refused', function (this: LogWorld, count: number) {
+  this.refused = Array.from({length: count}, (_, index) => `r-${index}`);
+  this.refused.forEach(id =>
+    this.log?.failure('not-served', {id, reason: 'busy'}),
+  );
+});
+
 Then('at most {int} characters wait', function (this: LogWorld, most: number) {
   const {waiting} = readerOf(this);
   assert.ok(waiting > 0 && waiting <= most, String(waiting));
@@ -38,3 +58,13 @@
 Then('a line tells how many lines were dropped', function (this: LogWorld) {
   assert.match(this.read ?? '', /"log-lines-dropped","count":\d+/);
 });
+
+Then(
+  'each refused request has a line with its reason',
+  function (this: LogWorld) {
+    const found = parseLog(this.read ?? '')
+      .filter(({event, reason}) => event === 'not-served' && reason === 'busy')
+      .map(({id}) => id);
+    assert.deepEqual(found, this.refused);
+  },
+);
--- a/src/log/decision_log.ts
+++ b/src/log/decision_log.ts
@@ -5,7 +5,7 @@
  * so that a busy second can't hide them. Printed through consola.
  */
 import {createConsola, type ConsolaInstance} from 'consola';
-import {LineSink, stdoutWriter} from './line_sink.js';
+import {LineSink, MAX_BUFFERED_BYTES, stdoutWriter} from './line_sink.js';
 
 /** Values of a line. */
 export type LogFields = Readonly<Record<string, unknown>>;
@@ -24,6 +24,13 @@
 const LINES_PER_S = {step: 40, failure: 200, belief: 100} as const;
 type Kind = keyof typeof LINES_PER_S;
 
+/** What may wait for a slow reader; ordinary lines leave room for the rest. */
+const WAITING_BYTES: Readonly<Record<Kind, number>> = {
+  step: MAX_BUFFERED_BYTES / 2,
+  failure: MAX_BUFFERED_BYTES,
+  belief: MAX_BUFFERED_BYTES,
+};
+
 const SECOND_MS = 1000;
 
 /** Lines of one kind in the present second. */
@@ -36,7 +43,7 @@
 /** The decision log of a process; `vm` names it on each line. */
 export class StdoutDecisionLog implements DecisionLog {
   readonly #consola: ConsolaInstance;
-  readonly #sink = new LineSink(stdoutWriter());
+  readonly #sink: LineSink;
   readonly #vm: string;
   readonly #meters: Readonly<Record<Kind, Meter>> = {
     step: {secondStartedAtMs: 0, kept: 0, leftOut: 0},
@@ -44,11 +51,17 @@
     belief: {secondStartedAtMs: 0, kept: 0, leftOut: 0},
   };
 
-  constructor(vm: string) {
+  constructor(vm: string, sink = new LineSink(stdoutWriter())) {
     this.#vm = vm;
+    this.#sink = sink;
     this.#consola = createConsola({
       throttle: 0,
-      reporters: [{log: entry => this.#sink.add(String(entry.args[0]))}],
+      reporters: [
+        {
+          log: ({args: [line, mostBytes]}) =>
+            this.#sink.add(String(line), Number(mostBytes)),
+        },
+      ],
     });
   }
 
@@ -75,20 +88,20 @@
     if (nowMs - meter.secondStartedAtMs >= SECOND_MS) {
       const {leftOut} = meter;
       Object.assign(meter, {secondStartedAtMs: nowMs, kept: 0, leftOut: 0});
-      if (leftOut > 0) this.#print('log-limited', {kind, leftOut});
+      if (leftOut > 0) this.#print(kind, 'log-limited', {kind, leftOut});
     }
     if (meter.kept >= LINES_PER_S[kind]) {
       meter.leftOut += 1;
       return;
     }
     meter.kept += 1;
-    this.#print(event, fields);
+    this.#print(kind, event, fields);
   }
 
-  #print(event: string, fields: LogFields): void {
+  #print(kind: Kind, event: string, fields: LogFields): void {
     const atMs = Math.round(performance.now());
     const time = new Date().toISOString();
     const line = {time, atMs, vm: this.#vm, event, ...fields};
-    this.#consola.log(JSON.stringify(line));
+    this.#consola.log(JSON.stringify(line), WAITING_BYTES[kind]);
   }
 }
--- a/src/log/line_sink.ts
+++ b/src/log/line_sink.ts
@@ -9,7 +9,7 @@
 import {reasonOf} from '../errors/failure.js';
 
 /** What may wait for the reader. */
-const MAX_BUFFERED_BYTES = 256 * 1024;
+export const MAX_BUFFERED_BYTES = 256 * 1024;
 /** How long lines are gathered before a write, in milliseconds. */
 const GATHER_MS = 500;
 
@@ -30,9 +30,10 @@
     this.#write = write;
   }
 
-  add(line: string): void {
+  /** Takes a line, or drops it if more than `mostBytes` would wait with it. */
+  add(line: string, mostBytes = MAX_BUFFERED_BYTES): void {
     const waiting = this.#rest.length + this.#chars;
-    if (waiting + line.length > MAX_BUFFERED_BYTES) {
+    if (waiting + line.length > mostBytes) {
       this.#dropped += 1;
       return;
     }
