--- a/features/mesh_path.feature
+++ b/features/mesh_path.feature
@@ -107,3 +107,12 @@
       | breaks off          | answer-lost |
       | hangs               | timeout     |
       | turns requests away | not-run     |
+
+  # Guards against refusals that can't be explained because nobody read the
+  # log when they happened.
+  Scenario: Every request that isn't served has a line though the log wasn't read
+    Given every backend server breaks off
+    And the log's reader takes nothing
+    When callers send 9 requests to "/once/" over all VMs
+    And the log's reader reads again
+    Then each has a line with its id, the status and the reason "answer-lost"
--- a/features/steps/mesh_path_steps.ts
+++ b/features/steps/mesh_path_steps.ts
@@ -321,6 +321,14 @@
   },
 );
 
+Given("the log's reader takes nothing", function (this: World) {
+  stateOf(this).fleet.holdLines();
+});
+
+When("the log's reader reads again", function (this: World) {
+  stateOf(this).fleet.readHeldLines();
+});
+
 Then(
   'each has a line with its id, the status and the reason {string}',
   function (this: World, reason: string) {
--- a/features/support/mesh_fleet.ts
+++ b/features/support/mesh_fleet.ts
@@ -9,12 +9,18 @@
   type ServerResponse,
 } from 'node:http';
 import type {Writable} from 'node:stream';
+import {parseLog} from '../../src/commands/explain.js';
 import {listen} from '../../src/http/listener.js';
-import type {DecisionLog, LogFields} from '../../src/log/decision_log.js';
+import {
+  StdoutDecisionLog,
+  type DecisionLog,
+  type LogFields,
+} from '../../src/log/decision_log.js';
 import {DEFAULT_HEADER_NAMES as NAMES} from '../../src/mesh/header_names.js';
 import {MeshDaemon} from '../../src/mesh/mesh_daemon.js';
 import {MeshMetrics} from '../../src/mesh/mesh_metrics.js';
 import type {FleetConfiguration, Route} from '../../src/mesh/model.js';
+import {HeldReader} from './held_reader.js';
 
 /** How a backend server treats requests. */
 export type Behaviour = (req: IncomingMessage, res: ServerResponse) => void;
@@ -162,11 +168,13 @@
 export class MeshFleet {
   readonly vms: MeshVm[] = [];
   readonly lines: WrittenLine[] = [];
+  #heldReader: HeldReader | undefined;
+  #heldLog: DecisionLog | undefined;
 
   /** Starts daemons `a`, `b` … with one backend server of a service each. */
   async start(services: readonly string[], slots: number): Promise<void> {
     for (const [index, service] of services.entries()) {
-      const log = recordingLog(this.lines);
+      const log = this.#log();
       this.vms.push(await startVm({id: `vm-${index}`, service, slots, log}));
     }
     const all = this.vms.map(({daemon}) => daemon.self);
@@ -184,6 +192,18 @@
     this.vms.forEach(({daemon}) => daemon.keeper.offer(configuration, 'test'));
   }
 
+  /** From now on lines wait as they do for a reader that takes nothing. */
+  holdLines(): void {
+    this.#heldReader = new HeldReader();
+    this.#heldLog = new StdoutDecisionLog('held', this.#heldReader.sink);
+  }
+
+  /** Reads the lines that waited. */
+  readHeldLines(): void {
+    const text = this.#heldReader?.read() ?? '';
+    this.lines.push(...(parseLog(text) as readonly WrittenLine[]));
+  }
+
   vm(index: number): MeshVm {
     const vm = this.vms[index];
     if (!vm) throw new Error(`no VM ${index}`);
@@ -194,12 +214,20 @@
     this.vms.forEach(({backend}) => backend.stop());
     await Promise.all(this.vms.map(({daemon}) => daemon.halt()));
   }
-}
 
-function recordingLog(lines: WrittenLine[]): DecisionLog {
-  const note = (event: string, fields: LogFields) =>
-    void lines.push({...fields, event});
-  return {step: note, failure: note, belief: note};
+  #log(): DecisionLog {
+    const note = (kind: keyof DecisionLog) => {
+      return (event: string, fields: LogFields) => {
+        if (this.#heldLog) this.#heldLog[kind](event, fields);
+        else this.lines.push({...fields, event});
+      };
+    };
+    return {
+      step: note('step'),
+      failure: note('failure'),
+      belief: note('belief'),
+    };
+  }
 }
 
 async function startVm({
