--- a/features/steps/platform_adapter_steps.ts
+++ b/features/steps/platform_adapter_steps.ts
@@ -17,6 +17,7 @@
 import type {FleetConfiguration} from '../../src/mesh/model.js';
 import {Peers} from '../../src/mesh/peers/peers.js';
 import {until} from '../support/fleet.js';
+import {documentOf, HEARTBEAT} from '../support/platform_documents.js';
 import {PlatformStore} from '../support/platform_store.js';
 
 interface AdapterState {
@@ -63,50 +64,6 @@
   state?.store.stop();
 });
 
-function resources(): readonly Record<string, unknown>[] {
-  const spec = (kind: string) => ({
-    Host: 'app.example',
-    PathPrefix: `/${kind}/`,
-    Kind: kind,
-    TimeoutMs: 1500,
-    TargetLatencyMs: 1000,
-    Priority: 1,
-    MaxAttempts: 2,
-    Public: false,
-  });
-  const split = [
-    {Service: 'pay', Weight: 90},
-    {Service: 'book', Weight: 10},
-  ];
-  return [
-    {
-      ResourceKind: 'Routes',
-      Metadata: {Name: 'r-safe'},
-      Spec: {...spec('safe'), TrafficSplit: split},
-    },
-    {
-      ResourceKind: 'Routes',
-      Metadata: {Name: 'r-unsafe'},
-      Spec: {...spec('unsafe'), Service: 'pay'},
-    },
-    {
-      ResourceKind: 'Tenants',
-      Metadata: {Name: 'da-lat'},
-      Spec: {ApiKeys: ['key-1'], RatePerS: 5, Burst: 10},
-    },
-    {
-      ResourceKind: 'Services',
-      Metadata: {Name: 'pay'},
-      Spec: {HealthPath: '/health'},
-    },
-    {ResourceKind: 'Limits', Spec: {MaxBodyBytes: 1000}},
-  ];
-}
-
-function documentOf(version: string): string {
-  return JSON.stringify({Version: version, Resources: resources()});
-}
-
 const DOCUMENT_FAULTS: Readonly<Record<string, (text: string) => string>> = {
   'a bare prefix': text => text.replace('/unsafe/', '/unsafe'),
   'an unknown kind': text => text.replace('"safe"', '"perhaps"'),
@@ -115,15 +72,6 @@
   'half of its text': text => text.slice(0, text.length / 2),
 };
 
-const HEARTBEAT = JSON.stringify({
-  Service: 'pay',
-  State: 'ready',
-  Concurrency: 3,
-  WarmupLeftMs: 0,
-  Sequence: 4,
-  born: 1000,
-});
-
 const HEARTBEAT_FAULTS: Readonly<Record<string, (text: string) => string>> = {
   'a state unknown': text => text.replace('"ready"', '"resting"'),
   'slots as text': text => text.replace('"Concurrency":3', '"Concurrency":"3"'),
