Close callers' connections that say nothing within the header time

A caller that connected to a mesh daemon and sent nothing, or half a line, kept its connection for up to 30 s beyond the header time of the configuration. Cause: Node checks its connections each 30 s unless told otherwise; the product's own server for callers sets 1 s, the mesh front door made a server of its own without.

--- a/src/mesh/router/front_door.ts
+++ b/src/mesh/router/front_door.ts
@@ -3,13 +3,10 @@
  * customer, admitted or refused, dispatched, and answered once. It stops by
  * closing connections as they become idle.
  */
-import {
-  createServer,
-  type IncomingMessage,
-  type ServerResponse,
-} from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 import polka from 'polka';
 import {reasonOf} from '../../errors/failure.js';
+import {createCallersServer} from '../../http/callers.js';
 import {listen} from '../../http/listener.js';
 import {endWithProblem} from '../../http/problem.js';
 import type {DecisionLog} from '../../log/decision_log.js';
@@ -96,10 +93,8 @@
   constructor(options: FrontDoorOptions) {
     this.#options = options;
     const app = polka({onNoMatch: (req, res) => void this.#serve(req, res)});
-    this.#server = createServer(
-      {maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0},
-      app.handler,
-    );
+    this.#server = createCallersServer(MAX_HEADER_BYTES);
+    this.#server.on('request', app.handler);
   }
 
   /** Requests that are not answered yet. */
