Keep requests that may run once from a gate whose connection was lost

A gate whose connection ended under a request now gets nothing that may run once for 15 s, unless it answers before; requests that may run twice try it again after a second as they did. A gate that can't be connected to is tried as before, since such a try runs nothing. It is still used if there is no other.

--- a/features/network.feature
+++ b/features/network.feature
@@ -43,3 +43,28 @@
     And 8 s pass
     And all load ends
     Then at most 0 % of the requests of "can-tho" were refused
+
+  Scenario: A daemon that died behind a link costs few requests that may run once
+    # Guards against probing a lost gate with requests that can't be sent again.
+    Given a store and 3 daemons in 3 failure domains behind links
+    And an instance "ledger-1" of "ledger-read" with 1 slots and 200 ms behind "d1"
+    And an instance "ledger-2" of "ledger-read" with 20 slots and 20 ms behind "d2"
+    And an instance "ledger-3" of "ledger-read" with 20 slots and 20 ms behind "d3"
+    And the sheet:
+      """
+      kind;id;name;ratePerSecond;burst;floor;path;service;idempotent
+      customer;can-tho;Công ty Cần Thơ;4000;4000;;;;
+      service;ledger-read;;;;1;;;
+      route;ledger;;;;;/ledger;ledger-read;no
+      """
+    And a key for "can-tho"
+    And the generation of all daemons is in force everywhere
+    And "can-tho" is served through "d1 d2 d3"
+    When "can-tho" sends 40 requests a second through "d1"
+    And 2 s pass
+    And daemon "d3" is killed
+    And 1 s pass
+    And the lost requests of "can-tho" are counted
+    And 8 s pass
+    And all load ends
+    Then no further request of "can-tho" was lost
--- a/features/steps/rate_steps.ts
+++ b/features/steps/rate_steps.ts
@@ -47,6 +47,15 @@
   known.set(customer, load);
 }
 
+/** Requests of which nobody knows whether they ran. */
+function lostOf(world: World, customer: string): number {
+  const answers = answersOf(world, customer);
+  return answers.filter(({status}) => status === 0 || status === 502).length;
+}
+
+/** Lost requests of a scenario, when they were counted. */
+const lostBefore = new WeakMap<World, number>();
+
 async function startsOf(
   world: World,
   customer: string,
@@ -184,3 +193,17 @@
     assert.ok(served.length >= count, String(served.length));
   },
 );
+
+When(
+  'the lost requests of {string} are counted',
+  function (this: World, customer: string) {
+    lostBefore.set(this, lostOf(this, customer));
+  },
+);
+
+Then(
+  'no further request of {string} was lost',
+  function (this: World, customer: string) {
+    assert.equal(lostOf(this, customer), lostBefore.get(this));
+  },
+);
--- a/src/gate/work.ts
+++ b/src/gate/work.ts
@@ -29,6 +29,11 @@
   readonly reservation?: string;
 }
 
+/** True if the work may run at two instances, and can be sent to both. */
+export function mayRunTwice(work: Work): boolean {
+  return work.idempotent && (work.body === undefined || work.body.whole);
+}
+
 /** Why a request surely did not run. */
 export type NotRunReason =
   | 'no-instance'
--- a/src/router/backups.ts
+++ b/src/router/backups.ts
@@ -4,7 +4,13 @@
  * the backend server. The first good answer wins; the other send is
  * cancelled. A retry budget bounds the load that this adds.
  */
-import type {NotRun, Outcome, Unknown, Work} from '../gate/work.js';
+import {
+  mayRunTwice,
+  type NotRun,
+  type Outcome,
+  type Unknown,
+  type Work,
+} from '../gate/work.js';
 import type {Metrics} from '../metrics/metrics.js';
 import type {AttemptOptions} from './attempts.js';
 import type {Candidate} from './gates.js';
@@ -147,10 +153,6 @@
   'connect-failed': noteSilent,
 };
 
-function mayRunTwice(work: Work): boolean {
-  return work.idempotent && (work.body === undefined || work.body.whole);
-}
-
 function isServerFault(outcome: Outcome): boolean {
   return outcome.kind === 'answered' && outcome.status >= 500;
 }
--- a/src/router/gates.ts
+++ b/src/router/gates.ts
@@ -6,7 +6,7 @@
  */
 import type {Gate} from '../gate/gate.js';
 import {RemoteGate} from '../gate/remote_gate.js';
-import type {GateDoor, Work} from '../gate/work.js';
+import {mayRunTwice, type GateDoor, type Work} from '../gate/work.js';
 import type {Links} from '../member/links.js';
 import type {Membership} from '../member/membership.js';
 import type {MemberRecord} from '../member/messages.js';
@@ -55,13 +55,13 @@
     const full: SlotsOf = member => member.slots[service] ?? 0;
     const spare: SlotsOf = member => member.spareSlots?.[service] ?? 0;
     const others = this.#others(tried, 'alive');
-    const other = this.#draw(others, service, full);
+    const other = this.#draw(others, work, full);
     if (other) return this.#remoteTo(other);
     if (mayUseOwn && own.hasSlots(service)) return this.#own();
-    const sparing = this.#draw(others, service, spare);
+    const sparing = this.#draw(others, work, spare);
     if (sparing) return this.#remoteTo(sparing);
     // Until its instances are heard of elsewhere, one that leaves still helps.
-    const leaving = this.#draw(this.#others(tried, 'leaving'), service, full);
+    const leaving = this.#draw(this.#others(tried, 'leaving'), work, full);
     return leaving && this.#remoteTo(leaving);
   }
 
@@ -70,9 +70,10 @@
   }
 
   /** A trial may fail, so that a second send must be safe and paid for. */
-  #isTrial({service, idempotent, body}: Work): boolean {
+  #isTrial(work: Work): boolean {
     const {own, budget} = this.#options;
-    if (!idempotent || (body && !body.whole)) return false;
+    const {service} = work;
+    if (!mayRunTwice(work)) return false;
     return budget.has(service) && own.isTrialDue(service);
   }
 
@@ -91,15 +92,15 @@
   /** The roomier of two drawn at random. */
   #draw(
     members: readonly MemberRecord[],
-    service: string,
+    work: Work,
     slotsOf: SlotsOf,
   ): MemberRecord | undefined {
     const {records, membership} = this.#options;
     const offering = members.filter(member => slotsOf(member) > 0);
-    const welcome = offering.filter(({id}) => !records.isAvoided(id, service));
+    const welcome = offering.filter(({id}) => !records.isAvoided(id, work));
     const pool = welcome.length > 0 ? welcome : offering;
     const roomOf = (member: MemberRecord) =>
-      records.room(member.id, service) ?? slotsOf(member);
+      records.room(member.id, work.service) ?? slotsOf(member);
     const {failureDomain} = membership.self();
     const nearOf = (member: MemberRecord) =>
       member.failureDomain === failureDomain ? 1 : 0;
@@ -137,7 +138,7 @@
         return links.call(peersAddress, 'gate.reserve', body, timeoutMs);
       },
       onRoom: (service, room) => records.noteRoom(id, service, room),
-      onLost: () => records.noteSilent(id),
+      onLost: () => records.noteLost(id),
     });
   }
 }
