--- a/features/fuzz.feature
+++ b/features/fuzz.feature
@@ -8,6 +8,7 @@
     Then each is answered or closed within 4000 ms
     And a whole request is still answered with 200
 
+  # Guards against the same for the product's own daemon.
   Scenario: A daemon answers or closes every connection, and serves others
     Given a store and 1 daemons in 1 failure domains
     And an instance "ledger-1" of "ledger-read" behind daemon "d1"
--- a/features/log.feature
+++ b/features/log.feature
@@ -1,6 +1,8 @@
 Feature: Log lines and a slow reader
   Writing a log line never waits, and what waits for a reader is bounded.
 
+  # Guards against a daemon that waits for, or fills its memory because of, a
+  # reader of its log.
   Scenario: A reader that never reads costs log lines, not time or memory
     Given a log whose reader takes nothing
     When 5000 lines of 1000 characters are written
--- a/features/network.feature
+++ b/features/network.feature
@@ -21,8 +21,8 @@
     And "can-tho" requests "/ledger/balances" from daemon "d2"
     Then the answer is 200 from instance "ledger-2"
 
+  # Guards against sending to a lost gate until the fleet knows that it died.
   Scenario: A daemon that died behind a link costs no request that may run twice
-    # Guards against sending to a lost gate until the fleet knows that it died.
     Given a store and 3 daemons in 3 failure domains behind links
     And an instance "ledger-1" of "ledger-read" with 1 slots and 200 ms behind "d1"
     And an instance "ledger-2" of "ledger-read" with 20 slots and 20 ms behind "d2"
@@ -44,8 +44,8 @@
     And all load ends
     Then at most 0 % of the requests of "can-tho" were refused
 
+  # Guards against probing a lost gate with requests that can't be sent again.
   Scenario: A daemon that died behind a link costs few requests that may run once
-    # Guards against probing a lost gate with requests that can't be sent again.
     Given a store and 3 daemons in 3 failure domains behind links
     And an instance "ledger-1" of "ledger-read" with 1 slots and 200 ms behind "d1"
     And an instance "ledger-2" of "ledger-read" with 20 slots and 20 ms behind "d2"
