Add up a pool's lots once for each token

take and owe looked at the level, and removing looked at it again. The level is now known to whoever removes. Features of the mesh's limits pass.

--- a/src/mesh/limits/token_pool.ts
+++ b/src/mesh/limits/token_pool.ts
@@ -35,13 +35,15 @@
 
   /** Notes tokens that are used whether they are there or not. */
   owe(tokens: number, nowMs: number): void {
-    this.#debt += tokens - this.#remove(tokens, nowMs);
+    const covered = Math.min(tokens, this.levelAt(nowMs));
+    this.#remove(covered);
+    this.#debt += tokens - covered;
   }
 
   /** Takes one token if it is there. */
   take(nowMs: number): boolean {
     if (this.levelAt(nowMs) < 1) return false;
-    this.#remove(1, nowMs);
+    this.#remove(1);
     return true;
   }
 
@@ -55,16 +57,14 @@
     this.#lots = this.#lots.filter(({voidAtMs}) => voidAtMs > nowMs);
   }
 
-  /** Removes up to so many, those that are void first; returns how many. */
-  #remove(tokens: number, nowMs: number): number {
-    const removed = Math.min(tokens, this.levelAt(nowMs));
-    let left = removed;
+  /** Removes tokens that are there, those that are void first. */
+  #remove(tokens: number): void {
+    let left = tokens;
     this.#lots.forEach(lot => {
       const part = Math.min(lot.tokens, left);
       lot.tokens -= part;
       left -= part;
     });
     this.#lots = this.#lots.filter(lot => lot.tokens > 0);
-    return removed;
   }
 }
