--- a/features/steps/log_steps.ts
+++ b/features/steps/log_steps.ts
@@ -2,13 +2,11 @@
 import {Given, Then, When} from '@cucumber/cucumber';
 import assert from 'node:assert/strict';
 import {parseLog} from '../../src/commands/explain.js';
-import {StdoutDecisionLog} from '../../src/log/decision_log.js';
 import {HeldReader} from '../support/held_reader.js';
 import type {World} from '../support/world.js';
 
 interface LogWorld extends World {
   reader?: HeldReader;
-  log?: StdoutDecisionLog;
   read?: string;
   refused?: readonly string[];
 }
@@ -20,7 +18,6 @@
 
 Given('a log whose reader takes nothing', function (this: LogWorld) {
   this.reader = new HeldReader();
-  this.log = new StdoutDecisionLog('vm-1', this.reader.sink);
 });
 
 When(
@@ -34,16 +31,16 @@
 When(
   '{int} ordinary lines of {int} characters are logged',
   function (this: LogWorld, count: number, length: number) {
+    const {log} = readerOf(this);
     const fields = {text: 'x'.repeat(length)};
-    Array.from({length: count}, () => this.log?.step('sent', fields));
+    Array.from({length: count}, () => log.step('sent', fields));
   },
 );
 
 When('{int} requests are refused', function (this: LogWorld, count: number) {
+  const {log} = readerOf(this);
   this.refused = Array.from({length: count}, (_, index) => `r-${index}`);
-  this.refused.forEach(id =>
-    this.log?.failure('not-served', {id, reason: 'busy'}),
-  );
+  this.refused.forEach(id => log.failure('not-served', {id, reason: 'busy'}));
 });
 
 Then('at most {int} characters wait', function (this: LogWorld, most: number) {
--- a/features/support/held_reader.ts
+++ b/features/support/held_reader.ts
@@ -1,9 +1,11 @@
 /** A reader of log lines that takes nothing until it is told to. */
+import {StdoutDecisionLog} from '../../src/log/decision_log.js';
 import {LineSink} from '../../src/log/line_sink.js';
 
-/** The reader, with the sink of the lines that it will read. */
+/** The reader, with the log whose lines it will read. */
 export class HeldReader {
   readonly sink = new LineSink(bytes => this.#take(bytes));
+  readonly log = new StdoutDecisionLog('held', this.sink);
   #offered = 0;
   #text = '';
   #isReading = false;
--- a/features/support/mesh_fleet.ts
+++ b/features/support/mesh_fleet.ts
@@ -11,11 +11,7 @@
 import type {Writable} from 'node:stream';
 import {parseLog} from '../../src/commands/explain.js';
 import {listen} from '../../src/http/listener.js';
-import {
-  StdoutDecisionLog,
-  type DecisionLog,
-  type LogFields,
-} from '../../src/log/decision_log.js';
+import type {DecisionLog, LogFields} from '../../src/log/decision_log.js';
 import {DEFAULT_HEADER_NAMES as NAMES} from '../../src/mesh/header_names.js';
 import {MeshDaemon} from '../../src/mesh/mesh_daemon.js';
 import {MeshMetrics} from '../../src/mesh/mesh_metrics.js';
@@ -169,7 +165,6 @@
   readonly vms: MeshVm[] = [];
   readonly lines: WrittenLine[] = [];
   #heldReader: HeldReader | undefined;
-  #heldLog: DecisionLog | undefined;
 
   /** Starts daemons `a`, `b` … with one backend server of a service each. */
   async start(services: readonly string[], slots: number): Promise<void> {
@@ -195,7 +190,6 @@
   /** From now on lines wait as they do for a reader that takes nothing. */
   holdLines(): void {
     this.#heldReader = new HeldReader();
-    this.#heldLog = new StdoutDecisionLog('held', this.#heldReader.sink);
   }
 
   /** Reads the lines that waited. */
@@ -218,7 +212,7 @@
   #log(): DecisionLog {
     const note = (kind: keyof DecisionLog) => {
       return (event: string, fields: LogFields) => {
-        if (this.#heldLog) this.#heldLog[kind](event, fields);
+        if (this.#heldReader) this.#heldReader.log[kind](event, fields);
         else this.lines.push({...fields, event});
       };
     };
