Tell what a customer's worst window may hold in one place

The bound stood three times, twice in the steps of rates and once in the soak, with a constant of its own in each. Same bound; the features of rates pass.

--- a/features/steps/rate_steps.ts
+++ b/features/steps/rate_steps.ts
@@ -2,12 +2,16 @@
 import {Given, Then, When} from '@cucumber/cucumber';
 import assert from 'node:assert/strict';
 import {until} from '../support/fleet.js';
-import {Load, tally, worstWindow, type LoadAnswer} from '../support/load.js';
+import {
+  Load,
+  mostInWindow,
+  tally,
+  worstWindow,
+  type LoadAnswer,
+} from '../support/load.js';
 import {runsOfAll} from '../support/runs.js';
 import type {World} from '../support/world.js';
 
-/** Delivery of starts to the instances may bunch them by so much. */
-const JITTER_MS = 100;
 const SETTLE_MS = 20_000;
 
 /** The load of each customer; a scenario's own. */
@@ -153,7 +157,7 @@
   '{string} started at most {int} + {int} a second in every window',
   async function (this: World, customer: string, burst: number, rate: number) {
     const excess = await excessOf(this, customer, rate);
-    assert.ok(excess <= burst + (rate * JITTER_MS) / 1000, String(excess));
+    assert.ok(excess <= mostInWindow(burst, rate), String(excess));
   },
 );
 
@@ -168,7 +172,7 @@
   ) {
     const isOver = async () => {
       const excess = worstWindow(await startsOf(this, customer), rate);
-      return excess > burst + (rate * JITTER_MS) / 1000;
+      return excess > mostInWindow(burst, rate);
     };
     await until(`${customer} is over its rate`, isOver, seconds * 1000);
     await loadOf(this, customer).stop();
--- a/features/support/load.ts
+++ b/features/support/load.ts
@@ -106,6 +106,14 @@
   return JSON.stringify(counts);
 }
 
+/** Delivery of starts to the instances may bunch them by so much. */
+const JITTER_MS = 100;
+
+/** What {@link worstWindow} may come to for a customer within its rate. */
+export function mostInWindow(burst: number, ratePerSecond: number): number {
+  return burst + (ratePerSecond * JITTER_MS) / 1000;
+}
+
 /**
  * By how many requests the starts exceed rate times length in the worst of
  * all windows; a customer within its share stays at or under its burst.
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -6,7 +6,12 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {Fleet, until} from '../features/support/fleet.js';
 import {untilGenerationInForce} from '../features/support/generation.js';
-import {Load, tally, worstWindow} from '../features/support/load.js';
+import {
+  Load,
+  mostInWindow,
+  tally,
+  worstWindow,
+} from '../features/support/load.js';
 import {runsOfAll, type InstanceRun} from '../features/support/runs.js';
 import {Callers, type Told} from './callers.js';
 import {strikeAll} from './faults.js';
@@ -34,8 +39,6 @@
 
 const RATE_PER_S = 40;
 const BURST = 30;
-/** Delivery of starts to the instances may bunch them by so much. */
-const JITTER_MS = 100;
 const LIMITED_PER_S = 160;
 const START_MS = 40_000;
 /** Faults that last, generations and leases are over by then. */
@@ -183,12 +186,11 @@
 }
 
 function brokenRules(result: Judged, recovered: boolean): readonly string[] {
-  const mostInWindow = BURST + (RATE_PER_S * JITTER_MS) / 1000;
   const broken = {
     'at most once': result.ranTwice.length > 0,
     'truth of "not run"': result.untrue.length > 0,
     'answers to their own caller': result.mixedUp.length > 0,
-    'rate of a customer': result.worstWindow > mostInWindow,
+    'rate of a customer': result.worstWindow > mostInWindow(BURST, RATE_PER_S),
     'all serve again after the faults': !recovered,
     'something was served': result.served === 0,
   };
