Refuse header fields that are not valid on every listener and in responses

Change: StrictServer checks field names, values and framing itself before any handler runs, for callers of both daemons, peers, instances, heartbeats, administration, readiness and metrics. It refuses with 400, the field's name and a closed connection. Responses with such fields count as invalid at both gates. Chunk framing stays with the parser; rows record what it must refuse.

Ruled out: insecureHTTPParser is not set anywhere.

--- /dev/null
+++ b/features/header_fields.feature
@@ -0,0 +1,79 @@
+Feature: Header fields and framing
+  A message whose fields or framing can be understood in more than one way is
+  refused before any handler gets it, in every release of Node.js.
+
+  # Guards against requests that are hidden inside others.
+  Scenario Outline: A server refuses a request with <fault>
+    Given a strict server
+    When it gets the raw request "<bytes>"
+    Then it answers <answer>
+    And its handlers got <handled> requests
+
+    Examples:
+      | fault                            | bytes                                                                                                | answer | handled |
+      | a space before the colon         | GET / HTTP/1.1\r\nHost: a\r\nX-Bad : 1\r\n\r\n                                                       | 400    | 0       |
+      | a tab before the colon           | GET / HTTP/1.1\r\nHost: a\r\nX-Bad\t: 1\r\n\r\n                                                      | 400    | 0       |
+      | an empty field name              | GET / HTTP/1.1\r\nHost: a\r\n: 1\r\n\r\n                                                             | 400    | 0       |
+      | a parenthesis in a field name    | GET / HTTP/1.1\r\nHost: a\r\nX(: 1\r\n\r\n                                                           | 400    | 0       |
+      | a name without a colon           | GET / HTTP/1.1\r\nHost: a\r\nX-Bad\r\n\r\n                                                           | 400    | 0       |
+      | a folded value                   | GET / HTTP/1.1\r\nHost: a\r\nX-Bad: 1\r\n 2\r\n\r\n                                                  | 400    | 0       |
+      | a bare CR in a value             | GET / HTTP/1.1\r\nHost: a\r\nX-Bad: 1\r2\r\n\r\n                                                     | 400    | 0       |
+      | a bare LF in a value             | GET / HTTP/1.1\r\nHost: a\r\nX-Bad: 1\nX-More: 2\r\n\r\n                                             | 400    | 0       |
+      | bare LF as line end              | GET / HTTP/1.1\nHost: a\n\n                                                                          | 400    | 0       |
+      | a NUL in a value                 | GET / HTTP/1.1\r\nHost: a\r\nX-Bad: 1\u00002\r\n\r\n                                                 | 400    | 0       |
+      | two equal lengths                | POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nContent-Length: 1\r\n\r\na                        | 400    | 0       |
+      | a list of lengths                | POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1, 1\r\n\r\na                                          | 400    | 0       |
+      | a signed length                  | POST / HTTP/1.1\r\nHost: a\r\nContent-Length: +1\r\n\r\na                                            | 400    | 0       |
+      | a hexadecimal length             | POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 0x1\r\n\r\na                                           | 400    | 0       |
+      | an empty length                  | POST / HTTP/1.1\r\nHost: a\r\nContent-Length:\r\n\r\n                                                | 400    | 0       |
+      | a length beyond 64 bits          | POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 99999999999999999999\r\n\r\na                          | 400    | 0       |
+      | a length and chunks              | POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n       | 400    | 0       |
+      | an unknown encoding              | POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: xchunked\r\n\r\n0\r\n\r\n                           | 400    | 0       |
+      | a quoted encoding                | POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: "chunked"\r\n\r\n0\r\n\r\n                          | 400    | 0       |
+      | an encoding before the chunks    | POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n                      | 400    | 0       |
+      | an encoding after the chunks     | POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked, identity\r\n\r\n0\r\n\r\n                  | 400    | 0       |
+      | two encodings                    | POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n | 400 | 0       |
+      | a space before an encoding colon | POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding : chunked\r\n\r\n0\r\n\r\n                           | 400    | 0       |
+      | an upgrade and a faulty name     | GET / HTTP/1.1\r\nHost: a\r\nConnection: upgrade\r\nUpgrade: websocket\r\nX-Bad : 1\r\n\r\n          | 400    | 0       |
+      | an expectation and a faulty name | POST / HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 1\r\nX-Bad : 1\r\n\r\n         | 400    | 0       |
+
+  # The handler gets such a request, and never the end of its body.
+  Scenario Outline: A server completes no body whose chunks have <fault>
+    Given a strict server
+    When it gets a chunked body "<chunks>"
+    Then it answers 400
+    And it completed no body
+
+    Examples:
+      | fault                     | chunks                              |
+      | a space after the size    | 5 \r\nhello\r\n0\r\n\r\n            |
+      | a bare LF after the size  | 5\nhello\r\n0\r\n\r\n               |
+      | a bare LF after the data  | 5\r\nhello\n0\r\n\r\n               |
+      | a hexadecimal prefix      | 0x5\r\nhello\r\n0\r\n\r\n           |
+      | a sign                    | +5\r\nhello\r\n0\r\n\r\n            |
+      | no size                   | \r\nhello\r\n0\r\n\r\n              |
+      | a size beyond 64 bits     | fffffffffffffffff\r\nhello\r\n0\r\n\r\n |
+      | an unclosed quoted string | 5;a="b\r\nhello\r\n0\r\n\r\n        |
+      | a bare LF at the end      | 5\r\nhello\r\n0\n\n                 |
+
+  Scenario Outline: A server completes a body whose chunks have <feature>
+    Given a strict server
+    When it gets a chunked body "<chunks>"
+    Then it answers 200
+    And it completed the body "hello"
+
+    Examples:
+      | feature       | chunks                                  |
+      | an extension  | 5;a=b\r\nhello\r\n0\r\n\r\n             |
+      | a trailer     | 5\r\nhello\r\n0\r\nHost: z\r\n\r\n      |
+      | leading zeros | 00005\r\nhello\r\n0\r\n\r\n             |
+
+  Scenario: Every listener of a daemon refuses a faulty field name
+    Given a store and 1 daemons in 1 failure domains
+    When each listener of daemon "d1" gets a request with the field name "X-Bad "
+    Then each refuses it with 400 and the field's name
+
+  Scenario: Every listener of a mesh daemon refuses a faulty field name
+    Given a mesh daemon and its listener for heartbeats
+    When each of its listeners gets a request with the field name "X-Bad "
+    Then each refuses it with 400 and the field's name
--- a/features/mesh_path.feature
+++ b/features/mesh_path.feature
@@ -11,7 +11,7 @@
     Then all responses have status 200
     And every request ran exactly once
 
-  # The last three rows guard against endless responses, which would fill the
+  # The rows with endless responses guard against responses that would fill the
   # memory of a gate.
   Scenario Outline: A request that isn't idempotent isn't repeated when its backend server <behaviour>
     Given every backend server <behaviour>
@@ -32,6 +32,10 @@
       | responds without signature                   | 502    | 1    |
       | fails                                        | 500    | 1    |
       | responds with 503 after running              | 502    | 1    |
+      | sends a faulty header field                  | 502    | 1    |
+      | stops within the head of its response        | 502    | 1    |
+      | stops after the last field of the head       | 502    | 1    |
+      | stops within the head after an interim response | 502 | 1    |
       | sends an endless header                      | 502    | 1    |
       | sends endless interim responses              | 502    | 1    |
       | sends an endless body                        | 502    | 1    |
--- a/features/steps/callers_steps.ts
+++ b/features/steps/callers_steps.ts
@@ -5,7 +5,7 @@
 import {request as httpRequest} from 'node:http';
 import {Readable} from 'node:stream';
 import {until} from '../support/fleet.js';
-import {sendRawBytes} from '../support/raw_socket.js';
+import {sendRawBytes, unescapeBytes} from '../support/raw_socket.js';
 import {runsOfAll} from '../support/runs.js';
 import type {World} from '../support/world.js';
 
@@ -41,10 +41,7 @@
 When(
   'these raw bytes with the key of {string} are sent to daemon {string}: {string}',
   async function (this: World, customer: string, daemon: string, text: string) {
-    const bytes = text
-      .replaceAll('\\r', '\r')
-      .replaceAll('\\n', '\n')
-      .replaceAll('\\u0000', '\u0000')
+    const bytes = unescapeBytes(text)
       .replaceAll('KEY', keyOf(this, customer))
       .replaceAll('LONG', 'x'.repeat(LONG_FIELD_BYTES));
     const isComplete = (got: string) => got.includes('\r\n\r\n');
--- /dev/null
+++ b/features/steps/header_field_steps.ts
@@ -0,0 +1,169 @@
+/** Steps that send faulty header fields and chunks to HTTP servers. */
+import assert from 'node:assert/strict';
+import {After, Given, Then, When} from '@cucumber/cucumber';
+import {HeartbeatServer} from '../../platform/heartbeat_server.js';
+import {close, listen} from '../../src/http/listener.js';
+import {StrictServer} from '../../src/http/strict_server.js';
+import {MeshFleet} from '../support/mesh_fleet.js';
+import {sendRawBytes, unescapeBytes} from '../support/raw_socket.js';
+import {SILENT_LOG} from '../support/silent_log.js';
+import type {World} from '../support/world.js';
+
+const ANY_PORT = '127.0.0.1:0';
+
+interface FieldWorld extends World {
+  strictServer?: StrictServer;
+  address?: string;
+  handledCount?: number;
+  bodies?: string[];
+  rawAnswer?: string;
+  rawAnswers?: readonly string[];
+  fieldFleet?: MeshFleet;
+  listeners?: readonly string[];
+}
+
+Given('a strict server', async function (this: FieldWorld) {
+  const bodies: string[] = [];
+  this.handledCount = 0;
+  this.bodies = bodies;
+  this.strictServer = new StrictServer();
+  this.strictServer.on('upgrade', (_req, socket) => {
+    this.handledCount = (this.handledCount ?? 0) + 1;
+    socket.destroy();
+  });
+  this.strictServer.on('request', (req, res) => {
+    this.handledCount = (this.handledCount ?? 0) + 1;
+    let body = '';
+    req.on('data', (chunk: Buffer) => (body += chunk.toString()));
+    req.on('end', () => {
+      bodies.push(body);
+      res.end();
+    });
+  });
+  this.address = await listen(this.strictServer, ANY_PORT, 'test');
+});
+
+After(async function (this: FieldWorld) {
+  this.strictServer?.closeAllConnections();
+  if (this.strictServer) await close(this.strictServer);
+  await this.fieldFleet?.stop();
+});
+
+function isCompleteHead(text: string): boolean {
+  return text.includes('\r\n\r\n');
+}
+
+function isCompleteProblem(text: string): boolean {
+  return isCompleteHead(text) && text.endsWith('}');
+}
+
+When(
+  /^it gets the raw request "([^]*)"$/,
+  async function (this: FieldWorld, text: string) {
+    const bytes = unescapeBytes(text);
+    this.rawAnswer = await sendRawBytes(
+      this.address ?? '',
+      bytes,
+      isCompleteHead,
+    );
+  },
+);
+
+When(
+  /^it gets a chunked body "([^]*)"$/,
+  async function (this: FieldWorld, text: string) {
+    const head =
+      'POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n';
+    const bytes = head + unescapeBytes(text);
+    this.rawAnswer = await sendRawBytes(
+      this.address ?? '',
+      bytes,
+      isCompleteHead,
+    );
+  },
+);
+
+Then('it answers {int}', function (this: FieldWorld, status: number) {
+  const line = this.rawAnswer?.split('\r\n')[0];
+  assert.ok(line?.startsWith(`HTTP/1.1 ${status} `), line);
+});
+
+Then(
+  'its handlers got {int} requests',
+  function (this: FieldWorld, count: number) {
+    assert.equal(this.handledCount, count);
+  },
+);
+
+Then('it completed no body', function (this: FieldWorld) {
+  assert.deepEqual(this.bodies, []);
+});
+
+Then(
+  'it completed the body {string}',
+  function (this: FieldWorld, body: string) {
+    assert.deepEqual(this.bodies, [body]);
+  },
+);
+
+Given(
+  'a mesh daemon and its listener for heartbeats',
+  async function (this: FieldWorld) {
+    this.fieldFleet = new MeshFleet();
+    await this.fieldFleet.start(['pay'], 1);
+    const {callers, daemon} = this.fieldFleet.vm(0);
+    const heartbeats = new HeartbeatServer(daemon.gate, SILENT_LOG);
+    const address = await heartbeats.start(ANY_PORT);
+    const {readiness, metrics} = daemon.boundAddresses;
+    this.listeners = [
+      callers,
+      daemon.self.address,
+      readiness,
+      metrics,
+      address,
+    ];
+  },
+);
+
+function sendFieldName(address: string, name: string): Promise<string> {
+  const bytes = `GET / HTTP/1.1\r\nHost: a\r\n${name}: 1\r\n\r\n`;
+  return sendRawBytes(address, bytes, isCompleteProblem);
+}
+
+When(
+  'each listener of daemon {string} gets a request with the field name {string}',
+  async function (this: FieldWorld, daemon: string, name: string) {
+    const {callers, administration, instances, peers} =
+      this.fleet.daemon(daemon).addresses;
+    const listeners = [callers, administration, instances, peers];
+    this.rawAnswers = await Promise.all(
+      listeners.map(address => sendFieldName(address, name)),
+    );
+  },
+);
+
+When(
+  'each of its listeners gets a request with the field name {string}',
+  async function (this: FieldWorld, name: string) {
+    const listeners = this.listeners ?? [];
+    this.rawAnswers = await Promise.all(
+      listeners.map(address => sendFieldName(address, name)),
+    );
+  },
+);
+
+Then(
+  "each refuses it with 400 and the field's name",
+  function (this: FieldWorld) {
+    assert.ok((this.rawAnswers?.length ?? 0) > 0);
+    this.rawAnswers?.forEach(answer => {
+      assert.match(answer, /^HTTP\/1\.1 400 /);
+      assert.match(answer, /connection: close/i);
+      const body = answer.slice(answer.indexOf('\r\n\r\n'));
+      const problem = JSON.parse(body) as Record<string, unknown>;
+      assert.equal(problem.type, 'urn:chicorycourse:refusal:bad-request');
+      assert.equal(problem.field, '"X-Bad "');
+      assert.equal(problem.ran, 'no');
+    });
+  },
+);
--- a/features/support/mesh_fleet.ts
+++ b/features/support/mesh_fleet.ts
@@ -99,6 +99,45 @@
     res.end('done');
   },
   fails: (_, res) => res.writeHead(500).end('failed'),
+  'sends a faulty header field': ({socket}, res) => {
+    const id = String(res.getHeader(NAMES.requestId));
+    socket.end(
+      `HTTP/1.1 200 OK\r\n${NAMES.requestId}: ${id}\r\n` +
+        `${NAMES.signature}: signed\r\nX-Bad : 1\r\n` +
+        'content-length: 4\r\n\r\ndone',
+    );
+  },
+  'stops within the head of its response': ({socket}, res) => {
+    const id = String(res.getHeader(NAMES.requestId));
+    socket.end(
+      `HTTP/1.1 200 OK\r\n${NAMES.requestId}: ${id}\r\n` +
+        `${NAMES.signature}: signed\r\ncontent-le`,
+    );
+  },
+  'stops after the last field of the head': ({socket}, res) => {
+    const id = String(res.getHeader(NAMES.requestId));
+    socket.end(
+      `HTTP/1.1 200 OK\r\n${NAMES.requestId}: ${id}\r\n` +
+        `${NAMES.signature}: signed\r\n`,
+    );
+  },
+  'stops within the head after an interim response': ({socket}, res) => {
+    const id = String(res.getHeader(NAMES.requestId));
+    socket.end(
+      'HTTP/1.1 102 Processing\r\n\r\n' +
+        `HTTP/1.1 200 OK\r\n${NAMES.requestId}: ${id}\r\n` +
+        `${NAMES.signature}: signed\r\n`,
+    );
+  },
+  "responds with an earlier request's refusal": (_, res) => {
+    res.setHeader(NAMES.requestId, 'earlier');
+    res.setHeader(NAMES.notExecuted, '1');
+    res.writeHead(503).end();
+  },
+  'responds with a 421 for an earlier request': (_, res) => {
+    res.setHeader(NAMES.requestId, 'earlier');
+    res.writeHead(421).end();
+  },
   'rejects requests': (_, res) => {
     res.setHeader(NAMES.notExecuted, '1');
     res.writeHead(503).end();
--- a/features/support/raw_socket.ts
+++ b/features/support/raw_socket.ts
@@ -1,6 +1,15 @@
 /** Raw sockets, for requests that HTTP libraries refuse to send. */
 import {connect} from 'node:net';
 
+/** Bytes written in a feature file with escapes for control characters. */
+export function unescapeBytes(text: string): string {
+  return text
+    .replaceAll('\\r', '\r')
+    .replaceAll('\\n', '\n')
+    .replaceAll('\\t', '\t')
+    .replaceAll('\\u0000', '\u0000');
+}
+
 /**
  * Sends bytes; resolves to the text received until `isWhole` accepts it, the
  * connection ends, or the time-out passes.
--- a/src/daemon/servers.ts
+++ b/src/daemon/servers.ts
@@ -1,8 +1,9 @@
 /** The four HTTP servers of a daemon and the addresses they listen on. */
-import {createServer, type Server} from 'node:http';
+import type {Server} from 'node:http';
 import {createCallerServer} from '../http/caller_server.js';
 import {drainServer} from '../http/drain.js';
 import {close, listen} from '../http/listener.js';
+import {StrictServer} from '../http/strict_server.js';
 
 /** Addresses of a daemon's servers, with the ports they are bound to. */
 export interface BoundAddresses {
@@ -25,9 +26,9 @@
   constructor(maxHeaderBytes: number) {
     const serverOptions = {maxHeaderSize: maxHeaderBytes};
     this.callers = createCallerServer(maxHeaderBytes);
-    this.administration = createServer(serverOptions);
-    this.instances = createServer(serverOptions);
-    this.peers = createServer({
+    this.administration = new StrictServer(serverOptions);
+    this.instances = new StrictServer(serverOptions);
+    this.peers = new StrictServer({
       maxHeaderSize: maxHeaderBytes * 2,
       requestTimeout: 0,
       keepAliveTimeout: PEER_KEEP_ALIVE_MS,
--- a/src/gate/exchange.ts
+++ b/src/gate/exchange.ts
@@ -6,6 +6,7 @@
 import {Readable} from 'node:stream';
 import type {Dispatcher} from 'undici';
 import {reasonOf} from '../errors/failure.js';
+import {findFieldFault} from '../http/field_syntax.js';
 import type {RequestBody} from './body.js';
 
 /** Interim response status which reports that the work has started. */
@@ -96,7 +97,13 @@
     if (status === PROCESSING) this.#request.onProcessing?.();
     if (status < 200) return;
     clearTimeout(this.#timer);
-    const headers = (controller.rawHeaders ?? []) as readonly Buffer[];
+    const rawHeaders = (controller.rawHeaders ?? []) as readonly Buffer[];
+    const headers = rawHeaders.map(field => field.toString('latin1'));
+    const fault = findFieldFault(headers);
+    if (fault) {
+      controller.abort(new Error(`invalid response field ${fault.field}`));
+      return;
+    }
     this.#body = new Readable({
       read: () => controller.resume(),
       destroy: (err, callback) => {
@@ -106,7 +113,7 @@
     });
     this.#resolve({
       status,
-      headers: headers.map(field => field.toString('latin1')),
+      headers,
       body: this.#body,
     });
   }
--- a/src/http/caller_server.ts
+++ b/src/http/caller_server.ts
@@ -1,6 +1,7 @@
 /** The HTTP server for callers, with strict parsing and bounded timeouts. */
-import {createServer, type IncomingMessage, type Server} from 'node:http';
+import type {IncomingMessage, Server} from 'node:http';
 import type {Duplex} from 'node:stream';
+import {StrictServer} from './strict_server.js';
 
 /** Timeout for the headers of a caller's request. */
 const HEADERS_TIMEOUT_MS = 10_000;
@@ -8,9 +9,15 @@
 const KEEP_ALIVE_MS = 4000;
 const CHECK_INTERVAL_MS = 1000;
 
-/** Creates the server; the headers of a request may total `maxHeaderBytes`. */
-export function createCallerServer(maxHeaderBytes: number): Server {
-  const server = createServer({
+/**
+ * Creates the server; the headers of a request may total `maxHeaderBytes`.
+ * `onRefused` is called for each request that is refused for faulty fields.
+ */
+export function createCallerServer(
+  maxHeaderBytes: number,
+  onRefused?: () => void,
+): Server {
+  const options = {
     maxHeaderSize: maxHeaderBytes,
     requireHostHeader: true,
     headersTimeout: HEADERS_TIMEOUT_MS,
@@ -18,7 +25,8 @@
     requestTimeout: 0,
     keepAliveTimeout: KEEP_ALIVE_MS,
     connectionsCheckingInterval: CHECK_INTERVAL_MS,
-  });
+  };
+  const server = new StrictServer(options, onRefused);
   // With a limit, Node.js would silently drop the headers beyond it.
   server.maxHeadersCount = 0;
   server.on('connect', rejectConnect);
--- /dev/null
+++ b/src/http/strict_server.ts
@@ -0,0 +1,77 @@
+/**
+ * An HTTP server that refuses requests with faulty header fields before any
+ * handler gets them, whatever the parser of the Node.js release accepts. The
+ * connection is closed, since where the request ends is in doubt.
+ */
+import {
+  Server,
+  type IncomingMessage,
+  type ServerOptions,
+  type ServerResponse,
+} from 'node:http';
+import type {Duplex} from 'node:stream';
+import {findFieldFault, type FieldFault} from './field_syntax.js';
+import {sendProblem, type RefusalKind} from './problem.js';
+
+/** The refusal of a request that can be understood in more than one way. */
+export const BAD_REQUEST: RefusalKind = {
+  status: 400,
+  title: 'The request is malformed',
+  ran: 'no',
+};
+
+type Refuse = (connection: unknown, fault: FieldFault) => void;
+
+const refuseRequest: Refuse = (connection, fault) => {
+  const res = connection as ServerResponse;
+  res.setHeader('connection', 'close');
+  sendProblem(res, 'bad-request', BAD_REQUEST, describe(fault));
+};
+
+const refuseUpgrade: Refuse = connection => {
+  const socket = connection as Duplex;
+  socket.on('error', () => socket.destroy());
+  socket.end(
+    'HTTP/1.1 400 Bad Request\r\n' +
+      'Content-Length: 0\r\nConnection: close\r\n\r\n',
+  );
+};
+
+/** How each event that hands over a request is refused. */
+const REFUSE_BY_EVENT: ReadonlyMap<string | symbol, Refuse> = new Map([
+  ['request', refuseRequest],
+  ['checkContinue', refuseRequest],
+  ['checkExpectation', refuseRequest],
+  ['upgrade', refuseUpgrade],
+]);
+
+/** A server whose handlers only get requests with valid header fields. */
+export class StrictServer extends Server {
+  readonly #onRefused: (() => void) | undefined;
+
+  /** `onRefused` is called for each refused request. */
+  constructor(options: ServerOptions = {}, onRefused?: () => void) {
+    super(options);
+    this.#onRefused = onRefused;
+    // Without a listener, Node.js asks for the body before any check.
+    this.on('checkContinue', (req, res) => {
+      res.writeContinue();
+      this.emit('request', req, res);
+    });
+  }
+
+  override emit(event: string | symbol, ...args: unknown[]): boolean {
+    const refuse = REFUSE_BY_EVENT.get(event);
+    if (!refuse) return super.emit(event as string, ...(args as []));
+    const [req, connection] = args as [IncomingMessage, unknown];
+    const fault = findFieldFault(req.rawHeaders);
+    if (!fault) return super.emit(event as string, ...(args as []));
+    refuse(connection, fault);
+    this.#onRefused?.();
+    return true;
+  }
+}
+
+function describe({field, part}: FieldFault) {
+  return {field, detail: `invalid ${part} of the header field ${field}`};
+}
--- a/src/mesh/gate/backend_client.ts
+++ b/src/mesh/gate/backend_client.ts
@@ -17,6 +17,7 @@
 import {connect, type NetConnectOpts, type Socket} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {reasonOf} from '../../errors/failure.js';
+import {findFieldFault} from '../../http/field_syntax.js';
 import {parseAddress} from '../../settings/address.js';
 import type {HeaderNames} from '../header_names.js';
 import type {Outcome, Work} from './work.js';
@@ -197,6 +198,11 @@
   #classify(response: RawResponse, work: Work, instance: string): Outcome {
     const {status, headers} = response;
     const names = this.#names;
+    const fault = findFieldFault(headers);
+    if (fault) {
+      const reason = `invalid header field ${fault.field}`;
+      return {kind: 'unknown', instance, reason};
+    }
     const isRejected =
       status === 421 || headerValue(headers, names.notExecuted) !== undefined;
     if (isRejected) {
--- a/src/mesh/mesh_daemon.ts
+++ b/src/mesh/mesh_daemon.ts
@@ -4,11 +4,12 @@
  * and persists no state. It gets shared fleet state (the configuration and the
  * list of VMs) from the store through two narrow interfaces, and from peers.
  */
-import {createServer, type Server} from 'node:http';
+import type {Server} from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
 import polka from 'polka';
 import {reasonOf} from '../errors/failure.js';
 import {listen} from '../http/listener.js';
+import {StrictServer} from '../http/strict_server.js';
 import type {DecisionLog} from '../log/decision_log.js';
 import {ConfigurationTracker} from './configuration/configuration_tracker.js';
 import {BackendClient} from './gate/backend_client.js';
@@ -46,6 +47,12 @@
 const MAX_STARTUP_PROBES = 4;
 const STARTUP_PROBE_PAUSE_MS = 400;
 
+/** Where a daemon serves readiness and metrics, each `IP:PORT`. */
+export type OperatorAddresses = Pick<
+  MeshSettings['listen'],
+  'readiness' | 'metrics'
+>;
+
 /** The daemon of one VM. */
 export class MeshDaemon {
   readonly gate: Gate;
@@ -63,12 +70,14 @@
   #isStopping = false;
   /** The configured address; from `start()` on it has the bound port. */
   #peersAddress: string;
+  #boundAddresses: OperatorAddresses;
 
   constructor(options: MeshDaemonOptions) {
     this.#options = options;
     const {settings, names, log, metrics} = options;
     const {service, address} = settings.backend;
     this.#peersAddress = settings.listen.peers;
+    this.#boundAddresses = settings.listen;
     this.#exchange = new BackendClient(address, names);
     this.gate = new Gate({
       service,
@@ -127,7 +136,8 @@
       isFleetKnown: () => this.peers.count() > 0,
       hasInstances: service => gates.forService(service).length > 0,
     });
-    this.#readinessServer = createServer((_, res) => {
+    this.#readinessServer = new StrictServer();
+    this.#readinessServer.on('request', (_, res) => {
       const isReady =
         this.configurationTracker.routeTable !== undefined && !this.#isStopping;
       res.writeHead(isReady ? 200 : 503).end();
@@ -135,7 +145,8 @@
     const metricsApp = polka().get('/metrics', async (_, res) => {
       res.end(await metrics.render());
     });
-    this.#metricsServer = createServer(metricsApp.handler);
+    this.#metricsServer = new StrictServer();
+    this.#metricsServer.on('request', metricsApp.handler);
   }
 
   /** This VM, with the address at which peers reach the daemon. */
@@ -144,6 +155,11 @@
     return {id, failureDomain, address: this.#peersAddress};
   }
 
+  /** Addresses of the listeners for operators, with the bound ports. */
+  get boundAddresses(): OperatorAddresses {
+    return this.#boundAddresses;
+  }
+
   /** Starts all components; resolves to the bound address for callers. */
   async start(): Promise<string> {
     const {settings, log} = this.#options;
@@ -152,8 +168,15 @@
     this.#limits.parts.start();
     this.#repeatBudget.start();
     const callers = await this.#callerServer.start();
-    await listen(this.#readinessServer, settings.listen.readiness, 'readiness');
-    await listen(this.#metricsServer, settings.listen.metrics, 'metrics');
+    const {listen: addresses} = settings;
+    this.#boundAddresses = {
+      readiness: await listen(
+        this.#readinessServer,
+        addresses.readiness,
+        'readiness',
+      ),
+      metrics: await listen(this.#metricsServer, addresses.metrics, 'metrics'),
+    };
     const {vm, backend, isFirstStart} = settings;
     log.belief('daemon-started', {...vm, ...backend, isFirstStart});
     return callers;
--- a/src/mesh/peers/peer_server.ts
+++ b/src/mesh/peers/peer_server.ts
@@ -3,10 +3,11 @@
  * and limits over them. Each connection has its own session. When the
  * connection ends, everything that the peer was still waiting for is cancelled.
  */
-import {createServer, type Server} from 'node:http';
+import type {Server} from 'node:http';
 import {WebSocket, WebSocketServer} from 'ws';
 import {reasonOf} from '../../errors/failure.js';
 import {listen} from '../../http/listener.js';
+import {StrictServer} from '../../http/strict_server.js';
 import type {DecisionLog} from '../../log/decision_log.js';
 import type {GateClient, Reservation} from '../gate/work.js';
 import type {RepeatBudget} from '../limits/repeat_budget.js';
@@ -56,7 +57,7 @@
 /** The listener for peers. */
 export class PeerServer {
   readonly #options: PeerServerOptions;
-  readonly #http: Server = createServer();
+  readonly #http: Server = new StrictServer();
   readonly #server = new WebSocketServer({
     server: this.#http,
     path: PEER_PATH,
--- a/src/mesh/router/caller_server.ts
+++ b/src/mesh/router/caller_server.ts
@@ -9,6 +9,7 @@
 import {createCallerServer} from '../../http/caller_server.js';
 import {listen} from '../../http/listener.js';
 import {sendProblem} from '../../http/problem.js';
+import {BAD_REQUEST} from '../../http/strict_server.js';
 import type {DecisionLog} from '../../log/decision_log.js';
 import type {HeaderNames} from '../header_names.js';
 import type {RepeatCalls} from '../limits/repeat_calls.js';
@@ -97,7 +98,9 @@
     const app = polka({
       onNoMatch: (req, res) => void this.#handleRequest(req, res),
     });
-    this.#server = createCallerServer(MAX_HEADER_BYTES);
+    this.#server = createCallerServer(MAX_HEADER_BYTES, () =>
+      this.#recordMalformed(),
+    );
     this.#server.on('request', app.handler);
   }
 
@@ -306,6 +309,14 @@
     sendProblem(res, name, REFUSALS[name], {detail});
   }
 
+  /** Its fields are in doubt, so none of them is logged. */
+  #recordMalformed(): void {
+    const {log, metrics} = this.#options;
+    const {status} = BAD_REQUEST;
+    metrics.recordAnswer('none', status, 'bad-request', 0);
+    log.failure('not-served', {status, reason: 'bad-request', ran: 'no'});
+  }
+
   #record(
     context: RequestContext,
     status: number,
--- a/src/router/refusals.ts
+++ b/src/router/refusals.ts
@@ -5,11 +5,12 @@
  */
 import type {ServerResponse} from 'node:http';
 import {sendProblem, type RefusalKind} from '../http/problem.js';
+import {BAD_REQUEST} from '../http/strict_server.js';
 import type {FirstRequestState} from '../idempotency/messages.js';
 
 /** By name; the name is the last part of the problem's type and is stable. */
 export const REFUSALS = {
-  'bad-request': {status: 400, title: 'The request is malformed', ran: 'no'},
+  'bad-request': BAD_REQUEST,
   'key-missing': {status: 401, title: 'A key is needed here', ran: 'no'},
   'key-unknown': {status: 401, title: 'The key is not valid', ran: 'no'},
   'keys-stale': {
