Trust a refusal of an instance only if it belongs to the request

Cause: the mesh gate classified a response with the not-executed field or status 421 as 'not run' before it compared the request id. An instance that sends an earlier request's refusal made callers believe that a request which was running had not run, and the router sent it to another instance.

Change: a refusal that carries another request's id is an unknown outcome.

Ruled out: a repeat on a kept connection, since the mesh gate opens one connection for each request.

Before: both new rows of mesh_path.feature got 503 and a Retry-After time. After: 502, one run.

--- a/features/mesh_path.feature
+++ b/features/mesh_path.feature
@@ -36,6 +36,8 @@
       | stops within the head of its response        | 502    | 1    |
       | stops after the last field of the head       | 502    | 1    |
       | stops within the head after an interim response | 502 | 1    |
+      | responds with an earlier request's refusal   | 502    | 1    |
+      | responds with a 421 for an earlier request   | 502    | 1    |
       | sends an endless header                      | 502    | 1    |
       | sends endless interim responses              | 502    | 1    |
       | sends an endless body                        | 502    | 1    |
--- a/src/mesh/gate/backend_client.ts
+++ b/src/mesh/gate/backend_client.ts
@@ -203,13 +203,16 @@
       const reason = `invalid header field ${fault.field}`;
       return {kind: 'unknown', instance, reason};
     }
+    const answeredId = headerValue(headers, names.requestId);
+    const isForeign = answeredId !== undefined && answeredId !== work.requestId;
     const isRejected =
       status === 421 || headerValue(headers, names.notExecuted) !== undefined;
-    if (isRejected) {
+    // A refusal may lack the id, but one of another request proves nothing.
+    if (isRejected && !isForeign) {
       const reason = `status ${status}`;
       return {kind: 'not-run', instance, reason, hasArrived: true};
     }
-    if (headerValue(headers, names.requestId) !== work.requestId) {
+    if (answeredId !== work.requestId) {
       return {kind: 'unknown', instance, reason: 'answer to another request'};
     }
     if (headerValue(headers, names.signature) === undefined) {
