Start no request in a stopping mesh daemon that it could not finish

Cause: a stopping daemon accepted callers for 2.3 s and forwarded whatever came, also to wait for a slot; when its stop timeout ended it exited, and open requests were cut without an answer, unsafe ones among them.

Change: StopDeadline knows the end of the stop. A request that usually takes longer than what is left is refused as not run before its body is read and before a rate token is taken; one that waits for a slot is refused as soon as it can't end in time; what was sent is awaited and, at the end, answered as unknown. A request counts as open until its response is written.

Ruled out: cuts by closing kept connections; they close only when idle.

--- a/features/steps/mesh_path_steps.ts
+++ b/features/steps/mesh_path_steps.ts
@@ -23,6 +23,9 @@
 interface MeshState {
   readonly fleet: MeshFleet;
   answers: readonly Answer[];
+  /** Requests that were sent and may still be open. */
+  pending: readonly Promise<Answer | undefined>[];
+  stops: readonly Promise<void>[];
 }
 
 const states = new WeakMap<World, MeshState>();
@@ -32,7 +35,7 @@
 function stateOf(world: World): MeshState {
   const known = states.get(world);
   if (known) return known;
-  const state = {fleet: new MeshFleet(), answers: []};
+  const state = {fleet: new MeshFleet(), answers: [], pending: [], stops: []};
   states.set(world, state);
   return state;
 }
@@ -55,6 +58,14 @@
         isIdempotent: true,
         targets,
       }),
+      testRoute({
+        name: 'long',
+        prefix: '/long/',
+        isIdempotent: false,
+        timeoutMs: 8000,
+        objectiveMs: 4000,
+        targets,
+      }),
       testRoute({
         name: 'open',
         prefix: '/open/',
@@ -81,11 +92,13 @@
   readonly key?: string;
   readonly disconnectAfterMs?: number;
   readonly body?: Buffer;
+  readonly deadlineMs?: number;
 }
 
 /** Sends a request; resolves to its response, or undefined if disconnected. */
 function send(vm: MeshVm, options: SendOptions): Promise<Answer | undefined> {
   const {path, key, disconnectAfterMs, body = 'body'} = options;
+  const {deadlineMs = DEADLINE_MS} = options;
   const id = `request-${nextId++}`;
   const [host, port] = vm.callers.split(':');
   return new Promise((resolve, reject) => {
@@ -98,7 +111,7 @@
       headers: {
         host: 'app.example',
         [NAMES.requestId]: id,
-        [NAMES.deadline]: String(DEADLINE_MS),
+        [NAMES.deadline]: String(deadlineMs),
         ...(key ? {[NAMES.key]: key} : {}),
       },
     });
@@ -197,6 +210,99 @@
   },
 );
 
+When(
+  'a caller has sent {int} request(s) to {string} at VM {int} with a deadline of {int} ms',
+  async function (
+    this: World,
+    count: number,
+    path: string,
+    index: number,
+    deadlineMs: number,
+  ) {
+    const state = stateOf(this);
+    const vm = state.fleet.vm(index);
+    const options = {path, key: 'key-big', deadlineMs};
+    const sent = Array.from({length: count}, () => send(vm, options));
+    state.pending = [...state.pending, ...sent];
+    const events = () =>
+      state.fleet.lines.filter(({event}) => event === 'sent').length;
+    const before = state.pending.length;
+    const slots = state.fleet.vms.length;
+    await until(
+      'the requests hold slots or wait',
+      () => events() >= Math.min(before, slots),
+      deadlineMs,
+    );
+  },
+);
+
+When(
+  'the instance of VM {int} calls {string} through its daemon',
+  async function (this: World, index: number, path: string) {
+    const state = stateOf(this);
+    const answer = await send(state.fleet.vm(index), {path});
+    state.answers = answer ? [answer] : [];
+  },
+);
+
+When(
+  /^the daemons? of VMs? ([\d,]+) (?:is|are) told to stop$/,
+  function (this: World, list: string) {
+    const state = stateOf(this);
+    const daemons = list.split(',').map(index => state.fleet.vm(Number(index)));
+    state.stops = daemons.map(({daemon}) => daemon.stop());
+  },
+);
+
+When(
+  'a caller sends a request to {string} at VM {int} with a deadline of {int} ms',
+  async function (
+    this: World,
+    path: string,
+    index: number,
+    deadlineMs: number,
+  ) {
+    const state = stateOf(this);
+    const options = {path, key: 'key-big', deadlineMs};
+    const answer = await send(state.fleet.vm(index), options);
+    state.answers = answer ? [answer] : [];
+  },
+);
+
+When(
+  'the stops have ended and all requests with them',
+  async function (this: World) {
+    const state = stateOf(this);
+    await Promise.all(state.stops);
+    const answers = await Promise.all(state.pending);
+    state.answers = answers.filter(answer => answer !== undefined);
+  },
+);
+
+Then(
+  /^(\d+) (?:was|were) answered with (\d+), of which (\d+) ran$/,
+  function (this: World, count: number, status: number, ran: number) {
+    const {answers} = stateOf(this);
+    const matching = answers.filter(answer => answer.status === Number(status));
+    const texts = JSON.stringify(answers.map(({status: got}) => got));
+    assert.equal(matching.length, Number(count), texts);
+    const runs = matching.filter(({id}) => countRuns(this, id) > 0);
+    assert.equal(runs.length, Number(ran));
+  },
+);
+
+Then(
+  'the response came with the reason {string}',
+  function (this: World, reason: string) {
+    const {fleet, answers} = stateOf(this);
+    const [answer] = answers;
+    const line = fleet.lines.find(
+      ({event, id}) => event === 'not-served' && id === answer?.id,
+    );
+    assert.equal(line?.reason, reason);
+  },
+);
+
 When(
   'a caller sends a body of {int} bytes to {string}',
   async function (this: World, bytes: number, path: string) {
--- a/src/mesh/gate/work.ts
+++ b/src/mesh/gate/work.ts
@@ -26,6 +26,7 @@
 /** Why a gate grants no slot; the request has not run. */
 export type DeclineReason =
   | 'busy'
+  | 'daemon-stopping'
   | 'doubtful'
   | 'leaving'
   | 'no-instance'
--- a/src/mesh/mesh_daemon.ts
+++ b/src/mesh/mesh_daemon.ts
@@ -24,6 +24,7 @@
 import {Peers} from './peers/peers.js';
 import {PeerServer} from './peers/peer_server.js';
 import {CallerServer} from './router/caller_server.js';
+import {StopDeadline} from '../router/stop_deadline.js';
 import {Dispatcher} from './router/dispatcher.js';
 import {Gates} from './router/gates.js';
 import type {MeshSettings} from './settings.js';
@@ -42,6 +43,8 @@
 const CALLER_DRAIN_MS = 2300;
 /** Part of the stop timeout that is reserved for the exit of the process. */
 const EXIT_MARGIN_MS = 400;
+/** Part of that margin in which the last requests get their answers. */
+const LAST_ANSWERS_MS = 200;
 const IDLE_POLL_MS = 50;
 /** At most this many probes look for the instance after a restart. */
 const MAX_STARTUP_PROBES = 4;
@@ -67,6 +70,7 @@
   readonly #readinessServer: Server;
   readonly #metricsServer: Server;
   #limitsByName: ReadonlyMap<string, Limit> = new Map();
+  readonly #stopDeadline = new StopDeadline();
   #isStopping = false;
   /** The configured address; from `start()` on it has the bound port. */
   #peersAddress: string;
@@ -123,7 +127,13 @@
       address: settings.listen.callers,
       names,
       service,
-      dispatcher: new Dispatcher({gates, repeats, log, metrics}),
+      dispatcher: new Dispatcher({
+        gates,
+        repeats,
+        log,
+        metrics,
+        stop: this.#stopDeadline,
+      }),
       limits,
       repeatCalls: new RepeatCalls({
         repeats,
@@ -185,20 +195,22 @@
   /**
    * Drains and stops: readiness fails and responses close their connection, so
    * that callers leave; peers stop using this gate; in-flight requests may
-   * finish within the stop timeout.
+   * finish within the stop timeout, and are answered when it ends.
    */
   async stop(): Promise<void> {
     const startedAtMs = performance.now();
     const limitMs = this.#options.settings.stopTimeoutS * 1000 - EXIT_MARGIN_MS;
     this.#isStopping = true;
     this.#options.log.belief('daemon-stopping', {limitMs});
+    this.#stopDeadline.begin(limitMs);
     this.gate.stopAdmitting();
     this.#callerServer.drain();
     await sleep(CALLER_DRAIN_MS);
     this.#callerServer.close();
     const isIdle = () =>
       this.#callerServer.openRequests === 0 && this.gate.isIdle;
-    while (!isIdle() && performance.now() - startedAtMs < limitMs) {
+    const endsAtMs = startedAtMs + limitMs + LAST_ANSWERS_MS;
+    while (!isIdle() && performance.now() < endsAtMs) {
       await sleep(IDLE_POLL_MS);
     }
     const open = this.#callerServer.openRequests;
--- a/src/mesh/router/caller_server.ts
+++ b/src/mesh/router/caller_server.ts
@@ -18,11 +18,12 @@
 import type {CallerLimits, Customer, Route} from '../model.js';
 import {readBody} from './caller_body.js';
 import {buildBackendHeaders, buildCallerHeaders} from './caller_headers.js';
-import type {
-  AdmittedRequest,
-  Dispatcher,
-  DispatchFailure,
-  DispatchResult,
+import {
+  STOPPING_WAIT_MS,
+  type AdmittedRequest,
+  type Dispatcher,
+  type DispatchFailure,
+  type DispatchResult,
 } from './dispatcher.js';
 import {REFUSALS, type RefusalName} from './refusals.js';
 import {computeRetryAfterMs} from './retry_after.js';
@@ -104,7 +105,7 @@
     this.#server.on('request', app.handler);
   }
 
-  /** Number of in-flight requests. */
+  /** Number of requests whose response has not been sent completely. */
   get openRequests(): number {
     return this.#openRequests;
   }
@@ -148,12 +149,13 @@
       if (!res.writableFinished) callerAbort.abort(CALLER_DISCONNECTED);
     });
     this.#openRequests += 1;
+    res.on('close', () => {
+      this.#openRequests -= 1;
+    });
     try {
       await this.#processRequest(context, callerAbort.signal);
     } catch (err) {
       this.#refuse(context, {name: 'internal', detail: reasonOf(err)});
-    } finally {
-      this.#openRequests -= 1;
     }
   }
 
@@ -179,6 +181,9 @@
     if (context.id === '') {
       return this.#refuse(context, {name: 'request-id-missing'});
     }
+    if (!this.#options.dispatcher.canFinish(route)) {
+      return this.#refuseStopping(context);
+    }
     const body = await readBody(req, this.#maxBodyBytes);
     if (body.kind === 'too-large') {
       return this.#refuse(context, {name: 'body-too-large'});
@@ -222,6 +227,13 @@
     return table.findCustomer(key) ?? 'key-unknown';
   }
 
+  /** Refuses a request that could not end before the daemon does. */
+  #refuseStopping(context: RequestContext): void {
+    const leftMs = this.#remainingMs(context);
+    const retryAfterMs = computeRetryAfterMs(STOPPING_WAIT_MS, leftMs);
+    this.#refuse(context, {name: 'stopping', retryAfterMs});
+  }
+
   /** Takes a token of the customer's rate; refuses the request without one. */
   async #takeRateToken(
     context: RequestContext,
@@ -358,6 +370,7 @@
   'no-instance': 'no-instance',
   leaving: 'no-instance',
   stopping: 'no-instance',
+  'daemon-stopping': 'stopping',
   silent: 'no-instance',
 };
 
--- a/src/mesh/router/dispatcher.ts
+++ b/src/mesh/router/dispatcher.ts
@@ -11,10 +11,17 @@
  * health checks pass.
  */
 import type {DecisionLog} from '../../log/decision_log.js';
-import type {Answered, Declined, Outcome, Work} from '../gate/work.js';
+import {
+  declined,
+  type Answered,
+  type Declined,
+  type Outcome,
+  type Work,
+} from '../gate/work.js';
 import type {RepeatBudget} from '../limits/repeat_budget.js';
 import type {MeshMetrics} from '../mesh_metrics.js';
 import type {Route} from '../model.js';
+import type {StopDeadline} from '../../router/stop_deadline.js';
 import type {Gates, GateCandidate} from './gates.js';
 import {findSlot, type FoundSlot} from './slot_search.js';
 
@@ -51,6 +58,7 @@
 export interface DispatcherOptions {
   readonly gates: Gates;
   readonly repeats: Pick<RepeatBudget, 'countRequest' | 'take'>;
+  readonly stop: StopDeadline;
   readonly log: DecisionLog;
   readonly metrics: MeshMetrics;
 }
@@ -60,17 +68,30 @@
 /** Pause until a slot for a repeat is searched for again. */
 const REPEAT_SEARCH_PAUSE_MS = 60;
 
+/**
+ * When to retry a request that is refused because of a planned stop: after two
+ * polls of readiness, a second apart, callers are sent to other VMs.
+ */
+export const STOPPING_WAIT_MS = 1000;
+
 /** Abort reasons; constants, since each new `Error` captures a stack trace. */
 const DEADLINE_EXCEEDED = new Error('deadline');
+const TOO_LATE_TO_START = new Error('the daemon stops before it could end');
 const ANSWERED_ELSEWHERE = new Error('another instance answered first');
 
 export class Dispatcher {
   readonly #options: DispatcherOptions;
+  readonly #usualTimes = new UsualTimes();
 
   constructor(options: DispatcherOptions) {
     this.#options = options;
   }
 
+  /** Whether a request on a route can end before a planned stop does. */
+  canFinish(route: Route): boolean {
+    return this.#options.stop.allows(this.#usualTimes.usualMs(route));
+  }
+
   /** Dispatches a request until it succeeds, fails, or is aborted. */
   async serve(request: AdmittedRequest): Promise<DispatchResult> {
     this.#options.repeats.countRequest(request.service);
@@ -84,9 +105,12 @@
       abortController.abort(request.callerSignal.reason);
     request.callerSignal.addEventListener('abort', onCallerAbort, {once: true});
     if (request.callerSignal.aborted) onCallerAbort();
+    const {stop} = this.#options;
+    const onStopEnd = () => abortController.abort(DEADLINE_EXCEEDED);
+    stop.signal.addEventListener('abort', onStopEnd, {once: true});
     const dispatch = new Dispatch(
       request,
-      this.#options,
+      {...this.#options, usualTimes: this.#usualTimes},
       abortController.signal,
     );
     try {
@@ -96,10 +120,26 @@
     } finally {
       clearTimeout(timer);
       request.callerSignal.removeEventListener('abort', onCallerAbort);
+      stop.signal.removeEventListener('abort', onStopEnd);
     }
   }
 }
 
+/** How long requests on each route usually take once they are sent. */
+class UsualTimes {
+  readonly #msByRoute = new Map<string, number>();
+
+  /** Records what a gate reported for the route. */
+  record({name}: Route, usualMs: number): void {
+    this.#msByRoute.set(name, usualMs);
+  }
+
+  /** The objective until a gate has reported. */
+  usualMs({name, objectiveMs}: Route): number {
+    return this.#msByRoute.get(name) ?? objectiveMs;
+  }
+}
+
 /** One attempt: the request at one instance. */
 interface Attempt {
   readonly found: FoundSlot;
@@ -116,10 +156,14 @@
     }
   | {readonly kind: 'late'};
 
+interface DispatchOptions extends DispatcherOptions {
+  readonly usualTimes: UsualTimes;
+}
+
 /** The state of one request while it is dispatched. */
 class Dispatch {
   readonly #request: AdmittedRequest;
-  readonly #options: DispatcherOptions;
+  readonly #options: DispatchOptions;
   readonly #signal: AbortSignal;
   readonly #excluded = new Set<string>();
   #attemptCount = 0;
@@ -128,7 +172,7 @@
 
   constructor(
     request: AdmittedRequest,
-    options: DispatcherOptions,
+    options: DispatchOptions,
     signal: AbortSignal,
   ) {
     this.#request = request;
@@ -235,7 +279,36 @@
     return isGranted;
   }
 
-  #findSlot(mayWait: boolean): Promise<FoundSlot | Declined> {
+  /** Searches for a slot, as long as the request could still be executed. */
+  async #findSlot(mayWait: boolean): Promise<FoundSlot | Declined> {
+    const {stop, usualTimes} = this.#options;
+    const {route} = this.#request;
+    const search = new AbortController();
+    const onAbort = () => search.abort(this.#signal.reason);
+    this.#signal.addEventListener('abort', onAbort, {once: true});
+    if (this.#signal.aborted) onAbort();
+    const unwatch = stop.watch(usualTimes.usualMs(route), () =>
+      search.abort(TOO_LATE_TO_START),
+    );
+    try {
+      const found = await this.#searchSlot(mayWait, search.signal);
+      if (search.signal.reason === TOO_LATE_TO_START) {
+        if (found.kind === 'found') found.reservation.release();
+        return declined('daemon-stopping', STOPPING_WAIT_MS);
+      }
+      if (found.kind === 'declined') return found;
+      usualTimes.record(route, found.reservation.lateAfterMs);
+      return found;
+    } finally {
+      unwatch();
+      this.#signal.removeEventListener('abort', onAbort);
+    }
+  }
+
+  #searchSlot(
+    mayWait: boolean,
+    signal: AbortSignal,
+  ): Promise<FoundSlot | Declined> {
     const {id, route, service, priority, deadlineAtMs} = this.#request;
     return findSlot(this.#options.gates, {
       requestId: id,
@@ -248,7 +321,7 @@
       excluded: this.#excluded,
       deadlineAtMs,
       mayWait,
-      signal: this.#signal,
+      signal,
     });
   }
 
--- a/src/mesh/router/refusals.ts
+++ b/src/mesh/router/refusals.ts
@@ -24,6 +24,7 @@
     ran: 'no',
   },
   'no-instance': {status: 503, title: 'No instance is there', ran: 'no'},
+  stopping: {status: 503, title: 'This daemon is stopping', ran: 'no'},
   'not-run': {status: 503, title: 'The instances turned it away', ran: 'no'},
   deadline: {status: 503, title: 'No slot came free in time', ran: 'no'},
   timeout: {status: 504, title: 'No answer came in time', ran: 'unknown'},
--- /dev/null
+++ b/src/router/stop_deadline.ts
@@ -0,0 +1,62 @@
+/**
+ * The end of a planned stop, after which the process is killed. A request is
+ * started only if it can be expected to end before; one that waits is refused
+ * as soon as it can't.
+ */
+
+/** A request that has not been sent, and what to do if it never can be. */
+interface Waiter {
+  readonly expectedMs: number;
+  readonly onTooLate: () => void;
+  timer?: NodeJS.Timeout;
+}
+
+/** Decides which requests a stopping daemon still starts. */
+export class StopDeadline {
+  readonly #now: () => number;
+  readonly #waiters = new Set<Waiter>();
+  readonly #end = new AbortController();
+  #endsAtMs = Infinity;
+
+  /** `now` is a monotonic clock in milliseconds. */
+  constructor(now: () => number = () => performance.now()) {
+    this.#now = now;
+  }
+
+  /** Aborted when the time is up; requests in flight need an answer then. */
+  get signal(): AbortSignal {
+    return this.#end.signal;
+  }
+
+  /** Begins the stop, which may take `durationMs`. */
+  begin(durationMs: number): void {
+    this.#endsAtMs = this.#now() + durationMs;
+    this.#waiters.forEach(waiter => this.#schedule(waiter));
+    setTimeout(() => this.#end.abort(new Error('stopping')), durationMs);
+  }
+
+  /** Whether a request that takes `expectedMs` from now on ends in time. */
+  allows(expectedMs: number): boolean {
+    return this.#now() + expectedMs <= this.#endsAtMs;
+  }
+
+  /**
+   * Calls `onTooLate` when a request that takes `expectedMs` can't end in time
+   * any more. Returns a function that ends the watch.
+   */
+  watch(expectedMs: number, onTooLate: () => void): () => void {
+    const waiter: Waiter = {expectedMs, onTooLate};
+    this.#waiters.add(waiter);
+    if (this.#endsAtMs !== Infinity) this.#schedule(waiter);
+    return () => {
+      clearTimeout(waiter.timer);
+      this.#waiters.delete(waiter);
+    };
+  }
+
+  #schedule(waiter: Waiter): void {
+    const latestAtMs = this.#endsAtMs - waiter.expectedMs;
+    const waitMs = Math.max(0, latestAtMs - this.#now());
+    waiter.timer = setTimeout(waiter.onTooLate, waitMs);
+  }
+}
