Answer every request before the stop timeout of a daemon ends

Cause: a stopping daemon of the own fleet took requests on open connections whatever time was left, and exited with open requests cut when its stop timeout was over.

Change: the router uses StopDeadline too. A request that usually takes longer than what is left is refused as not run; 500 ms before the stop timeout ends, requests in flight are answered as unknown. An unknown outcome that was cancelled is no longer reported as not run.

Ruled out: the drain of kept connections, which awaits open responses.

--- a/features/leaving.feature
+++ b/features/leaving.feature
@@ -42,6 +42,20 @@
     And daemon "m" gets SIGTERM
     Then some slow request or upload is cut
 
+  # Guards against requests that are taken late in a stop and cut at its end.
+  Scenario: A request that is in flight when the stop timeout ends gets an answer
+    Given daemon "s" has a stop timeout of 3000 ms
+    When a request that takes 8000 ms is in flight at daemon "s"
+    And daemon "s" gets SIGTERM
+    Then that request is answered with 504 and ran "unknown"
+
+  Scenario: A request that could not end before the stop timeout does is refused at once
+    Given daemon "s" has a stop timeout of 2000 ms
+    When daemon "s" gets SIGTERM
+    And 800 ms later a request is sent to daemon "s"
+    Then that request is answered with 503 and ran "no"
+    And it ran at no instance
+
   Scenario: A rolling restart of all daemons loses no request
     Given "can-tho" keeps posting to "/desk/run"
     When all daemons are restarted one after the other
--- a/features/steps/leaving_steps.ts
+++ b/features/steps/leaving_steps.ts
@@ -15,6 +15,7 @@
 const postings = new WeakMap<World, PostingCallers>();
 const runCounts = new WeakMap<World, number>();
 const slowStatuses = new WeakMap<World, Promise<readonly number[]>>();
+const lateAnswers = new WeakMap<World, Promise<CallerAnswer>>();
 const exits = new WeakMap<World, Promise<number | null>>();
 
 async function countRuns(world: World, instance: string): Promise<number> {
@@ -155,6 +156,69 @@
   assert.ok(statuses.includes(0), String(statuses));
 });
 
+Given(
+  'daemon {string} has a stop timeout of {int} ms',
+  async function (this: World, id: string, stopTimeoutMs: number) {
+    const failureDomain = 'domain-1';
+    const settings = {limits: {stopTimeoutMs}};
+    await this.fleet.startDaemon({id, failureDomain, settings});
+    const headers = {'x-api-key': [...this.keys.values()][0] ?? ''};
+    await until(
+      `${id} serves`,
+      async () => {
+        const answer = await this.request(id, '/desk/ready', {headers});
+        return answer.status === 200;
+      },
+      SETTLE_MS,
+    );
+  },
+);
+
+function postLate(world: World, daemon: string, workMs?: number): void {
+  const headers = {
+    'x-api-key': [...world.keys.values()][0] ?? '',
+    ...(workMs === undefined ? {} : {'x-work-ms': String(workMs)}),
+  };
+  const init = {method: 'POST', headers, body: 'x'};
+  lateAnswers.set(world, world.request(daemon, '/desk/late', init));
+}
+
+async function lateRuns(world: World): Promise<number> {
+  const runs = await runsOfAll(world);
+  return runs.filter(({path}) => path === '/desk/late').length;
+}
+
+When(
+  'a request that takes {int} ms is in flight at daemon {string}',
+  async function (this: World, workMs: number, daemon: string) {
+    postLate(this, daemon, workMs);
+    const isRunning = async () => (await lateRuns(this)) === 1;
+    await until('the request runs', isRunning, SETTLE_MS);
+  },
+);
+
+When(
+  '{int} ms later a request is sent to daemon {string}',
+  async function (this: World, ms: number, daemon: string) {
+    await sleep(ms);
+    postLate(this, daemon);
+  },
+);
+
+Then(
+  'that request is answered with {int} and ran {string}',
+  async function (this: World, status: number, ran: string) {
+    const answer = await lateAnswers.get(this);
+    assert.equal(answer?.status, status, answer?.text);
+    const problem = JSON.parse(answer?.text ?? '') as {readonly ran: string};
+    assert.equal(problem.ran, ran);
+  },
+);
+
+Then('it ran at no instance', async function (this: World) {
+  assert.equal(await lateRuns(this), 0);
+});
+
 Then(
   'daemon {string} has exited with code {int}',
   async function (this: World, _id: string, code: number) {
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -12,6 +12,9 @@
 /** Time for other daemons to learn that this daemon is leaving. */
 const LEAVE_NOTICE_MS = 1500;
 
+/** Part of the stop timeout in which the last requests get their answers. */
+const LAST_ANSWERS_MS = 500;
+
 /** One daemon. */
 export class Daemon {
   readonly #options: ConnectOptions;
@@ -53,7 +56,8 @@
     if (!parts) return;
     this.#options.log.info('Leaving.');
     parts.gate.refuseRenewals();
-    this.#router?.drain();
+    const {stopTimeoutMs} = this.#options.settings.limits;
+    this.#router?.drain(Math.max(0, stopTimeoutMs - LAST_ANSWERS_MS));
     parts.membership.update({state: 'leaving'});
     await new Promise(resolve => setTimeout(resolve, LEAVE_NOTICE_MS));
     await this.#servers.drainCallers();
--- a/src/router/create_work.ts
+++ b/src/router/create_work.ts
@@ -25,18 +25,25 @@
   'DELETE',
 ]);
 
-/** Creates the work; its signal aborts when the caller disconnects. */
+/**
+ * Creates the work; its signal aborts when the caller disconnects, and with
+ * `stopSignal`.
+ */
 export function createWork(
   req: IncomingMessage,
   res: ServerResponse,
   detail: WorkDetails,
+  stopSignal: AbortSignal,
 ): Work {
   const {requestId, route, customer, key, deadlineAtMs, token, body} = detail;
-  const callerGone = new AbortController();
+  const cancellation = new AbortController();
+  const cancel = () => cancellation.abort();
+  stopSignal.addEventListener('abort', cancel, {once: true});
   res.on('close', () => {
-    if (!res.writableFinished) callerGone.abort();
+    stopSignal.removeEventListener('abort', cancel);
+    if (!res.writableFinished) cancel();
   });
-  if (res.destroyed) callerGone.abort();
+  if (res.destroyed || stopSignal.aborted) cancel();
   const method = req.method ?? 'GET';
   const leftMs = deadlineAtMs - performance.now();
   return {
@@ -55,7 +62,7 @@
     idempotent: isIdempotent(route, method),
     deadlineAtMs,
     token,
-    signal: callerGone.signal,
+    signal: cancellation.signal,
   };
 }
 
--- a/src/router/hedged_sender.ts
+++ b/src/router/hedged_sender.ts
@@ -136,6 +136,11 @@
     RECORDER_BY_REASON[outcome.reason]?.(records, memberId, service);
   }
 
+  /** The usual latency of a service; undefined while it isn't known. */
+  usualMs(service: string): number | undefined {
+    return this.#latencies.get(service)?.value;
+  }
+
   #hedgeDelayMs(service: string): number {
     const percentileMs = this.#latencyFor(service).value;
     if (percentileMs === undefined) return HEDGE_DELAY_MAX_MS;
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -7,7 +7,7 @@
  */
 import {randomUUID} from 'node:crypto';
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import type {Customer} from '../configuration/records.js';
+import type {Customer, Route} from '../configuration/records.js';
 import type {Tables} from '../configuration/tables.js';
 import {reasonOf} from '../errors/failure.js';
 import type {Answered, NotRun, Outcome, Unknown, Work} from '../gate/work.js';
@@ -34,6 +34,7 @@
 import {refuse, type RefusalDetail, type RefusalName} from './refusals.js';
 import {isSupported, parseTarget} from './request_target.js';
 import {createWork} from './create_work.js';
+import {StopDeadline} from './stop_deadline.js';
 
 /** Options of {@link Router}. */
 export interface RouterOptions {
@@ -50,10 +51,8 @@
   readonly metrics: Metrics;
 }
 
-/** The refusal for a caller if the last attempt brought no answer. */
-const REFUSAL_BY_REASON: Readonly<
-  Record<(NotRun | Unknown)['reason'], RefusalName>
-> = {
+/** The refusal for a caller whose request did not run. */
+const NOT_RUN_REFUSALS: Readonly<Record<NotRun['reason'], RefusalName>> = {
   'no-instance': 'no-instance',
   busy: 'busy',
   draining: 'busy',
@@ -61,8 +60,13 @@
   deadline: 'deadline',
   cancelled: 'busy',
   'token-expired': 'busy',
+};
+
+/** The refusal for a caller whose request may have run. */
+const UNKNOWN_REFUSALS: Readonly<Record<Unknown['reason'], RefusalName>> = {
   'connection-lost': 'connection-lost',
   timeout: 'timeout',
+  cancelled: 'timeout',
 };
 
 const RETRY_AFTER_MS = 1000;
@@ -80,15 +84,20 @@
 /** The router of one daemon. */
 export class Router {
   readonly #options: RouterOptions;
+  readonly #stop = new StopDeadline();
   #isDraining = false;
 
   constructor(options: RouterOptions) {
     this.#options = options;
   }
 
-  /** Makes every answer from now on close its connection. */
-  drain(): void {
+  /**
+   * Makes every answer from now on close its connection. After `leftMs` the
+   * requests that are still in flight are answered as unknown.
+   */
+  drain(leftMs: number): void {
     this.#isDraining = true;
+    this.#stop.begin(leftMs);
   }
 
   /** Serves one caller's request; never throws. */
@@ -118,6 +127,9 @@
     const access = this.#checkAccess(req);
     if (!access.granted) return this.#refuseAccess(ctx, access);
     const {route, customer} = access;
+    if (!this.#stop.allows(this.#usualMs(route))) {
+      return ctx.refuse('stopping', {retryAfterMs: RETRY_AFTER_MS});
+    }
     const deadlineAtMs = arrivedAtMs + route.deadlineMs;
     const received = await receiveBody(req, deadlineAtMs);
     if ('failure' in received) return ctx.refuse(received.failure);
@@ -138,7 +150,15 @@
     const token =
       admission && this.#guardToken(admission.token, req, admissionTables);
     const detail = {requestId, route, customer, key, body, deadlineAtMs, token};
-    await this.#claimAndRun(ctx, createWork(req, res, detail), access);
+    const work = createWork(req, res, detail, this.#stop.signal);
+    await this.#claimAndRun(ctx, work, access);
+  }
+
+  /** How long a request on a route usually takes. */
+  #usualMs({service, deadlineMs}: Route): number {
+    const {hedgedSender, tables} = this.#options;
+    const objectiveMs = tables().service(service)?.objectiveLatencyMs;
+    return hedgedSender.usualMs(service) ?? objectiveMs ?? deadlineMs;
   }
 
   #checkAccess(req: IncomingMessage): AccessGranted | AccessDenied {
@@ -246,11 +266,14 @@
   async #respond(ctx: RequestContext, outcome: Outcome): Promise<void> {
     if (outcome.kind === 'answered') return this.#sendAnswer(ctx, outcome);
     if (ctx.res.destroyed) return;
-    const retryAfterMs =
-      outcome.kind === 'not-run'
-        ? (outcome.retryAfterMs ?? RETRY_AFTER_MS)
-        : undefined;
-    ctx.refuse(REFUSAL_BY_REASON[outcome.reason], {retryAfterMs});
+    if (outcome.kind === 'unknown') {
+      return ctx.refuse(UNKNOWN_REFUSALS[outcome.reason]);
+    }
+    const {retryAfterMs = RETRY_AFTER_MS, reason} = outcome;
+    const isStopped = this.#stop.signal.aborted && reason === 'cancelled';
+    ctx.refuse(isStopped ? 'stopping' : NOT_RUN_REFUSALS[reason], {
+      retryAfterMs,
+    });
   }
 
   async #sendAnswer({res}: RequestContext, answer: Answered): Promise<void> {
--- a/src/router/stop_deadline.ts
+++ b/src/router/stop_deadline.ts
@@ -3,6 +3,7 @@
  * started only if it can be expected to end before; one that waits is refused
  * as soon as it can't.
  */
+import {setMaxListeners} from 'node:events';
 
 /** A request that has not been sent, and what to do if it never can be. */
 interface Waiter {
@@ -21,6 +22,8 @@
   /** `now` is a monotonic clock in milliseconds. */
   constructor(now: () => number = () => performance.now()) {
     this.#now = now;
+    // Every request in flight listens.
+    setMaxListeners(0, this.#end.signal);
   }
 
   /** Aborted when the time is up; requests in flight need an answer then. */
