Give test daemons ports that the system assigns to no other socket

Cause: the fleet of the tests took its ports from the range that the system assigns from, so another socket could get the port of a daemon that was down, and its restart failed with EADDRINUSE (seen once).

Change: ports below net.ipv4.ip_local_port_range, checked to be free.

Ruled out: a retry in the daemon, which would hide a port conflict from operators and not end it.

--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -38,6 +38,11 @@
     And revision 2 is in force everywhere within 12 s
     And the audit lists the change once
 
+  # Guards the tests: a port that the system assigns may be taken meanwhile.
+  Scenario: A daemon that is down keeps its ports
+    Given the ports of daemon "d1"
+    Then the system assigns none of them to another socket
+
   Scenario: A store that serves stale reads reverts nothing
     Given the store serves stale reads from now on
     When an operator sets "ratePerSecond=70" of "can-tho" through daemon "d1"
--- a/features/steps/configuration_steps.ts
+++ b/features/steps/configuration_steps.ts
@@ -2,6 +2,7 @@
 import {After, Given, Then, When} from '@cucumber/cucumber';
 import assert from 'node:assert/strict';
 import {OPERATOR_TOKEN, until, type CommandResult} from '../support/fleet.js';
+import {firstAssignedPort} from '../support/ports.js';
 import {RevisionLog} from '../support/revision_log.js';
 import type {World} from '../support/world.js';
 
@@ -262,3 +263,25 @@
     );
   },
 );
+
+const daemonPorts = new WeakMap<World, readonly number[]>();
+
+Given('the ports of daemon {string}', function (this: World, id: string) {
+  const {addresses} = this.fleet.daemon(id);
+  const ports = Object.values(addresses).map(address =>
+    Number(String(address).split(':')[1]),
+  );
+  daemonPorts.set(this, ports);
+});
+
+Then(
+  'the system assigns none of them to another socket',
+  function (this: World) {
+    const ports = daemonPorts.get(this) ?? [];
+    assert.equal(ports.length, 4);
+    assert.deepEqual(
+      ports.filter(port => port >= firstAssignedPort()),
+      [],
+    );
+  },
+);
--- a/features/support/fleet.ts
+++ b/features/support/fleet.ts
@@ -8,6 +8,7 @@
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {freeAddress} from './ports.js';
 import {Network} from './network.js';
 import {TestProcess} from './process.js';
 
@@ -305,14 +306,18 @@
   }
 
   async #settingsFor(plan: DaemonPlan): Promise<Record<string, unknown>> {
-    const any = '127.0.0.1:0';
     return {
       daemon: {
         id: plan.id,
         region: plan.region ?? 'region-1',
         failureDomain: plan.failureDomain,
       },
-      listen: {callers: any, administration: any, instances: any, peers: any},
+      listen: {
+        callers: await freeAddress(),
+        administration: await freeAddress(),
+        instances: await freeAddress(),
+        peers: await freeAddress(),
+      },
       ...(await this.#reachFor(plan.id)),
       administration: {
         credentials: [
