Make few calls to the store when a daemon starts

Cause: more than half of a daemon's calls to the store came from its first seconds: four full reads of the list, and a read of the configuration every 0.4 s until the operators had written one.

Change: the configuration is read once, as a range, which also returns the revision to watch from while there is none. The list is read in full once, right after the registration: of two daemons the later one finds the other and connects to it. Later reads may be stale; a new registration asks for another full read.

Ruled out: longer leases, because their renewals also notice an outage in which watches were lost; stale first reads, which may miss daemons for seconds.

--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -72,6 +72,20 @@
     Then version 3 is in force within 1000 ms
     And the log has one rejected configuration
 
+  # Guards against a cost for the store that grows with the time until the
+  # operators write a configuration, and with the size of the fleet.
+  Scenario: A daemon makes few calls to the store when it starts
+    Given the platform's store without a configuration
+    When a daemon has followed the store for 2500 ms
+    And the operators write version 1
+    Then version 1 is in force within 1000 ms
+    And the calls to the store were 1 lease, 1 write, 1 read and 2 watches of the configuration, and 1 list that is not stale
+
+  Scenario: Of two daemons that register, the later one finds the earlier
+    Given the platform's store with version 1
+    When 6 daemons register at the same time
+    Then of each two of them one finds the other within 1000 ms
+
   Scenario: A daemon that withdraws isn't listed again
     Given the platform's store with version 1
     And a daemon that is listed
--- a/features/steps/platform_adapter_steps.ts
+++ b/features/steps/platform_adapter_steps.ts
@@ -14,7 +14,7 @@
 import type {DecisionLog} from '../../src/log/decision_log.js';
 import {ConfigurationTracker} from '../../src/mesh/configuration/configuration_tracker.js';
 import {MeshMetrics} from '../../src/mesh/mesh_metrics.js';
-import type {FleetConfiguration} from '../../src/mesh/model.js';
+import type {FleetConfiguration, Vm} from '../../src/mesh/model.js';
 import {Peers} from '../../src/mesh/peers/peers.js';
 import {until} from '../support/fleet.js';
 import {documentOf, HEARTBEAT} from '../support/platform_documents.js';
@@ -33,6 +33,11 @@
 }
 
 const states = new WeakMap<object, AdapterState>();
+/** The ids that each of several daemons found in the list. */
+const foundBy = new WeakMap<
+  object,
+  readonly {readonly id: string; readonly found: ReadonlySet<string>}[]
+>();
 /** A lease is renewed every 3 s. */
 const RENEWAL_DUE_MS = 3500;
 const VM_KEY_PREFIX = 'chicorycourse/vms/';
@@ -151,8 +156,97 @@
   },
 );
 
+Given("the platform's store without a configuration", async function () {
+  const state = stateOf(this);
+  state.address = await state.store.start();
+});
+
+When(
+  'a daemon has followed the store for {int} ms',
+  async function (ms: number) {
+    startFollowing(stateOf(this));
+    // The absence of calls can only be checked after a delay.
+    await sleep(ms);
+  },
+);
+
+Then(
+  'the calls to the store were {int} lease, {int} write, {int} read and {int} watches of the configuration, and {int} list that is not stale',
+  function (
+    leases: number,
+    writes: number,
+    reads: number,
+    watches: number,
+    lists: number,
+  ) {
+    const {calls} = stateOf(this).store;
+    const count = (operation: string, prefix = '') =>
+      calls.filter(
+        call =>
+          call.operation === operation &&
+          call.prefix === prefix &&
+          !call.isStale,
+      ).length;
+    assert.deepEqual(
+      [
+        count('kv-lease'),
+        count('kv-txn'),
+        count('kv-range', CONFIGURATION_KEY),
+        count('kv-watch', CONFIGURATION_KEY),
+        count('kv-range', VM_KEY_PREFIX),
+      ],
+      [leases, writes, reads, watches, lists],
+      JSON.stringify(calls),
+    );
+  },
+);
+
+When('{int} daemons register at the same time', function (count: number) {
+  const {address, log, end} = stateOf(this);
+  const numbers = Array.from({length: count}, (_, index) => index);
+  foundBy.set(
+    this,
+    numbers.map(index => {
+      const id = `vm-${index}`;
+      const self = {id, address: `127.0.0.1:${index + 1}`, failureDomain: 'a'};
+      const found = new Set<string>();
+      const registry = new VmRegistry({
+        store: new StoreClient(address, new MeshMetrics()),
+        peers: {
+          applyList: (vms: readonly Vm[]) =>
+            vms.forEach(vm => found.add(vm.id)),
+        },
+        self,
+        log,
+        onStoreRegained: () => undefined,
+      });
+      void registry.run(end.signal);
+      return {id, found};
+    }),
+  );
+});
+
+Then(
+  'of each two of them one finds the other within {int} ms',
+  async function (withinMs: number) {
+    const all = foundBy.get(this) ?? [];
+    assert.ok(all.length > 1);
+    const isComplete = () =>
+      all.every(a =>
+        all.every(b => a === b || a.found.has(b.id) || b.found.has(a.id)),
+      );
+    await until('each pair is found', isComplete, withinMs);
+  },
+);
+
 Given('a daemon that follows the store', async function () {
-  const {address, tracker, log, end} = stateOf(this);
+  const state = stateOf(this);
+  startFollowing(state);
+  await until('version 1', () => state.tracker.version === 1, 2000);
+});
+
+function startFollowing(state: AdapterState): void {
+  const {address, tracker, log, end} = state;
   const client = new StoreClient(address, new MeshMetrics());
   const source = new ConfigurationSource(client, tracker, log);
   const self = {id: 'vm-1', address: '127.0.0.1:9', failureDomain: 'a'};
@@ -161,8 +255,7 @@
   const options = {store: client, peers, self, log, onStoreRegained};
   void source.run(end.signal);
   void new VmRegistry(options).run(end.signal);
-  await until('version 1', () => tracker.version === 1, 2000);
-});
+}
 
 Given('a daemon that is listed', async function () {
   const {address, log, end, store} = stateOf(this);
--- a/features/support/platform_store.ts
+++ b/features/support/platform_store.ts
@@ -22,6 +22,13 @@
   readonly Lease?: number;
 }
 
+/** One call to the store. */
+export interface StoreCall {
+  readonly operation: string;
+  readonly prefix: string;
+  readonly isStale: boolean;
+}
+
 type Handler = (
   url: URL,
   body: string,
@@ -39,6 +46,8 @@
   isSilent = false;
   /** Number of reads of one item and of watches. */
   reads = 0;
+  /** Every call so far, with the range that it was about. */
+  readonly calls: StoreCall[] = [];
   readonly #items = new Map<string, Item>();
   readonly #leases = new Set<number>();
   #revision = 1;
@@ -47,11 +56,6 @@
   readonly #server = createServer((req, res) => void this.#serve(req, res));
 
   readonly #handlers: Readonly<Record<string, Handler>> = {
-    'GET /kv-key': (url, _, res) => {
-      const item = this.#items.get(url.searchParams.get('Key') ?? '');
-      if (item) send(res, 200, {...item, AsOf: this.#revision});
-      else send(res, 404, {});
-    },
     'GET /kv-range': (url, _, res) => {
       const items = this.#itemsUnder(url.searchParams.get('PathPrefix') ?? '');
       send(res, 200, {items, HasMore: false, AsOf: this.#revision});
@@ -130,7 +134,11 @@
     for await (const chunk of req as AsyncIterable<Buffer>) chunks.push(chunk);
     const url = new URL(req.url ?? '/', 'http://store');
     const [, call] = url.pathname.split('/');
-    if (call === 'kv-key' || call === 'kv-watch') this.reads += 1;
+    const prefix = url.searchParams.get('PathPrefix') ?? '';
+    const isStale = url.searchParams.has('AllowStale');
+    this.calls.push({operation: call ?? '', prefix, isStale});
+    const isOneItem = call === 'kv-range' && this.#items.has(prefix);
+    if (isOneItem || call === 'kv-watch') this.reads += 1;
     const handle = this.#handlers[`${req.method} /${call}`];
     if (this.isSilent) return;
     if (this.isUnavailable) return void res.writeHead(503).end();
