--- a/features/header_fields.feature
+++ b/features/header_fields.feature
@@ -37,6 +37,14 @@
       | an upgrade and a faulty name     | GET / HTTP/1.1\r\nHost: a\r\nConnection: upgrade\r\nUpgrade: websocket\r\nX-Bad : 1\r\n\r\n          | 400    | 0       |
       | an expectation and a faulty name | POST / HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 1\r\nX-Bad : 1\r\n\r\n         | 400    | 0       |
 
+  # Names and values from a fixed seed, each with one character that is not
+  # allowed there.
+  Scenario: A server refuses generated fields that are not valid
+    Given a strict server
+    When it gets 300 requests with a generated faulty field
+    Then each is refused with 400 or its connection is closed
+    And its handlers got 0 requests
+
   # The handler gets such a request, and never the end of its body.
   Scenario Outline: A server completes no body whose chunks have <fault>
     Given a strict server
--- a/features/steps/header_field_steps.ts
+++ b/features/steps/header_field_steps.ts
@@ -1,6 +1,8 @@
 /** Steps that send faulty header fields and chunks to HTTP servers. */
 import assert from 'node:assert/strict';
 import {After, Given, Then, When} from '@cucumber/cucumber';
+import fc from 'fast-check';
+import PQueue from 'p-queue';
 import {HeartbeatServer} from '../../platform/heartbeat_server.js';
 import {close, listen} from '../../src/http/listener.js';
 import {StrictServer} from '../../src/http/strict_server.js';
@@ -10,6 +12,7 @@
 import type {World} from '../support/world.js';
 
 const ANY_PORT = '127.0.0.1:0';
+const MAX_CONCURRENT_CONNECTIONS = 20;
 
 interface FieldWorld extends World {
   strictServer?: StrictServer;
@@ -95,6 +98,45 @@
   },
 );
 
+const SEED = 20_264;
+const tokenText = fc.stringMatching(/^[a-z0-9-]{0,8}$/);
+/** Neither allowed in a name nor the end of one. */
+const badInName = fc.constantFrom(...' \t"(),/;<=>?@[]{}\\\u0001\u007f\u00e9');
+/** Without LF, which ends the field, and CR, which may be part of a line end. */
+const badInValue = fc.constantFrom(...'\u0000\u0001\u000b\u001f\u007f');
+const faultyField = fc.oneof(
+  fc
+    .tuple(tokenText, badInName, tokenText)
+    .map(([before, bad, after]) => `x${before}${bad}${after}: 1`),
+  fc
+    .tuple(tokenText, badInValue, tokenText)
+    .map(([before, bad, after]) => `x-value: a${before}${bad}${after}b`),
+);
+
+When(
+  'it gets {int} requests with a generated faulty field',
+  async function (this: FieldWorld, count: number) {
+    const fields = fc.sample(faultyField, {seed: SEED, numRuns: count});
+    const queue = new PQueue({concurrency: MAX_CONCURRENT_CONNECTIONS});
+    this.rawAnswers = await queue.addAll(
+      fields.map(field => () => {
+        const bytes = `GET / HTTP/1.1\r\nHost: a\r\n${field}\r\n\r\n`;
+        return sendRawBytes(this.address ?? '', bytes, isCompleteHead);
+      }),
+    );
+  },
+);
+
+Then(
+  'each is refused with 400 or its connection is closed',
+  function (this: FieldWorld) {
+    const accepted = this.rawAnswers?.filter(
+      answer => answer !== '' && !answer.startsWith('HTTP/1.1 400 '),
+    );
+    assert.deepEqual(accepted, []);
+  },
+);
+
 Then('it completed no body', function (this: FieldWorld) {
   assert.deepEqual(this.bodies, []);
 });
