Tell a suspected member of the claim in every ping

Cause: a claim that a member failed is gossiped a few times only, three in a fleet of four. If none of these messages reaches the member in time, as when it is paused, it can't refute the claim and is declared dead although it answers again.

Change: pings to a suspected or dead member, and replies to its own pings, always carry the claim (the buddy system of Lifeguard), so that it refutes within one round of pings after it resumes.

Ruled out: a longer suspicion timeout, which delays the removal of crashed members by as much.

Before: the new scenario of membership.feature failed (the reply was empty). After: it passes.

--- a/features/membership.feature
+++ b/features/membership.feature
@@ -20,6 +20,14 @@
     When daemon "d3" is paused for 3 s
     Then daemons "d1 d2 d4" list exactly "d1 d2 d3 d4" for 5 s
 
+  # Guards against a claim whose gossip ends before the daemon can hear it, as
+  # when that daemon is paused.
+  Scenario: A daemon that pings another is told that it is suspected
+    Given a member "a" whose gossip about the suspected "b" has ended
+    When "b" pings it
+    Then the reply says that "b" is suspected
+    And its pings to "b" say so too
+
   Scenario: An isolated daemon is removed and rejoins once it is connected again
     When "d4" is cut off from all other daemons
     Then daemons "d1 d2 d3" list exactly "d1 d2 d3" within 15 s
--- a/src/member/failure_detector.ts
+++ b/src/member/failure_detector.ts
@@ -82,7 +82,9 @@
 
   async #ping(target: MemberRecord): Promise<boolean> {
     const {links, view, queue} = this.#options;
-    const body = {from: view.self, updates: queue.take()};
+    // The queue may have stopped sending a claim before its subject got it.
+    const updates = [...view.claimsAbout(target.id), ...queue.take()];
+    const body = {from: view.self, updates};
     const timeoutMs = PING_TIMEOUT_MS * this.#timeoutFactor;
     try {
       const reply = await links.call(
--- a/src/member/membership.ts
+++ b/src/member/membership.ts
@@ -116,7 +116,8 @@
     links.handle('member.ping', body => {
       const from = {status: 'alive' as const, record: body.from};
       this.#queue.add(this.#view.merge([from, ...body.updates]));
-      return {updates: this.#queue.take()};
+      const claims = this.#view.claimsAbout(body.from.id);
+      return {updates: [...claims, ...this.#queue.take()]};
     });
     links.handle('member.pingFor', async ({address}) => {
       const reached = await this.#canReach(address);
--- a/src/member/view.ts
+++ b/src/member/view.ts
@@ -64,6 +64,12 @@
     return [...this.#known.values()].filter(known => known.status === status);
   }
 
+  /** The claim that a member failed, which the member itself may refute. */
+  claimsAbout(id: string): readonly MemberUpdate[] {
+    const known = this.#known.get(id);
+    return known ? updatesOf(known).filter(isFailureClaim) : [];
+  }
+
   get(id: string): KnownMember | undefined {
     return this.#known.get(id);
   }
@@ -131,6 +137,10 @@
   }
 }
 
+function isFailureClaim({status}: MemberUpdate): boolean {
+  return status !== 'alive';
+}
+
 interface RecordVersion {
   readonly incarnation: number;
   readonly version: number;
