--- a/features/mesh_stop.feature
+++ b/features/mesh_stop.feature
@@ -1,5 +1,5 @@
 Feature: Planned stop of a mesh daemon
-  A daemon that is told to stop answers every request that it has read. It
+  A stopping daemon answers every request that it has read. It
   starts no request that can't be expected to end before the daemon does.
 
   Background:
@@ -7,7 +7,7 @@
 
   # Guards against requests that a stopping daemon takes, passes on and cuts.
   Scenario: A request that could not end before the stop is refused at once
-    When the daemon of VM 0 is told to stop
+    When the daemon of VM 0 begins a planned stop
     And a caller sends a request to "/long/" at VM 0 with a deadline of 8000 ms
     Then the response has status 503
     And the response has a Retry-After time
@@ -17,7 +17,7 @@
   Scenario: A request that waits for a slot is refused when it could not end before the stop
     Given every backend server hangs
     When a caller has sent 3 requests to "/long/" at VM 0 with a deadline of 8000 ms
-    And the daemon of VM 0 is told to stop
+    And the daemon of VM 0 begins a planned stop
     And the stops have ended and all requests with them
     Then 1 was answered with 503, of which 0 ran
     And 2 were answered with 504, of which 2 ran
@@ -25,12 +25,12 @@
   Scenario: A request in flight is awaited
     Given every backend server responds slowly
     When a caller has sent 1 request to "/long/" at VM 0 with a deadline of 8000 ms
-    And the daemon of VM 0 is told to stop
+    And the daemon of VM 0 begins a planned stop
     And the stops have ended and all requests with them
     Then 1 was answered with 200, of which 1 ran
 
   Scenario: A call of an instance through its stopping daemon is served
-    When the daemon of VM 0 is told to stop
+    When the daemon of VM 0 begins a planned stop
     And the instance of VM 0 calls "/open/" through its daemon
     Then the response has status 200
 
@@ -38,7 +38,7 @@
     Given every backend server hangs
     When a caller has sent 2 requests to "/long/" at VM 0 with a deadline of 8000 ms
     And a caller has sent 2 requests to "/long/" at VM 1 with a deadline of 8000 ms
-    And the daemons of VMs 0,1 are told to stop
+    And the daemons of VMs 0,1 begin a planned stop
     And the stops have ended and all requests with them
     Then 2 were answered with 503, of which 0 ran
     And 2 were answered with 504, of which 2 ran
--- a/features/steps/mesh_path_steps.ts
+++ b/features/steps/mesh_path_steps.ts
@@ -246,7 +246,7 @@
 );
 
 When(
-  /^the daemons? of VMs? ([\d,]+) (?:is|are) told to stop$/,
+  /^the daemons? of VMs? ([\d,]+) begins? a planned stop$/,
   function (this: World, list: string) {
     const state = stateOf(this);
     const daemons = list.split(',').map(index => state.fleet.vm(Number(index)));
--- a/src/gate/exchange.ts
+++ b/src/gate/exchange.ts
@@ -1,7 +1,7 @@
 /**
- * One HTTP exchange with another daemon's gate over undici. It reports with certainty
- * whether any byte of the request may have been sent: a failure before that
- * point means that the request did not run.
+ * One HTTP exchange with another daemon's gate over undici. It reports with
+ * certainty whether any byte of the request may have been sent: a failure
+ * before that point means that the request did not run.
  */
 import {Readable} from 'node:stream';
 import type {Dispatcher} from 'undici';
