Log and count restores of the store from a copy

The era in the store's responses is logged and exported, and so is the utilization of the event loop. The stand-in of the store can be replaced by a copy of itself. Configuration, entry and list of a daemon are composed in one class, so that the features run the composition of serve-mesh.

--- a/features/steps/platform_adapter_steps.ts
+++ b/features/steps/platform_adapter_steps.ts
@@ -6,9 +6,9 @@
   CONFIGURATION_KEY,
   decodeConfiguration,
 } from '../../platform/configuration_document.js';
-import {ConfigurationSource} from '../../platform/configuration_source.js';
 import {decodeHeartbeat} from '../../platform/heartbeat_server.js';
 import {StoreClient} from '../../platform/store_client.js';
+import {StoreFollower} from '../../platform/store_follower.js';
 import {VmRegistry} from '../../platform/vm_registry.js';
 import {reasonOf} from '../../src/errors/failure.js';
 import type {DecisionLog} from '../../src/log/decision_log.js';
@@ -39,10 +39,10 @@
   readonly {readonly id: string; readonly found: ReadonlySet<string>}[]
 >();
 /** A lease is renewed every 3 s. */
-const RENEWAL_DUE_MS = 3500;
-const VM_KEY_PREFIX = 'chicorycourse/vms/';
+export const RENEWAL_DUE_MS = 3500;
+export const VM_KEY_PREFIX = 'chicorycourse/vms/';
 
-function stateOf(world: object): AdapterState {
+export function stateOf(world: object): AdapterState {
   const known = states.get(world);
   if (known) return known;
   const events: string[] = [];
@@ -245,16 +245,22 @@
   await until('version 1', () => state.tracker.version === 1, 2000);
 });
 
+Given('a daemon that follows the store and is listed', async function () {
+  const state = stateOf(this);
+  startFollowing(state);
+  const {store, tracker} = state;
+  const isListed = () => store.keys(VM_KEY_PREFIX).length === 1;
+  const isReady = () => tracker.version === 1 && isListed();
+  await until('version 1 is in force, and the daemon listed', isReady, 2000);
+});
+
 function startFollowing(state: AdapterState): void {
   const {address, tracker, log, end} = state;
-  const client = new StoreClient(address, new MeshMetrics());
-  const source = new ConfigurationSource(client, tracker, log);
   const self = {id: 'vm-1', address: '127.0.0.1:9', failureDomain: 'a'};
   const peers = new Peers({self: () => self, log, onStatus: () => undefined});
-  const onStoreRegained = () => source.refresh();
-  const options = {store: client, peers, self, log, onStoreRegained};
-  void source.run(end.signal);
-  void new VmRegistry(options).run(end.signal);
+  const metrics = new MeshMetrics();
+  const options = {address, self, tracker, peers, log, metrics};
+  void new StoreFollower(options).run(end.signal);
 }
 
 Given('a daemon that is listed', async function () {
--- /dev/null
+++ b/features/steps/platform_restore_steps.ts
@@ -0,0 +1,114 @@
+/** Steps for a store that is replaced by an older copy of itself. */
+import assert from 'node:assert/strict';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {Given, Then, When} from '@cucumber/cucumber';
+import {StoreClient} from '../../platform/store_client.js';
+import {VmRegistry} from '../../platform/vm_registry.js';
+import {MeshMetrics} from '../../src/mesh/mesh_metrics.js';
+import {until} from '../support/fleet.js';
+import {
+  RENEWAL_DUE_MS,
+  stateOf,
+  VM_KEY_PREFIX,
+} from './platform_adapter_steps.js';
+
+const registries = new WeakMap<object, Map<string, VmRegistry>>();
+/** The store's revision when it was replaced by its copy. */
+const lostRevisions = new WeakMap<object, number>();
+
+Given('a copy of the store', function () {
+  stateOf(this).store.keepCopy();
+});
+
+Given('a daemon {string} that registers', registerDaemon);
+
+async function registerDaemon(this: object, id: string): Promise<void> {
+  const {address, log, end, store} = stateOf(this);
+  const known = registries.get(this) ?? new Map<string, VmRegistry>();
+  registries.set(this, known);
+  const registry = new VmRegistry({
+    store: new StoreClient(address, new MeshMetrics()),
+    peers: {applyList: () => undefined},
+    self: {id, address: '127.0.0.1:9', failureDomain: 'a'},
+    log,
+    onStoreRegained: () => undefined,
+  });
+  known.set(id, registry);
+  void registry.run(end.signal);
+  const isListed = () => store.keys(VM_KEY_PREFIX + id).length === 1;
+  await until(`${id} is listed`, isListed, 2000);
+}
+
+When(
+  'the store is unavailable for {int} ms and comes back from its copy',
+  async function (downMs: number) {
+    const {store} = stateOf(this);
+    store.isUnavailable = true;
+    store.cutConnections();
+    await sleep(downMs);
+    lostRevisions.set(this, store.revision);
+    store.restoreCopy();
+    store.isUnavailable = false;
+  },
+);
+
+When(
+  'the store does not answer for {int} ms and comes back from its copy',
+  async function (silentMs: number) {
+    const {store} = stateOf(this);
+    store.isSilent = true;
+    await sleep(silentMs);
+    store.restoreCopy();
+    store.isSilent = false;
+  },
+);
+
+When('other writers reach the revision of before', function () {
+  const {store} = stateOf(this);
+  const lostRevision = lostRevisions.get(this) ?? 0;
+  while (store.revision <= lostRevision) {
+    store.write({Key: 'others/1', Value: ''});
+  }
+});
+
+When(
+  'the daemon {string} has called the store again and withdraws',
+  async function (id: string) {
+    // Its next call may be the renewal.
+    await sleep(RENEWAL_DUE_MS);
+    await registries.get(this)?.get(id)?.withdraw();
+  },
+);
+
+Then(
+  'the daemons {string} are listed {int} ms later',
+  async function (ids: string, laterMs: number) {
+    // That an entry stays can only be checked after a delay.
+    await sleep(laterMs);
+    const expected = ids.split(' ').map(id => VM_KEY_PREFIX + id);
+    assert.deepEqual(
+      stateOf(this).store.keys(VM_KEY_PREFIX).toSorted(),
+      expected,
+    );
+  },
+);
+
+Then(
+  'version {int} is still in force {int} ms later',
+  async function (version: number, laterMs: number) {
+    // The absence of an older version can only be checked after a delay.
+    await sleep(laterMs);
+    assert.equal(stateOf(this).tracker.version, version);
+  },
+);
+
+Then(
+  'the log has one restored store within {int} ms',
+  async function (withinMs: number) {
+    const {events} = stateOf(this);
+    const isLogged = () => events.includes('store-restored');
+    await until('the log tells of the restored store', isLogged, withinMs);
+    const logged = events.filter(event => event === 'store-restored');
+    assert.equal(logged.length, 1);
+  },
+);
--- a/features/support/platform_store.ts
+++ b/features/support/platform_store.ts
@@ -1,6 +1,8 @@
 /**
  * A stand-in for the platform's store, written from its published protocol:
- * items, leases and watches, with faults that the steps switch on.
+ * items, leases and watches, with faults that the steps switch on. It can be
+ * restored from a copy, which loses all later writes and leases: revisions and
+ * lease numbers go back and are assigned again.
  */
 import {
   createServer,
@@ -16,6 +18,20 @@
   readonly Lease: number;
 }
 
+/** A change of an item, as watches report it. */
+type Change =
+  | Item
+  | {readonly Key: string; readonly Revision: number; readonly Removed: true};
+
+/** What a copy of the store contains. */
+interface StoreState {
+  readonly items: ReadonlyMap<string, Item>;
+  readonly leases: ReadonlySet<number>;
+  readonly history: readonly Change[];
+  readonly lastLease: number;
+  readonly revision: number;
+}
+
 interface Write {
   readonly Key: string;
   readonly Value: string;
@@ -48,11 +64,16 @@
   reads = 0;
   /** Every call so far, with the range that it was about. */
   readonly calls: StoreCall[] = [];
-  readonly #items = new Map<string, Item>();
-  readonly #leases = new Set<number>();
+  #items = new Map<string, Item>();
+  #leases = new Set<number>();
+  #history: readonly Change[] = [];
+  #lastLease = 0;
   #revision = 1;
   /** Watches from an earlier revision are answered with 410. */
   #historyStartRevision = 0;
+  /** Sent with every response; rises by one when the store is restored. */
+  #era = 1;
+  #copy: StoreState | undefined;
   readonly #server = createServer((req, res) => void this.#serve(req, res));
 
   readonly #handlers: Readonly<Record<string, Handler>> = {
@@ -68,9 +89,9 @@
     },
     'POST /kv-lease': (_, body, res) => {
       const {TtlMs} = JSON.parse(body) as {readonly TtlMs: number};
-      const Lease = this.#leases.size + 1;
-      this.#leases.add(Lease);
-      send(res, 200, {Lease, TtlMs});
+      this.#lastLease += 1;
+      this.#leases.add(this.#lastLease);
+      send(res, 200, {Lease: this.#lastLease, TtlMs});
     },
     'POST /kv-keep': (url, _, res) => {
       const lease = Number(url.pathname.split('/').at(-1));
@@ -94,7 +115,36 @@
   /** Writes an item as the operators or a daemon would. */
   write({Key, Value, Lease = 0}: Write): void {
     this.#revision += 1;
-    this.#items.set(Key, {Key, Value, Lease, Revision: this.#revision});
+    const item = {Key, Value, Lease, Revision: this.#revision};
+    this.#items.set(Key, item);
+    this.#history = [...this.#history, item];
+  }
+
+  /** Keeps a copy of the current state. */
+  keepCopy(): void {
+    this.#copy = {
+      items: new Map(this.#items),
+      leases: new Set(this.#leases),
+      history: this.#history,
+      lastLease: this.#lastLease,
+      revision: this.#revision,
+    };
+  }
+
+  /** Replaces the state with the copy; open watches never get a response. */
+  restoreCopy(): void {
+    if (!this.#copy) throw new Error('no copy was kept');
+    const {items, leases, history, lastLease, revision} = this.#copy;
+    this.#items = new Map(items);
+    this.#leases = new Set(leases);
+    this.#history = history;
+    this.#lastLease = lastLease;
+    this.#revision = revision;
+    this.#era += 1;
+  }
+
+  get revision(): number {
+    return this.#revision;
   }
 
   /** Lists the keys under a prefix. */
@@ -122,7 +172,14 @@
     this.#leases.delete(lease);
     [...this.#items.values()]
       .filter(({Lease}) => Lease === lease)
-      .forEach(({Key}) => this.#items.delete(Key));
+      .forEach(({Key}) => this.#remove(Key));
+  }
+
+  #remove(Key: string): void {
+    this.#items.delete(Key);
+    this.#revision += 1;
+    const change = {Key, Revision: this.#revision, Removed: true} as const;
+    this.#history = [...this.#history, change];
   }
 
   #itemsUnder(prefix: string): readonly Item[] {
@@ -140,6 +197,7 @@
     const isOneItem = call === 'kv-range' && this.#items.has(prefix);
     if (isOneItem || call === 'kv-watch') this.reads += 1;
     const handle = this.#handlers[`${req.method} /${call}`];
+    res.setHeader('store-era', this.#era);
     if (this.isSilent) return;
     if (this.isUnavailable) return void res.writeHead(503).end();
     if (!handle) return void res.writeHead(400).end();
@@ -150,10 +208,15 @@
     const prefix = url.searchParams.get('PathPrefix') ?? '';
     const after = Number(url.searchParams.get('after'));
     const endAtMs = performance.now() + Number(url.searchParams.get('WaitMs'));
+    const era = this.#era;
     while (performance.now() < endAtMs && !res.destroyed) {
-      if (this.isSilent) return;
-      if (after < this.#historyStartRevision) return send(res, 410, {});
-      const events = this.#itemsUnder(prefix).filter(i => i.Revision > after);
+      if (this.isSilent || era !== this.#era) return;
+      const isKnown =
+        after >= this.#historyStartRevision && after <= this.#revision;
+      if (!isKnown) return send(res, 410, {});
+      const events = this.#history.filter(
+        ({Key, Revision}) => Revision > after && Key.startsWith(prefix),
+      );
       if (events.length > 0) {
         return send(res, 200, {events, AsOf: this.#revision});
       }
--- a/src/mesh/mesh_metrics.ts
+++ b/src/mesh/mesh_metrics.ts
@@ -55,6 +55,25 @@
     help: 'Version of the configuration in force',
     registers: [this.#registry],
   });
+  readonly #storeEra = new Gauge({
+    name: 'chicorycourse_store_era',
+    help: 'How often the store was restored from a copy, as the store counts',
+    registers: [this.#registry],
+  });
+
+  constructor() {
+    let last = performance.eventLoopUtilization();
+    new Gauge({
+      name: 'chicorycourse_event_loop_utilization',
+      help: 'Part of the time since the last scrape in which work was done',
+      registers: [this.#registry],
+      collect() {
+        const now = performance.eventLoopUtilization();
+        this.set(performance.eventLoopUtilization(now, last).utilization);
+        last = now;
+      },
+    });
+  }
 
   recordAnswer(
     route: string,
@@ -86,6 +105,10 @@
     this.#version.set(version);
   }
 
+  setStoreEra(era: number): void {
+    this.#storeEra.set(era);
+  }
+
   /** Renders all metrics in the Prometheus text format. */
   render(): Promise<string> {
     return this.#registry.metrics();
