--- a/features/steps/platform_restore_steps.ts
+++ b/features/steps/platform_restore_steps.ts
@@ -2,10 +2,12 @@
 import assert from 'node:assert/strict';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {Given, Then, When} from '@cucumber/cucumber';
+import {ConfigurationSource} from '../../platform/configuration_source.js';
 import {StoreClient} from '../../platform/store_client.js';
 import {VmRegistry} from '../../platform/vm_registry.js';
 import {MeshMetrics} from '../../src/mesh/mesh_metrics.js';
 import {until} from '../support/fleet.js';
+import type {PlatformStore} from '../support/platform_store.js';
 import {
   RENEWAL_DUE_MS,
   stateOf,
@@ -13,6 +15,9 @@
 } from './platform_adapter_steps.js';
 
 const registries = new WeakMap<object, Map<string, VmRegistry>>();
+const sources = new WeakMap<object, ConfigurationSource>();
+/** Renewals closer together than this count as one. */
+const RENEWAL_POLL_MS = 20;
 /** The store's revision when it was replaced by its copy. */
 const lostRevisions = new WeakMap<object, number>();
 
@@ -112,3 +117,60 @@
     assert.equal(logged.length, 1);
   },
 );
+
+Then(
+  'at any time within {int} ms a renewal is at most {int} ms away',
+  async function (withinMs: number, gapMs: number) {
+    const {store} = stateOf(this);
+    const startedAtMs = performance.now();
+    const renewedAtMs = [startedAtMs];
+    while (performance.now() - startedAtMs < withinMs) {
+      const seen = renewalsOf(store);
+      await sleep(RENEWAL_POLL_MS);
+      if (renewalsOf(store) > seen) renewedAtMs.push(performance.now());
+    }
+    const gaps = renewedAtMs
+      .slice(1)
+      .map((at, index) => at - (renewedAtMs[index] ?? at));
+    // Renewals begin after the first interval.
+    assert.ok(Math.max(...gaps.slice(1)) <= gapMs, gaps.map(Math.round).join());
+  },
+);
+
+function renewalsOf({calls}: PlatformStore): number {
+  return calls.filter(({operation}) => operation === 'kv-keep').length;
+}
+
+Given(
+  'a source of the configuration that follows the store',
+  async function () {
+    const {address, tracker, log, end} = stateOf(this);
+    const client = new StoreClient(address, new MeshMetrics());
+    const source = new ConfigurationSource(client, tracker, log);
+    sources.set(this, source);
+    void source.run(end.signal);
+    await until('version 1', () => tracker.version === 1, 2000);
+  },
+);
+
+When(
+  'the store is unavailable for {int} ms and the source is refreshed meanwhile',
+  async function (downMs: number) {
+    const {store} = stateOf(this);
+    store.isUnavailable = true;
+    store.cutConnections();
+    await sleep(downMs);
+    sources.get(this)?.refresh();
+    store.isUnavailable = false;
+    const watches = watchesOf(store);
+    await until('a new watch', () => watchesOf(store) > watches, 2000);
+  },
+);
+
+When('the source is refreshed', function () {
+  sources.get(this)?.refresh();
+});
+
+function watchesOf({calls}: PlatformStore): number {
+  return calls.filter(({operation}) => operation === 'kv-watch').length;
+}
