--- a/src/errors/catalogue.ts
+++ b/src/errors/catalogue.ts
@@ -48,6 +48,12 @@
     hint: 'No change was confirmed. Retry when the service is available again.',
     exitCode: EXIT_CODES.unavailable,
   }),
+  storeRestored: kind<{operation: string}>({
+    title: 'The store was restored from a copy',
+    message: ({operation}) => `the call ${operation} refers to lost history`,
+    hint: 'Nothing to do: the daemon reads and registers again.',
+    exitCode: EXIT_CODES.unavailable,
+  }),
   storeRejected: kind<{operation: string; status: number; reason: string}>({
     title: 'The key-value service rejected a call',
     message: d => `${d.operation}: status ${d.status}: ${d.reason}`,
