Refuse VMs with an address that no connection can be opened to

Seen by callers: every daemon that reads the list of daemons ends, and again after each restart, so that requests in flight are lost (FAULT, LOST). Cause: the address of an entry, or of a peer's hello, was any text. The constructor of the WebSocket throws on a port out of range or a host that is no address; nothing awaits the task of the link, so the rejection ended the process. Ruled out: very deep nesting (50,000 levels), a number too large, bytes that can't be decoded; they were left out before. Instances aren't listed in the store. Not shown: that the users' FAULT came from this; theirs was a spin.

--- a/features/mesh_frames.feature
+++ b/features/mesh_frames.feature
@@ -44,3 +44,17 @@
   Scenario: Bytes that are not a frame are rejected
     When bytes that are not a frame are decoded
     Then decoding fails with "frameInvalid"
+
+  # Guards against a hello that ends the daemon which receives it.
+  Scenario Outline: A hello with <fault> is refused
+    Given a mesh fleet of 2 VMs with 2 slots each
+    When a peer says hello with <fault>
+    Then its connection is closed, and the log tells why
+    And the fleet still has 2 VMs
+
+    Examples:
+      | fault               |
+      | a port out of range |
+      | a word as address   |
+      | no address          |
+      | no VM               |
--- a/features/steps/mesh_path_steps.ts
+++ b/features/steps/mesh_path_steps.ts
@@ -32,7 +32,7 @@
 const DEADLINE_MS = 2000;
 let nextId = 1;
 
-function stateOf(world: World): MeshState {
+export function stateOf(world: World): MeshState {
   const known = states.get(world);
   if (known) return known;
   const state = {fleet: new MeshFleet(), answers: [], pending: [], stops: []};
--- a/src/mesh/peers/peer_server.ts
+++ b/src/mesh/peers/peer_server.ts
@@ -27,6 +27,7 @@
   type RequestFrame,
   type ResponseFrame,
 } from './frames.js';
+import {vmSchema} from './vm_schema.js';
 
 /** Options of {@link PeerServer}. */
 export interface PeerServerOptions {
@@ -144,7 +145,8 @@
   #peerId = 'unknown';
 
   readonly #handlers: Handlers = {
-    hello: ({vm}) => {
+    hello: frame => {
+      const vm = vmSchema.parse(frame.vm);
       this.#peerId = vm.id;
       this.#options.onHello(vm);
     },
