Log and export what instances say of themselves in their responses

The gate reads both header fields from the responses that belong to its requests, logs each change and exports the limit. Nothing is decided by them yet.

--- a/features/support/mesh_fleet.ts
+++ b/features/support/mesh_fleet.ts
@@ -26,6 +26,10 @@
 export class MeshBackend {
   readonly seen: string[] = [];
   readonly running = new Set<string>();
+  /** Header fields that it adds to every response. */
+  readonly notices = new Map<string, string>();
+  /** Monotonic times at which requests arrived. */
+  readonly arrivalsAtMs: number[] = [];
   behaviour: keyof typeof BEHAVIOURS = 'responds';
   readonly #server = createServer((req, res) => this.#serve(req, res));
 
@@ -41,10 +45,12 @@
   #serve(req: IncomingMessage, res: ServerResponse): void {
     const id = String(req.headers[NAMES.requestId]);
     this.seen.push(id);
+    this.arrivalsAtMs.push(performance.now());
     this.running.add(id);
     res.on('close', () => this.running.delete(id));
     res.setHeader(NAMES.requestId, id);
     res.setHeader(NAMES.signature, 'signed');
+    this.notices.forEach((value, name) => res.setHeader(name, value));
     BEHAVIOURS[this.behaviour](req, res);
   }
 }
--- a/src/mesh/gate/backend_client.ts
+++ b/src/mesh/gate/backend_client.ts
@@ -17,12 +17,16 @@
 } from '../../http/single_use_connection.js';
 import {parseAddress} from '../../settings/address.js';
 import type {HeaderNames} from '../header_names.js';
+import {headerValue} from './header_value.js';
+import {readInstanceNotice, type InstanceNotice} from './instance_notice.js';
 import type {Outcome, Work} from './work.js';
 
 /** The instance that is to run the work, and the signal to cancel it. */
 export interface Target {
   readonly instance: string;
   readonly signal: AbortSignal;
+  /** Called with what the instance says of itself in its response. */
+  readonly onNotice: (notice: InstanceNotice) => void;
 }
 
 /** The result of a probe of the health path. */
@@ -48,8 +52,15 @@
   'CONNECT_TIMEOUT',
 ]);
 
+/** An instance's answer to a request that names another instance. */
+const WRONG_INSTANCE_STATUS = 421;
 /** Statuses that tell callers that a request has not run. */
-const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([
+  408,
+  WRONG_INSTANCE_STATUS,
+  429,
+  503,
+]);
 
 interface RawResponse {
   readonly status: number;
@@ -84,7 +95,7 @@
     const {instance, signal} = target;
     try {
       const response = await this.#request(work, target);
-      return this.#classify(response, work, instance);
+      return this.#classify(response, work, target);
     } catch (err) {
       const code = codeOf(err);
       const reason = signal.aborted ? 'cancelled' : reasonOf(err);
@@ -166,8 +177,9 @@
     });
   }
 
-  #classify(response: RawResponse, work: Work, instance: string): Outcome {
+  #classify(response: RawResponse, work: Work, target: Target): Outcome {
     const {status, headers} = response;
+    const {instance, onNotice} = target;
     const names = this.#names;
     const fault = findFieldFault(headers);
     if (fault) {
@@ -177,7 +189,13 @@
     const answeredId = headerValue(headers, names.requestId);
     const isForeign = answeredId !== undefined && answeredId !== work.requestId;
     const isRejected =
-      status === 421 || headerValue(headers, names.notExecuted) !== undefined;
+      status === WRONG_INSTANCE_STATUS ||
+      headerValue(headers, names.notExecuted) !== undefined;
+    // Another instance at the address answers with 421.
+    const isFromTarget = !isForeign && status !== WRONG_INSTANCE_STATUS;
+    if (isFromTarget && (isRejected || answeredId !== undefined)) {
+      onNotice(readInstanceNotice(headers, names));
+    }
     // A refusal may lack the id, but one of another request proves nothing.
     if (isRejected && !isForeign) {
       const reason = `status ${status}`;
@@ -197,17 +215,6 @@
   }
 }
 
-/** The value of a header field in a flat list of names and values. */
-export function headerValue(
-  headers: readonly string[],
-  name: string,
-): string | undefined {
-  const index = headers.findIndex(
-    (text, i) => i % 2 === 0 && text.toLowerCase() === name,
-  );
-  return index < 0 ? undefined : headers[index + 1];
-}
-
 /** Reads a response to its end; rejects if the connection ends first. */
 async function readResponse(
   res: IncomingMessage,
--- a/src/mesh/gate/gate.ts
+++ b/src/mesh/gate/gate.ts
@@ -10,6 +10,7 @@
 import {InFlightRequests} from './in_flight_requests.js';
 import {BackendIdentity, type Identity} from './backend_identity.js';
 import type {BackendClient} from './backend_client.js';
+import type {InstanceNotice} from './instance_notice.js';
 import {queueTimeoutMs} from './queue_timeout.js';
 import {ResponseTimes} from './response_times.js';
 import {SlotQueue, type Slot} from './slot_queue.js';
@@ -50,6 +51,10 @@
   readonly #slots = new SlotQueue();
   #outliers = new OutlierDetector();
   readonly #responseTimes = new ResponseTimes();
+  /** The rate limit that the instance named last. */
+  #limitPerS: number | undefined;
+  /** Whether a response told that the instance is leaving. */
+  #saidLeaving = false;
   #isStopping = false;
 
   constructor(options: GateOptions) {
@@ -164,6 +169,8 @@
     const isNew = before?.startedAtUnixMs !== now.startedAtUnixMs;
     if (isNew || before.instance !== now.instance) {
       this.#outliers = new OutlierDetector();
+      this.#limitPerS = undefined;
+      this.#saidLeaving = false;
     }
     const isSame =
       before?.instance === now.instance && before.state === now.state;
@@ -174,6 +181,31 @@
     this.#options.onChange();
   }
 
+  /** Applies what an instance said in its response to a request. */
+  #applyNotice(notice: InstanceNotice, sentTo: Identity | undefined): void {
+    const {instance, startedAtUnixMs} = this.#identity.known ?? {};
+    const isSame =
+      instance === sentTo?.instance &&
+      startedAtUnixMs === sentTo?.startedAtUnixMs;
+    if (!isSame) return;
+    const {limitPerS, invalidLimit, isLeaving} = notice;
+    const before = this.#limitPerS;
+    if (invalidLimit !== undefined) {
+      this.#options.log.belief('backend-limit-invalid', {
+        instance,
+        limit: invalidLimit,
+      });
+    } else if (limitPerS !== before) {
+      this.#limitPerS = limitPerS;
+      this.#options.metrics.setBackendLimit(limitPerS);
+      this.#options.log.belief('backend-limit', {instance, limitPerS, before});
+    }
+    if (isLeaving && !this.#saidLeaving) {
+      this.#saidLeaving = true;
+      this.#options.log.belief('backend-leaving', {instance});
+    }
+  }
+
   #createReservation(request: SlotRequest, slot: Slot): Reservation {
     const instance = this.#identity.known?.instance ?? '';
     const {route, objectiveMs} = request;
@@ -229,7 +261,12 @@
       );
     }, lateAfterMs);
     const inFlightRequest = this.inFlight.start(work.isRepeat);
-    const outcome = await this.#options.client.run(work, {instance, signal});
+    const sentTo = this.#identity.known;
+    const outcome = await this.#options.client.run(work, {
+      instance,
+      signal,
+      onNotice: notice => this.#applyNotice(notice, sentTo),
+    });
     this.inFlight.end(inFlightRequest);
     clearTimeout(lateTimer);
     slot.release();
--- a/src/mesh/header_names.ts
+++ b/src/mesh/header_names.ts
@@ -26,6 +26,10 @@
   readonly notExecuted: string;
   /** Running requests, queued requests and slots of an instance. */
   readonly load: string;
+  /** Requests per second that an instance in need takes from all callers. */
+  readonly rateLimit: string;
+  /** `1` in the responses of an instance that is leaving. */
+  readonly leaving: string;
 }
 
 /** Names that apply unless a deployment sets others. */
@@ -40,4 +44,6 @@
   signature: 'x-signature',
   notExecuted: 'x-not-run',
   load: 'x-load',
+  rateLimit: 'x-rate-limit',
+  leaving: 'x-leaving',
 };
--- a/src/mesh/mesh_metrics.ts
+++ b/src/mesh/mesh_metrics.ts
@@ -50,6 +50,11 @@
     labelNames: ['operation', 'outcome'],
     registers: [this.#registry],
   });
+  readonly #backendLimit = new Gauge({
+    name: 'chicorycourse_backend_limit_per_second',
+    help: 'Rate limit that the instance of this VM named last, if any',
+    registers: [this.#registry],
+  });
   readonly #version = new Gauge({
     name: 'chicorycourse_configuration_version',
     help: 'Version of the configuration in force',
@@ -62,6 +67,8 @@
   });
 
   constructor() {
+    // A gauge without labels starts at 0, which would be a limit.
+    this.#backendLimit.remove();
     let last = performance.eventLoopUtilization();
     new Gauge({
       name: 'chicorycourse_event_loop_utilization',
@@ -97,6 +104,12 @@
     this.#trust.inc({trust});
   }
 
+  /** Exports the limit that the instance named; undefined: none. */
+  setBackendLimit(limitPerS: number | undefined): void {
+    if (limitPerS === undefined) this.#backendLimit.remove();
+    else this.#backendLimit.set(limitPerS);
+  }
+
   recordStoreCall(operation: string, outcome: string): void {
     this.#store.inc({operation, outcome});
   }
