--- a/features/steps/mesh_path_steps.ts
+++ b/features/steps/mesh_path_steps.ts
@@ -13,7 +13,7 @@
 } from '../support/mesh_fleet.js';
 import type {World} from '../support/world.js';
 
-interface Answer {
+export interface Answer {
   readonly id: string;
   readonly status: number;
   readonly headers: Readonly<Record<string, string | string[] | undefined>>;
@@ -96,7 +96,10 @@
 }
 
 /** Sends a request; resolves to its response, or undefined if disconnected. */
-function send(vm: MeshVm, options: SendOptions): Promise<Answer | undefined> {
+export function send(
+  vm: MeshVm,
+  options: SendOptions,
+): Promise<Answer | undefined> {
   const {path, key, disconnectAfterMs, body = 'body'} = options;
   const {deadlineMs = DEADLINE_MS} = options;
   const id = `request-${nextId++}`;
