Give a server that says that it leaves no more slots

Seen by callers: requests reach an instance whose answers had told that it leaves, and are cut when it ends (DRAIN, LOST). Cause: a gate learned of a leaving instance from a heartbeat or a deregistration only; nothing read its responses. Change: a response of the current incarnation with the leaving field marks it as leaving, like a deregistration. A late heartbeat of that incarnation doesn't bring it back, the next incarnation does. All requests pass the gate of the instance's VM, so this holds for all machines. Left: a daemon that restarts forgets it until the health path, a heartbeat or the next response tells it again.

--- a/src/mesh/gate/gate.ts
+++ b/src/mesh/gate/gate.ts
@@ -53,8 +53,6 @@
   readonly #responseTimes = new ResponseTimes();
   /** The rate limit that the instance named last. */
   #limitPerS: number | undefined;
-  /** Whether a response told that the instance is leaving. */
-  #saidLeaving = false;
   #isStopping = false;
 
   constructor(options: GateOptions) {
@@ -170,7 +168,6 @@
     if (isNew || before.instance !== now.instance) {
       this.#outliers = new OutlierDetector();
       this.#limitPerS = undefined;
-      this.#saidLeaving = false;
     }
     const isSame =
       before?.instance === now.instance && before.state === now.state;
@@ -183,27 +180,36 @@
 
   /** Applies what an instance said in its response to a request. */
   #applyNotice(notice: InstanceNotice, sentTo: Identity | undefined): void {
-    const {instance, startedAtUnixMs} = this.#identity.known ?? {};
-    const isSame =
-      instance === sentTo?.instance &&
-      startedAtUnixMs === sentTo?.startedAtUnixMs;
-    if (!isSame) return;
-    const {limitPerS, invalidLimit, isLeaving} = notice;
-    const before = this.#limitPerS;
-    if (invalidLimit !== undefined) {
-      this.#options.log.belief('backend-limit-invalid', {
-        instance,
-        limit: invalidLimit,
-      });
-    } else if (limitPerS !== before) {
-      this.#limitPerS = limitPerS;
-      this.#options.metrics.setBackendLimit(limitPerS);
-      this.#options.log.belief('backend-limit', {instance, limitPerS, before});
-    }
-    if (isLeaving && !this.#saidLeaving) {
-      this.#saidLeaving = true;
+    const {known} = this.#identity;
+    // A response of an earlier incarnation says nothing about this one.
+    const isCurrent =
+      known !== undefined &&
+      known.instance === sentTo?.instance &&
+      known.startedAtUnixMs === sentTo.startedAtUnixMs;
+    if (!isCurrent) return;
+    this.#applyLimit(known.instance, notice);
+    if (!notice.isLeaving) return;
+    if (known.state !== 'draining') {
+      const {instance} = known;
       this.#options.log.belief('backend-leaving', {instance});
     }
+    this.markLeaving(known.instance);
+  }
+
+  #applyLimit(
+    instance: string,
+    {limitPerS, invalidLimit: limit}: InstanceNotice,
+  ): void {
+    const {log, metrics} = this.#options;
+    if (limit !== undefined) {
+      log.belief('backend-limit-invalid', {instance, limit});
+      return;
+    }
+    const before = this.#limitPerS;
+    if (limitPerS === before) return;
+    this.#limitPerS = limitPerS;
+    metrics.setBackendLimit(limitPerS);
+    log.belief('backend-limit', {instance, limitPerS, before});
   }
 
   #createReservation(request: SlotRequest, slot: Slot): Reservation {
