Pace requests to the rate limit that an instance names

Cause: nothing read the limit, and routers go by free slots. An instance that takes 1 request a second has free slots nearly all the time. Change: the gate of the instance's VM, which every request passes, gives turns at the named rate, the most urgent request first; a turn whose request isn't sent is returned. A wait for a turn counts like a wait for a slot, so that a request that can't get one in time is declined at once. Routers learn the wait with the load of a gate and go elsewhere meanwhile. A limit ends with the first response that names none, so an instance that takes nothing still gets a request every 2 s. Ruled out: to prefer other instances whatever their load. The limited one then gets nothing while the others have room, and nobody learns that its limit ended. The row 'ends with the first response' now sends 40 a second instead of 20: with 20 an instance without a limit got 9 to 13 in 2 s, by chance of the routing.

--- a/features/mesh_frames.feature
+++ b/features/mesh_frames.feature
@@ -29,6 +29,10 @@
     Then the frame takes at most 24 bytes
     And decoding the bytes gives the same frame
 
+  Scenario: The wait for a turn is sent while the instance names a limit
+    When a load frame with a wait for a turn of 250 ms is encoded
+    Then decoding the bytes gives the same frame
+
   Scenario Outline: The full status is sent when <field> changes
     When the <field> of a gate changes
     Then sending its load alone is not enough
--- a/features/mesh_notices.feature
+++ b/features/mesh_notices.feature
@@ -59,7 +59,7 @@
     Given the instance of VM 0 names a limit of "<limit>" per second
     And callers have sent 20 requests per second to "/repeatable/" for 3 s, spread over all VMs
     When the instance of VM 0 names no limit
-    And callers send 20 requests per second to "/repeatable/" for 4 s, spread over all VMs
+    And callers send 40 requests per second to "/repeatable/" for 4 s, spread over all VMs
     Then VM 0 got at least 10 requests in the last 2 s
 
     Examples:
--- a/features/steps/mesh_frame_steps.ts
+++ b/features/steps/mesh_frame_steps.ts
@@ -158,6 +158,13 @@
   encode(this, {kind: 'load', load: {...LOAD, isCold: false}});
 });
 
+When(
+  'a load frame with a wait for a turn of {int} ms is encoded',
+  function (turnWaitMs: number) {
+    encode(this, {kind: 'load', load: {...LOAD, isCold: false, turnWaitMs}});
+  },
+);
+
 Then('the bytes contain none of its field names', function () {
   const {frame, bytes} = stateOf(this);
   const text = bytes.toString('latin1');
--- a/src/mesh/gate/gate.ts
+++ b/src/mesh/gate/gate.ts
@@ -51,8 +51,6 @@
   readonly #slots = new SlotQueue();
   #outliers = new OutlierDetector();
   readonly #responseTimes = new ResponseTimes();
-  /** The rate limit that the instance named last. */
-  #limitPerS: number | undefined;
   #isStopping = false;
 
   constructor(options: GateOptions) {
@@ -73,6 +71,7 @@
       trust: this.#outliers.trust(nowMs),
       running: this.#slots.running,
       waiting: this.#slots.waiting,
+      turnWaitMs: this.#slots.turnWaitMs,
     };
   }
 
@@ -135,7 +134,7 @@
     // this request's own slot.
     const lateDecline = this.#checkAdmission(request, this.#slots.running - 1);
     if (!lateDecline) return this.#createReservation(request, slot);
-    slot.release();
+    slot.releaseUnused();
     return lateDecline;
   }
 
@@ -167,7 +166,8 @@
     const isNew = before?.startedAtUnixMs !== now.startedAtUnixMs;
     if (isNew || before.instance !== now.instance) {
       this.#outliers = new OutlierDetector();
-      this.#limitPerS = undefined;
+      this.#slots.setLimit(undefined);
+      this.#options.metrics.setBackendLimit(undefined);
     }
     const isSame =
       before?.instance === now.instance && before.state === now.state;
@@ -205,33 +205,38 @@
       log.belief('backend-limit-invalid', {instance, limit});
       return;
     }
-    const before = this.#limitPerS;
+    const before = this.#slots.limitPerS;
     if (limitPerS === before) return;
-    this.#limitPerS = limitPerS;
+    this.#slots.setLimit(limitPerS);
     metrics.setBackendLimit(limitPerS);
     log.belief('backend-limit', {instance, limitPerS, before});
+    const isBeginOrEnd = limitPerS === undefined || before === undefined;
+    if (isBeginOrEnd) this.#options.onChange();
   }
 
   #createReservation(request: SlotRequest, slot: Slot): Reservation {
     const instance = this.#identity.known?.instance ?? '';
     const {route, objectiveMs} = request;
     const expiresAtMs = performance.now() + RESERVATION_TTL_MS;
-    const expiry = setTimeout(() => slot.release(), RESERVATION_TTL_MS);
+    const expiry = setTimeout(() => slot.releaseUnused(), RESERVATION_TTL_MS);
+    let isUsed = false;
     return {
       kind: 'reserved',
       instance,
       lateAfterMs: this.#responseTimes.lateAfterMs(route, objectiveMs),
       release: () => {
         clearTimeout(expiry);
-        slot.release();
+        if (isUsed) slot.release();
+        else slot.releaseUnused();
       },
       run: async (work, signal) => {
         clearTimeout(expiry);
         // After a pause of the process this may run before the expiry timer.
         if (performance.now() > expiresAtMs) {
-          slot.release();
+          slot.releaseUnused();
           return notRun(instance, 'reservation expired');
         }
+        isUsed = true;
         return this.#run(request, work, {instance, slot, signal});
       },
     };
@@ -249,7 +254,7 @@
     const {instance, slot, signal} = held;
     const {route, objectiveMs} = request;
     if (signal.aborted || this.#identity.known?.instance !== instance) {
-      slot.release();
+      slot.releaseUnused();
       return notRun(instance, signal.aborted ? 'cancelled' : 'replaced');
     }
     const sentAtMs = performance.now();
--- /dev/null
+++ b/src/mesh/gate/rate_pacer.ts
@@ -0,0 +1,92 @@
+/**
+ * Paces the requests to an instance that names a rate limit in its responses.
+ * Without a limit a request passes at once. With one, requests pass one after
+ * the other, the most urgent first, spaced so that any period stays within the
+ * limit.
+ *
+ * Designed for instances that can take only a fraction of their usual load for
+ * some seconds, while routers still see free slots there.
+ */
+import {setTimeout as sleep} from 'node:timers/promises';
+import PQueue from 'p-queue';
+import {TokenBucket} from '../limits/token_bucket.js';
+
+/**
+ * The lowest rate, in requests per second. Only a response tells that the limit
+ * is over, so even an instance that takes nothing gets a request now and then.
+ */
+const MIN_RATE_PER_S = 0.5;
+/** Requests that may follow each other without a pause. */
+const BURST = 1;
+/** A waiting request notices a new limit, or its own end, within this time. */
+const MAX_SLEEP_MS = 100;
+
+/** A request that waits for its turn. */
+export interface PacedRequest {
+  /** 0 is the most urgent. */
+  readonly priority: number;
+  readonly isAbandoned: () => boolean;
+}
+
+/** The pacer of one instance. */
+export class RatePacer {
+  readonly #turns = new PQueue({concurrency: 1});
+  #limitPerS: number | undefined;
+  #bucket: TokenBucket | undefined;
+
+  /** The limit in force, in requests per second; undefined without one. */
+  get limitPerS(): number | undefined {
+    return this.#limitPerS;
+  }
+
+  /** Number of requests that wait for their turn. */
+  get waiting(): number {
+    return this.#turns.size + this.#turns.pending;
+  }
+
+  /** Sets the limit that the instance named last; undefined removes it. */
+  setLimit(limitPerS: number | undefined): void {
+    this.#limitPerS = limitPerS;
+    if (limitPerS === undefined) {
+      this.#bucket = undefined;
+      return;
+    }
+    const nowMs = performance.now();
+    const params = {
+      tokensPerS: Math.max(MIN_RATE_PER_S, limitPerS),
+      capacity: BURST,
+    };
+    // The request whose response named the limit has just been taken.
+    this.#bucket ??= new TokenBucket(params, 0, nowMs);
+    this.#bucket.reconfigure(params, nowMs);
+  }
+
+  /** How long a request would wait for its turn behind `ahead` others. */
+  expectedWaitMs(ahead: number): number {
+    if (this.#limitPerS === undefined || !this.#bucket) return 0;
+    const ratePerS = Math.max(MIN_RATE_PER_S, this.#limitPerS);
+    return this.#bucket.waitMs(performance.now()) + (ahead / ratePerS) * 1000;
+  }
+
+  /** Waits for the request's turn; false if it was abandoned before. */
+  async takeTurn(request: PacedRequest): Promise<boolean> {
+    const {priority, isAbandoned} = request;
+    if (!this.#bucket && this.waiting === 0) return !isAbandoned();
+    const wait = () => this.#waitForToken(isAbandoned);
+    return (await this.#turns.add(wait, {priority: -priority})) ?? false;
+  }
+
+  /** Returns the turn of a request that was not sent. */
+  returnTurn(): void {
+    this.#bucket?.charge(-1, performance.now());
+  }
+
+  async #waitForToken(isAbandoned: () => boolean): Promise<boolean> {
+    while (!isAbandoned()) {
+      const waitMs = this.#bucket?.take(performance.now()) ?? 0;
+      if (waitMs === 0) return true;
+      await sleep(Math.min(MAX_SLEEP_MS, waitMs));
+    }
+    return false;
+  }
+}
--- a/src/mesh/gate/slot_queue.ts
+++ b/src/mesh/gate/slot_queue.ts
@@ -2,15 +2,20 @@
  * The slots of one instance and the queue of requests that wait for one. The
  * most urgent request goes first, then the oldest. A request that is not
  * expected to get a slot within its queue timeout is declined on arrival, not
- * after waiting.
+ * after waiting. While the instance names a rate limit, a request needs its
+ * turn within that limit as well as a slot.
  */
 import PQueue from 'p-queue';
+import {RatePacer} from './rate_pacer.js';
 import {declined, type Declined} from './work.js';
 
 /** A held slot. */
 export interface Slot {
   readonly kind: 'slot';
+  /** Releases the slot after its request. */
   release(): void;
+  /** Releases the slot if no request was sent. */
+  releaseUnused(): void;
 }
 
 /** A request that wants a slot. */
@@ -28,6 +33,7 @@
 
 /** Slots and queue of one instance. */
 export class SlotQueue {
+  readonly #pacer = new RatePacer();
   readonly #queue = new PQueue({concurrency: 1});
   #slots = 1;
   /** Queue length by priority, without requests that left it early. */
@@ -37,7 +43,7 @@
   #isFirstHold = true;
 
   get running(): number {
-    return this.#queue.pending;
+    return this.#queue.pending - this.#pacer.waiting;
   }
 
   /** Number of queued requests. */
@@ -51,10 +57,31 @@
     this.#queue.concurrency = slots;
   }
 
+  /** The rate limit in force, in requests per second. */
+  get limitPerS(): number | undefined {
+    return this.#pacer.limitPerS;
+  }
+
+  /** Sets the rate limit that the instance named last; undefined removes it. */
+  setLimit(limitPerS: number | undefined): void {
+    this.#pacer.setLimit(limitPerS);
+  }
+
+  /**
+   * How long another request would wait for its turn within the rate limit;
+   * undefined without a limit.
+   */
+  get turnWaitMs(): number | undefined {
+    if (this.limitPerS === undefined) return undefined;
+    return this.#pacer.expectedWaitMs(this.waiting);
+  }
+
   /** How long another request of this priority would wait for a slot. */
   expectedWaitMs(priority: number): number {
-    const ahead = this.running + this.#waitingUpTo(priority) - this.#slots + 1;
-    return ahead <= 0 ? 0 : (ahead / this.#slots) * this.#holdMs;
+    const waiting = this.#waitingUpTo(priority);
+    const ahead = this.running + waiting - this.#slots + 1;
+    const slotWaitMs = ahead <= 0 ? 0 : (ahead / this.#slots) * this.#holdMs;
+    return Math.max(slotWaitMs, this.#pacer.expectedWaitMs(waiting));
   }
 
   /** Waits for a slot; declines at once if the wait would be too long. */
@@ -63,7 +90,7 @@
     const waitMs = this.expectedWaitMs(priority);
     if (signal.aborted) return Promise.resolve(declined('withdrawn'));
     if (waitMs > queueTimeoutMs)
-      return Promise.resolve(declined('busy', waitMs));
+      return Promise.resolve(declined(this.#declineReason, waitMs));
     return new Promise(resolve => {
       let isSettled = false;
       const settle = (result: Slot | Declined) => {
@@ -76,16 +103,26 @@
       };
       const onAbort = () => settle(declined('withdrawn'));
       const timer = setTimeout(
-        () => settle(declined('busy', this.expectedWaitMs(priority))),
+        () =>
+          settle(declined(this.#declineReason, this.expectedWaitMs(priority))),
         Math.max(1, queueTimeoutMs),
       );
       signal.addEventListener('abort', onAbort, {once: true});
-      const hold = () => (isSettled ? Promise.resolve() : this.#hold(settle));
+      const isAbandoned = () => isSettled;
+      const hold = async () => {
+        if (!(await this.#pacer.takeTurn({priority, isAbandoned}))) return;
+        if (isSettled) return this.#pacer.returnTurn();
+        await this.#hold(settle);
+      };
       this.#adjustWaiting(priority, 1);
       void this.#queue.add(hold, {priority: -priority});
     });
   }
 
+  get #declineReason(): 'busy' | 'limited' {
+    return this.limitPerS === undefined ? 'busy' : 'limited';
+  }
+
   /** Number of queued requests that are at least as urgent. */
   #waitingUpTo(priority: number): number {
     return [...this.#waiting].reduce(
@@ -104,14 +141,20 @@
   #hold(settle: (slot: Slot) => void): Promise<void> {
     const sinceMs = performance.now();
     return new Promise(resolve => {
+      let isReleased = false;
       const release = () => {
+        isReleased = true;
         const heldMs = performance.now() - sinceMs;
         const gain = this.#isFirstHold ? 1 : GAIN;
         this.#isFirstHold = false;
         this.#holdMs += gain * (heldMs - this.#holdMs);
         resolve();
       };
-      settle({kind: 'slot', release});
+      const releaseUnused = () => {
+        if (!isReleased) this.#pacer.returnTurn();
+        release();
+      };
+      settle({kind: 'slot', release, releaseUnused});
     });
   }
 }
--- a/src/mesh/gate/work.ts
+++ b/src/mesh/gate/work.ts
@@ -29,6 +29,7 @@
   | 'daemon-stopping'
   | 'doubtful'
   | 'leaving'
+  | 'limited'
   | 'no-instance'
   | 'silent'
   | 'stopping'
--- a/src/mesh/limits/token_bucket.ts
+++ b/src/mesh/limits/token_bucket.ts
@@ -27,11 +27,15 @@
 
   /** Takes one token; returns 0, or the wait until one is available in ms. */
   take(nowMs: number): number {
+    const waitMs = this.waitMs(nowMs);
+    if (waitMs === 0) this.#tokens -= 1;
+    return waitMs;
+  }
+
+  /** The wait until a token is available, in milliseconds; 0 if one is now. */
+  waitMs(nowMs: number): number {
     this.#refill(nowMs);
-    if (this.#tokens >= 1) {
-      this.#tokens -= 1;
-      return 0;
-    }
+    if (this.#tokens >= 1) return 0;
     const missing = 1 - this.#tokens;
     if (this.#params.tokensPerS <= 0) return Infinity;
     return Math.max(1, (missing / this.#params.tokensPerS) * 1000);
--- a/src/mesh/model.ts
+++ b/src/mesh/model.ts
@@ -110,6 +110,11 @@
   readonly running: number;
   /** Requests that are queued for a slot. */
   readonly waiting: number;
+  /**
+   * How long another request would wait for its turn, while the instance names
+   * a rate limit.
+   */
+  readonly turnWaitMs?: number;
 }
 
 /** The status that a daemon sends to its peers. */
--- a/src/mesh/peers/frames.ts
+++ b/src/mesh/peers/frames.ts
@@ -32,8 +32,14 @@
   | {readonly kind: 'payment'; readonly payment: RepeatPayment}
   | {readonly kind: 'configuration'; readonly id: number};
 
-/** Load and trust of a gate at the time of a reply. */
-export type GateLoad = Pick<BackendStatus, 'running' | 'waiting' | 'trust'>;
+/**
+ * Load and trust of a gate at the time of a reply. The wait for a turn is sent
+ * only while the instance names a limit; daemons that don't know it ignore it.
+ */
+export type GateLoad = Pick<
+  BackendStatus,
+  'running' | 'waiting' | 'trust' | 'turnWaitMs'
+>;
 
 /** The part of a status that changes often while the rest stays the same. */
 export type BackendLoad = GateLoad & Pick<BackendStatus, 'isCold'>;
@@ -177,7 +183,9 @@
 }
 
 function packLoad(load: BackendLoad): PackedLoad {
-  return ['load', ...LOAD_KEYS.map(key => load[key])];
+  const {turnWaitMs} = load;
+  const limitValues = turnWaitMs === undefined ? [] : [turnWaitMs];
+  return ['load', ...LOAD_KEYS.map(key => load[key]), ...limitValues];
 }
 
 function packStatus(status: VmStatus): PackedStatus {
@@ -189,7 +197,8 @@
 function unpackValues(packed: readonly unknown[]): ResponseFrame | undefined {
   const [kind, ...values] = packed;
   if (kind === 'load') {
-    return {kind, load: toObject(LOAD_KEYS, values) as BackendLoad};
+    const keys = [...LOAD_KEYS, 'turnWaitMs'].slice(0, values.length);
+    return {kind, load: toObject(keys, values) as BackendLoad};
   }
   if (kind !== 'status') return undefined;
   const [version, stopping, ...backendValues] = values;
--- a/src/mesh/peers/peer_link.ts
+++ b/src/mesh/peers/peer_link.ts
@@ -64,6 +64,8 @@
   #socket: WebSocket | undefined;
   #status: VmStatus | undefined;
   #lastHeardAtMs = -Infinity;
+  /** When the load in the status was received. */
+  #loadAtMs = -Infinity;
   #backoffUntilMs = -Infinity;
   #backoffMs = BACKOFF_MIN_MS;
   #connectedAtMs = -Infinity;
@@ -101,6 +103,16 @@
     return this.#lastHeardAtMs;
   }
 
+  /**
+   * How long a request would wait for its turn at the peer's gate; undefined if
+   * the instance there names no rate limit.
+   */
+  get turnWaitMs(): number | undefined {
+    const waitMs = this.#status?.backend?.turnWaitMs;
+    if (waitMs === undefined) return undefined;
+    return Math.max(0, waitMs - (performance.now() - this.#loadAtMs));
+  }
+
   /** Keeps the connection open until the link is stopped. */
   async run(): Promise<void> {
     const {signal} = this.#stopController;
@@ -326,7 +338,10 @@
   #updateLoad(load: GateLoad): void {
     const backend = this.#status?.backend;
     if (!this.#status || !backend) return;
-    this.#status = {...this.#status, backend: {...backend, ...load}};
+    const {turnWaitMs} = load;
+    const updated = {...backend, ...load, turnWaitMs};
+    this.#status = {...this.#status, backend: updated};
+    this.#loadAtMs = performance.now();
   }
 
   #decode(bytes: Buffer): ResponseFrame | undefined {
--- a/src/mesh/peers/peer_server.ts
+++ b/src/mesh/peers/peer_server.ts
@@ -263,7 +263,9 @@
   get #load(): GateLoad {
     const {status} = this.#options.gate;
     const {running = 0, waiting = 0, trust = 'clear'} = status ?? {};
-    return {running, waiting, trust};
+    const load = {running, waiting, trust};
+    const turnWaitMs = status?.turnWaitMs;
+    return turnWaitMs === undefined ? load : {...load, turnWaitMs};
   }
 
   #cancelAll(): void {
--- a/src/mesh/router/caller_server.ts
+++ b/src/mesh/router/caller_server.ts
@@ -365,6 +365,7 @@
 /** Refusals by the reason why a request was not executed. */
 const NOT_RUN_REFUSALS: Readonly<Partial<Record<string, RefusalName>>> = {
   busy: 'busy',
+  limited: 'busy',
   doubtful: 'not-answering',
   deadline: 'deadline',
   'no-instance': 'no-instance',
--- a/src/mesh/router/gate_ranking.ts
+++ b/src/mesh/router/gate_ranking.ts
@@ -15,6 +15,8 @@
   readonly backend: BackendStatus;
   /** Slots that this router has requested and `backend` doesn't count yet. */
   readonly outstanding: number;
+  /** Wait for a turn, if the instance names a rate limit now. */
+  readonly turnWaitMs?: number;
 }
 
 /** The properties of a request that the ranking depends on. */
@@ -32,6 +34,8 @@
 const NO_FREE_SLOT_COST = 1;
 /** An instance in its cold start takes about twice as long. */
 const COLD_COST = 0.5;
+/** A request usually holds a slot for a quarter of a second. */
+const TURN_WAIT_COST_PER_MS = 1 / 250;
 /** Upper bound of a random cost, so that not all routers pick the same gate. */
 const MAX_TIE_BREAK_COST = 0.1;
 
@@ -69,7 +73,11 @@
 }
 
 /** Whether the gate is expected to have a free slot. */
-export function hasFreeSlot({backend, outstanding}: Candidate): boolean {
+export function hasFreeSlot(candidate: Candidate): boolean {
+  const {backend, outstanding, turnWaitMs} = candidate;
+  // A limit lets one request through at a time.
+  const hasTurn = turnWaitMs === 0 && outstanding === 0;
+  if (turnWaitMs !== undefined && !hasTurn) return false;
   return backend.running + backend.waiting + outstanding < backend.slots;
 }
 
@@ -85,6 +93,7 @@
     backend.isCold ? COLD_COST : 0,
     TRUST_COST[traits.isIdempotent ? 'idempotent' : 'nonIdempotent'][trust],
     isTrialInFlight ? TRIAL_IN_FLIGHT_COST : 0,
+    (candidate.turnWaitMs ?? 0) * TURN_WAIT_COST_PER_MS,
   ].reduce((sum, cost) => sum + cost);
 }
 
--- a/src/mesh/router/gates.ts
+++ b/src/mesh/router/gates.ts
@@ -47,6 +47,7 @@
         isSameDomain: true,
         backend,
         outstanding: 0,
+        turnWaitMs: backend.turnWaitMs,
         statusAgeMs: 0,
       },
     ];
@@ -65,6 +66,7 @@
           isSameDomain: failureDomain === this.#self.failureDomain,
           backend,
           outstanding: link.outstanding,
+          turnWaitMs: link.turnWaitMs,
           statusAgeMs: performance.now() - link.lastHeardAtMs,
         },
       ];
