--- a/features/support/platform_store.ts
+++ b/features/support/platform_store.ts
@@ -60,6 +60,10 @@
   isUnavailable = false;
   /** Calls get no response; watches that are open now never get one. */
   isSilent = false;
+  /** Watches are answered without a wait, also if there is no change. */
+  answersWatchesAtOnce = false;
+  /** Every watch reports the last change again, and every page says more. */
+  repeatsAnswers = false;
   /** Number of reads of one item and of watches. */
   reads = 0;
   /** Every call so far, with the range that it was about. */
@@ -79,7 +83,8 @@
   readonly #handlers: Readonly<Record<string, Handler>> = {
     'GET /kv-range': (url, _, res) => {
       const items = this.#itemsUnder(url.searchParams.get('PathPrefix') ?? '');
-      send(res, 200, {items, HasMore: false, AsOf: this.#revision});
+      const HasMore = this.repeatsAnswers;
+      send(res, 200, {items, HasMore, AsOf: this.#revision});
     },
     'GET /kv-watch': (url, _, res) => this.#watch(url, res),
     'POST /kv-txn': (_, body, res) => {
@@ -209,6 +214,9 @@
     const after = Number(url.searchParams.get('after'));
     const endAtMs = performance.now() + Number(url.searchParams.get('WaitMs'));
     const era = this.#era;
+    if (this.repeatsAnswers) {
+      return send(res, 200, {events: this.#history.slice(-1), AsOf: after});
+    }
     while (performance.now() < endAtMs && !res.destroyed) {
       if (this.isSilent || era !== this.#era) return;
       const isKnown =
@@ -217,7 +225,7 @@
       const events = this.#history.filter(
         ({Key, Revision}) => Revision > after && Key.startsWith(prefix),
       );
-      if (events.length > 0) {
+      if (events.length > 0 || this.answersWatchesAtOnce) {
         return send(res, 200, {events, AsOf: this.#revision});
       }
       await new Promise(resolve => setTimeout(resolve, WATCH_POLL_INTERVAL_MS));
