--- /dev/null
+++ b/features/steps/platform_process_steps.ts
@@ -0,0 +1,136 @@
+/** Steps for a mesh daemon that runs as a process of its own. */
+import assert from 'node:assert/strict';
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {createServer, request, type Server} from 'node:http';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {After, Given, Then, When} from '@cucumber/cucumber';
+import {HEADER_NAMES as NAMES} from '../../platform/names.js';
+import {listen} from '../../src/http/listener.js';
+import {until} from '../support/fleet.js';
+import {freeAddress} from '../support/ports.js';
+import {TestProcess} from '../support/process.js';
+import {stateOf} from './platform_adapter_steps.js';
+
+/** The process of one scenario and what belongs to it. */
+interface DaemonProcess {
+  readonly process: TestProcess;
+  readonly backend: Server;
+  readonly folder: string;
+  readonly callers: string;
+  /** Ids of the requests that reached the instance. */
+  readonly seen: string[];
+  status?: number;
+  exitCode?: number | null;
+}
+
+const daemons = new WeakMap<object, DaemonProcess>();
+const ANY_PORT = '127.0.0.1:0';
+const INSTANCE = 'i-1';
+/** The second signal comes while the daemon still accepts callers. */
+const SECOND_SIGNAL_MS = 300;
+
+function daemonOf(world: object): DaemonProcess {
+  const daemon = daemons.get(world);
+  assert.ok(daemon);
+  return daemon;
+}
+
+After(async function () {
+  const daemon = daemons.get(this);
+  await daemon?.process.end();
+  daemon?.backend.close();
+  if (daemon) rmSync(daemon.folder, {recursive: true});
+});
+
+Given(
+  'the process of a mesh daemon whose instance takes {int} ms',
+  async function (takesMs: number) {
+    const seen: string[] = [];
+    const backend = createServer((req, res) => {
+      res.setHeader(NAMES.instance, INSTANCE);
+      if (req.url === '/health') return res.end();
+      const id = String(req.headers[NAMES.requestId]);
+      seen.push(id);
+      res.setHeader(NAMES.requestId, id);
+      res.setHeader(NAMES.signature, 'signed');
+      return setTimeout(() => res.end('done'), takesMs);
+    });
+    const address = await listen(backend, ANY_PORT, 'backend server');
+    const listens = {
+      callers: await freeAddress(),
+      readiness: await freeAddress(),
+      announcements: await freeAddress(),
+      peers: await freeAddress(),
+      metrics: await freeAddress(),
+    };
+    const folder = mkdtempSync(path.join(tmpdir(), 'mesh-daemon-'));
+    const file = path.join(folder, 'settings.json');
+    const settings = {
+      vm: {id: 'vm-1', failureDomain: 'a'},
+      listen: listens,
+      backend: {address, service: 'pay'},
+      store: {address: stateOf(this).address},
+      isFirstStart: false,
+      stopTimeoutS: 6,
+      repeats: {ratio: 0.2, windowS: 10, slack: 60},
+    };
+    writeFileSync(file, JSON.stringify(settings));
+    const process = await TestProcess.start({
+      script: 'platform/main.ts',
+      nodeArgs: ['--import', 'tsx'],
+      args: ['--settings', file],
+    });
+    const {callers} = listens;
+    daemons.set(this, {process, backend, folder, callers, seen});
+    const isReady = async () =>
+      (await fetch(`http://${listens.readiness}/`)).status === 200;
+    await until('the daemon is ready', isReady, 5000);
+  },
+);
+
+When(
+  'a caller sends a request, and the process is told to stop twice',
+  async function () {
+    const daemon = daemonOf(this);
+    const answered = post(daemon.callers).then(status => {
+      daemon.status = status;
+    });
+    await until('the instance runs it', () => daemon.seen.length === 1, 2000);
+    const {process} = daemon;
+    process.signal('SIGTERM');
+    await sleep(SECOND_SIGNAL_MS);
+    daemon.exitCode = await process.end('SIGTERM');
+    await answered;
+  },
+);
+
+/** Sends a request; resolves to its status, or 0 without a response. */
+function post(callers: string): Promise<number> {
+  const [host, port] = callers.split(':');
+  const headers = {
+    host: 'app.example',
+    [NAMES.requestId]: 'request-1',
+    [NAMES.deadline]: '4000',
+    [NAMES.key]: 'key-1',
+  };
+  const path = '/unsafe/1';
+  const options = {host, port, path, method: 'POST', headers, agent: false};
+  return new Promise(resolve => {
+    const req = request(options, res => {
+      res.resume();
+      res.on('end', () => resolve(res.statusCode ?? 0));
+    });
+    req.on('error', () => resolve(0));
+    req.end('body');
+  });
+}
+
+Then('the request is served', function () {
+  assert.equal(daemonOf(this).status, 200);
+});
+
+Then('the process ends with exit code {int}', function (code: number) {
+  assert.equal(daemonOf(this).exitCode, code);
+});
