--- a/features/platform_restore.feature
+++ b/features/platform_restore.feature
@@ -82,3 +82,36 @@
     And the source is refreshed
     And the operators write version 2
     Then version 2 is in force within 1000 ms
+
+  # Guards against a change that no daemon of a fleet has, so that peers can't
+  # help either.
+  Scenario: A whole fleet follows a store that was restored
+    Given the platform's store with version 1
+    And a mesh fleet of 4 VMs with 2 slots each
+    And all daemons of the fleet follow the store
+    And a copy of the store
+    And the operators write version 2
+    And the operators write version 3
+    And version 3 is in force on the whole fleet within 1000 ms
+    When the store is unavailable for 400 ms and comes back from its copy
+    And the operators write version 3
+    And the operators write version 4
+    And other writers reach the revision of before
+    Then version 4 is in force on the whole fleet within 2000 ms
+    And all daemons of the fleet are listed within 4000 ms
+
+  # Guards against a daemon that takes no response any more, or each one as that
+  # of a restored store, because of a header field that names no era.
+  Scenario Outline: A store whose era is <era> is followed
+    Given the platform's store with version 1
+    And its responses name the era <era>
+    And a daemon that follows the store and is listed
+    When the operators write version 2
+    Then version 2 is in force within 1000 ms
+    And the log has no restored store
+
+    Examples:
+      | era    |
+      | "none" |
+      | "?"    |
+      | ""     |
--- a/features/steps/platform_restore_steps.ts
+++ b/features/steps/platform_restore_steps.ts
@@ -4,10 +4,13 @@
 import {Given, Then, When} from '@cucumber/cucumber';
 import {ConfigurationSource} from '../../platform/configuration_source.js';
 import {StoreClient} from '../../platform/store_client.js';
+import {StoreFollower} from '../../platform/store_follower.js';
 import {VmRegistry} from '../../platform/vm_registry.js';
 import {MeshMetrics} from '../../src/mesh/mesh_metrics.js';
 import {until} from '../support/fleet.js';
 import type {PlatformStore} from '../support/platform_store.js';
+import type {World} from '../support/world.js';
+import {stateOf as fleetStateOf} from './mesh_path_steps.js';
 import {
   RENEWAL_DUE_MS,
   stateOf,
@@ -174,3 +177,50 @@
 function watchesOf({calls}: PlatformStore): number {
   return calls.filter(({operation}) => operation === 'kv-watch').length;
 }
+
+Given('its responses name the era {string}', function (field: string) {
+  stateOf(this).store.eraField = field;
+});
+
+Then('the log has no restored store', function () {
+  assert.ok(!stateOf(this).events.includes('store-restored'));
+});
+
+Given(
+  'all daemons of the fleet follow the store',
+  async function (this: World) {
+    const {address, log, end} = stateOf(this);
+    const {vms} = fleetStateOf(this).fleet;
+    vms.forEach(({daemon}) => {
+      const {configurationTracker: tracker, peers, self} = daemon;
+      const metrics = new MeshMetrics();
+      const options = {address, self, tracker, peers, log, metrics};
+      void new StoreFollower(options).run(end.signal);
+    });
+    await untilListed(this, 2000);
+  },
+);
+
+async function untilListed(world: World, withinMs: number): Promise<void> {
+  const {store} = stateOf(world);
+  const {vms} = fleetStateOf(world).fleet;
+  const isListed = () => store.keys(VM_KEY_PREFIX).length === vms.length;
+  await until('all daemons are listed', isListed, withinMs);
+}
+
+Then(
+  'version {int} is in force on the whole fleet within {int} ms',
+  async function (this: World, version: number, withinMs: number) {
+    const {vms} = fleetStateOf(this).fleet;
+    const isInForce = () =>
+      vms.every(({daemon}) => daemon.configurationTracker.version === version);
+    await until(`version ${version}`, isInForce, withinMs);
+  },
+);
+
+Then(
+  'all daemons of the fleet are listed within {int} ms',
+  async function (this: World, withinMs: number) {
+    await untilListed(this, withinMs);
+  },
+);
--- a/features/support/platform_store.ts
+++ b/features/support/platform_store.ts
@@ -51,6 +51,8 @@
   res: ServerResponse,
 ) => void | Promise<void>;
 
+/** A response without the field. */
+const NO_ERA = 'none';
 const WATCH_POLL_INTERVAL_MS = 10;
 /** The system assigns the port. */
 const ANY_PORT = '127.0.0.1:0';
@@ -60,6 +62,8 @@
   isUnavailable = false;
   /** Calls get no response; watches that are open now never get one. */
   isSilent = false;
+  /** Sent in place of the era; undefined: the era itself. */
+  eraField: string | undefined;
   /** Watches are answered without a wait, also if there is no change. */
   answersWatchesAtOnce = false;
   /** Every watch reports the last change again, and every page says more. */
@@ -202,7 +206,8 @@
     const isOneItem = call === 'kv-range' && this.#items.has(prefix);
     if (isOneItem || call === 'kv-watch') this.reads += 1;
     const handle = this.#handlers[`${req.method} /${call}`];
-    res.setHeader('store-era', this.#era);
+    const eraField = this.eraField ?? String(this.#era);
+    if (eraField !== NO_ERA) res.setHeader('store-era', eraField);
     if (this.isSilent) return;
     if (this.isUnavailable) return void res.writeHead(503).end();
     if (!handle) return void res.writeHead(400).end();
