Give turns within a rate limit before slots

Seen by callers: nothing yet; found by reading. A request took a slot and then waited for its turn within the limit. As many requests as there are slots waited there whatever their priority, so that an urgent one could wait for several turns of less urgent ones and be refused in the end. Change: the turn comes first, in the order of priority, then the slot.

--- a/src/mesh/gate/rate_pacer.ts
+++ b/src/mesh/gate/rate_pacer.ts
@@ -39,11 +39,6 @@
     return this.#limitPerS;
   }
 
-  /** Number of requests that wait for their turn. */
-  get waiting(): number {
-    return this.#turns.size + this.#turns.pending;
-  }
-
   /** Sets the limit that the instance named last; undefined removes it. */
   setLimit(limitPerS: number | undefined): void {
     this.#limitPerS = limitPerS;
@@ -68,12 +63,15 @@
     return this.#bucket.waitMs(performance.now()) + (ahead / ratePerS) * 1000;
   }
 
-  /** Waits for the request's turn; false if it was abandoned before. */
-  async takeTurn(request: PacedRequest): Promise<boolean> {
+  /** Calls `pass` at the request's turn, unless it was abandoned before. */
+  async takeTurn(request: PacedRequest, pass: () => unknown): Promise<void> {
     const {priority, isAbandoned} = request;
-    if (!this.#bucket && this.waiting === 0) return !isAbandoned();
-    const wait = () => this.#waitForToken(isAbandoned);
-    return (await this.#turns.add(wait, {priority: -priority})) ?? false;
+    const isEmpty = this.#turns.size + this.#turns.pending === 0;
+    if (!this.#bucket && isEmpty) return void pass();
+    const wait = async () => {
+      if (await this.#waitForToken(isAbandoned)) pass();
+    };
+    await this.#turns.add(wait, {priority: -priority});
   }
 
   /** Returns the turn of a request that was not sent. */
--- a/src/mesh/gate/slot_queue.ts
+++ b/src/mesh/gate/slot_queue.ts
@@ -43,7 +43,7 @@
   #isFirstHold = true;
 
   get running(): number {
-    return this.#queue.pending - this.#pacer.waiting;
+    return this.#queue.pending;
   }
 
   /** Number of queued requests. */
@@ -108,14 +108,16 @@
         Math.max(1, queueTimeoutMs),
       );
       signal.addEventListener('abort', onAbort, {once: true});
-      const isAbandoned = () => isSettled;
-      const hold = async () => {
-        if (!(await this.#pacer.takeTurn({priority, isAbandoned}))) return;
-        if (isSettled) return this.#pacer.returnTurn();
-        await this.#hold(settle);
+      const hold = () => {
+        if (!isSettled) return this.#hold(settle);
+        this.#pacer.returnTurn();
+        return Promise.resolve();
       };
+      const isAbandoned = () => isSettled;
       this.#adjustWaiting(priority, 1);
-      void this.#queue.add(hold, {priority: -priority});
+      void this.#pacer.takeTurn({priority, isAbandoned}, () =>
+        this.#queue.add(hold, {priority: -priority}),
+      );
     });
   }
 
