--- a/features/mesh_notices.feature
+++ b/features/mesh_notices.feature
@@ -5,11 +5,17 @@
   Background:
     Given a mesh fleet of 3 VMs with 2 slots each
 
-  Scenario: The limit that an instance names is logged and exported
-    Given the instance of VM 0 names a limit of "2.5" per second
+  Scenario Outline: The limit of "<limit>" that an instance names is logged and exported
+    Given the instance of VM 0 names a limit of "<limit>" per second
     When callers send 9 requests to "/once/", spread over all VMs
-    Then the log has the limit 2.5 of the instance of VM 0
-    And VM 0 exports a limit of "2.5" per second
+    Then the log has the limit <number> of the instance of VM 0
+    And VM 0 exports a limit of "<number>" per second
+
+    Examples:
+      | limit | number |
+      | 2.5   | 2.5    |
+      | .5    | 0.5    |
+      | 3.0   | 3      |
 
   Scenario: A limit that is not a number is logged and changes nothing
     Given the instance of VM 0 names a limit of "many" per second
--- a/src/mesh/gate/instance_notice.ts
+++ b/src/mesh/gate/instance_notice.ts
@@ -14,7 +14,7 @@
   readonly isLeaving: boolean;
 }
 
-const DECIMAL = /^\d+(\.\d+)?$/;
+const DECIMAL = /^(\d+\.?\d*|\.\d+)$/;
 const LEAVING = '1';
 
 /** Reads the notice in the headers of a response. */
--- a/src/mesh/gate/slot_queue.ts
+++ b/src/mesh/gate/slot_queue.ts
@@ -86,7 +86,7 @@
 
   /** Waits for a slot; declines at once if the wait would be too long. */
   acquire(waiter: Waiter): Promise<Slot | Declined> {
-    const {priority, queueTimeoutMs: queueTimeoutMs, signal} = waiter;
+    const {priority, queueTimeoutMs, signal} = waiter;
     const waitMs = this.expectedWaitMs(priority);
     if (signal.aborted) return Promise.resolve(declined('withdrawn'));
     if (waitMs > queueTimeoutMs)
