End a slot search without an error when the last instance leaves

Seen by callers: 502 with an unknown outcome for a request that certainly did not run; callers don't repeat it. Cause: the gates are ranked again after those with a free slot have declined. If none was left by then, the shortest of no waits was looked for, a TypeError, which the router answers as its own failure. Found while testing instances that say that they leave, which makes it likelier. Change: without a gate to queue at, the answer of the gates that were asked stands.

--- a/features/mesh_notices.feature
+++ b/features/mesh_notices.feature
@@ -90,3 +90,12 @@
     Then VM 0 gets none of the next 30 requests
     When the instance of VM 0 starts again
     Then VM 0 gets some of the next 30 requests
+
+  # Guards against an answer that leaves open whether a request ran, when the last
+  # instance leaves while a slot is searched for.
+  Scenario: Requests are refused as not run when the last instance leaves
+    Given the instance of VM 0 says that it leaves
+    And the instance of VM 1 says that it leaves
+    And the instance of VM 2 says that it leaves
+    When callers send 200 requests per second to "/once/" for 1 s, spread over all VMs
+    Then every request was served or refused as not run
--- a/features/mesh_slot_search.feature
+++ b/features/mesh_slot_search.feature
@@ -27,3 +27,10 @@
     Given a near gate whose instance is full and a far one whose instance is full
     When a non-idempotent request searches for a slot
     Then it gets no slot, with the shorter of both waits
+
+  # Guards against an answer that leaves open whether a request ran, although no
+  # instance was there to run it.
+  Scenario: When the last instances leave during the search, it ends without a slot
+    Given a near gate whose instance leaves meanwhile and a far one whose instance leaves meanwhile
+    When a non-idempotent request searches for a slot
+    Then it gets no slot
--- a/features/steps/mesh_notice_steps.ts
+++ b/features/steps/mesh_notice_steps.ts
@@ -182,6 +182,12 @@
   },
 );
 
+Then('every request was served or refused as not run', function (this: World) {
+  const answers = answersByWorld.get(this) ?? [];
+  const statuses = new Set(answers.map(({answer}) => answer.status));
+  assert.deepEqual([...statuses].toSorted(), [200, 503]);
+});
+
 Then(
   'VM {int} got at least {int} requests in the last {int} s',
   function (this: World, index: number, least: number, lastS: number) {
--- a/features/steps/mesh_slot_search_steps.ts
+++ b/features/steps/mesh_slot_search_steps.ts
@@ -33,6 +33,7 @@
   "doesn't respond": ({assurance}, place) =>
     assurance === 'none' ? reservationAt(place) : declined('doubtful', 2000),
   'is full': (_, place) => declined('busy', WAIT_MS[place]),
+  'leaves meanwhile': () => declined('leaving'),
 };
 
 function reservationAt(place: GateName): Reservation {
@@ -59,11 +60,22 @@
 }
 
 /** By its last status, the gate has free slots and is trusted. */
-function gateAt(place: GateName, behaviour: string): GateCandidate {
+function gateAt(
+  state: SearchState,
+  place: GateName,
+  behaviour: string,
+): GateCandidate {
   const decide = DECISIONS[behaviour];
   assert.ok(decide, behaviour);
   const gate: GateClient = {
-    reserve: request => Promise.resolve(decide(request, place)),
+    reserve: request => {
+      const decision = decide(request, place);
+      const isLeaving =
+        decision.kind === 'declined' && decision.reason === 'leaving';
+      // The gate's next status shows it.
+      if (isLeaving) state.gates = state.gates.filter(({vm}) => vm !== place);
+      return Promise.resolve(decision);
+    },
   };
   return {
     vm: place,
@@ -109,7 +121,8 @@
 Given(
   /^a near gate whose instance (.+) and a far one whose instance (.+)$/,
   function (near: string, far: string) {
-    stateOf(this).gates = [gateAt('near', near), gateAt('far', far)];
+    const state = stateOf(this);
+    state.gates = [gateAt(state, 'near', near), gateAt(state, 'far', far)];
   },
 );
 
--- a/src/mesh/router/slot_search.ts
+++ b/src/mesh/router/slot_search.ts
@@ -66,6 +66,7 @@
   if (signal.aborted) return declined('withdrawn');
   // The responses have updated the load and trust of the gates just asked.
   const queued = rankGates(gates, search).slice(0, MAX_QUEUES);
+  if (queued.length === 0) return found;
   const waited = await waitInQueues(queued, search);
   if (waited.kind === 'found' || signal.aborted) return waited;
   // Even instances that are not trusted answer four requests in ten.
