--- a/features/platform_process.feature
+++ b/features/platform_process.feature
@@ -3,9 +3,9 @@
 
   # Guards against a stop that is cut short by the next signal, so that requests
   # in flight are lost.
-  Scenario: A daemon that is told to stop twice completes its stop
+  Scenario: A daemon that gets SIGTERM twice completes its stop
     Given the platform's store with version 1
     And the process of a mesh daemon whose instance takes 1000 ms
-    When a caller sends a request, and the process is told to stop twice
+    When a caller sends a request, and the process gets SIGTERM twice
     Then the request is served
     And the process ends with exit code 0
--- a/features/steps/platform_process_steps.ts
+++ b/features/steps/platform_process_steps.ts
@@ -91,7 +91,7 @@
 );
 
 When(
-  'a caller sends a request, and the process is told to stop twice',
+  'a caller sends a request, and the process gets SIGTERM twice',
   async function () {
     const daemon = daemonOf(this);
     const answered = post(daemon.callers).then(status => {
