--- a/features/steps/platform_busy_steps.ts
+++ b/features/steps/platform_busy_steps.ts
@@ -22,7 +22,7 @@
   stateOf(this).store.repeatsAnswers = false;
 });
 
-/** A change of another key would not end them. */
+/** Watches that are open already would wait for the next change. */
 function endOpenWatches(world: object): void {
   stateOf(world).store.cutConnections();
 }
--- a/features/steps/platform_restore_steps.ts
+++ b/features/steps/platform_restore_steps.ts
@@ -135,7 +135,7 @@
     const gaps = renewedAtMs
       .slice(1)
       .map((at, index) => at - (renewedAtMs[index] ?? at));
-    // Renewals begin after the first interval.
+    // The first gap is the time from the registrations to the first renewal.
     assert.ok(Math.max(...gaps.slice(1)) <= gapMs, gaps.map(Math.round).join());
   },
 );
