--- a/review/support/configuration.ts
+++ b/review/support/configuration.ts
@@ -7,22 +7,29 @@
   readonly version: string;
   readonly keys: readonly string[];
   readonly maxBodyBytes?: number;
+  /** Services beside `pay` that have an unsafe route of their own. */
+  readonly otherServices?: readonly string[];
 }
 
 /** A document with one tenant and a safe, an unsafe and an upload route. */
 export function documentOf(options: ConfigurationOptions): string {
-  const {version, keys, maxBodyBytes = 67_108_864} = options;
-  const route = (Kind: string, TimeoutMs: number) => ({
+  const {
+    version,
+    keys,
+    maxBodyBytes = 67_108_864,
+    otherServices = [],
+  } = options;
+  const route = (Kind: string, TimeoutMs: number, Service = 'pay') => ({
     ResourceKind: 'Routes',
-    Metadata: {Name: `r-${Kind}`},
+    Metadata: {Name: `r-${Kind}-${Service}`},
     Spec: {
       Host: 'app.example',
-      PathPrefix: `/${Kind}/`,
+      PathPrefix: Service === 'pay' ? `/${Kind}/` : `/${Service}/`,
       Kind,
       TimeoutMs,
       TargetLatencyMs: 1000,
       Priority: 1,
-      Service: 'pay',
+      Service,
       MaxAttempts: 2,
       Public: false,
     },
@@ -43,8 +50,8 @@
       route('safe', 1500),
       route('unsafe', 2000),
       route('upload', 4000),
-      service('pay'),
-      service('book'),
+      ...otherServices.map(name => route('unsafe', 2000, name)),
+      ...['pay', 'book', ...otherServices].map(service),
       {
         ResourceKind: 'Tenants',
         Metadata: {Name: 'da-lat'},
