Read TROUBLE in each case, and make the scripts of the review steadier

Each case reads TROUBLE itself. Ports lie below the range from which the system gives them out; starts had failed.

--- a/review/2/case.ts
+++ b/review/2/case.ts
@@ -25,11 +25,21 @@
 const LIST_INTERVAL_MS = 5000;
 const RENEW_INTERVAL_MS = 3000;
 const MARGIN_MS = 150;
+/** A watch lasts 25 s. */
+const MAX_WATCH_AGE_MS = 15_000;
+
+/** How the calls to the store begin. */
+const CALLS = {
+  listAtMs: 'GET /kv-range?PathPrefix=chicory',
+  renewAtMs: 'POST /kv-keep',
+  watchAtMs: 'GET /kv-watch',
+} as const;
 
 /** When a daemon made its calls to the store last. */
 interface Calls {
   listAtMs: number;
   renewAtMs: number;
+  watchAtMs: number;
 }
 
 /** Starts a machine whose daemon reaches the store through a proxy. */
@@ -39,12 +49,15 @@
   context: CaseContext,
 ) {
   const {record, atEnd} = context;
-  const calls: Calls = {listAtMs: 0, renewAtMs: 0};
+  const calls: Calls = {listAtMs: 0, renewAtMs: 0, watchAtMs: 0};
   const relay = new Relay(storeAddress, bytes => {
     const line = bytes.toString('latin1', 0, 80);
-    if (line.startsWith('POST /kv-keep')) calls.renewAtMs = record.nowMs;
-    const isList = line.startsWith('GET /kv-range?PathPrefix=chicory');
-    if (isList) calls.listAtMs = record.nowMs;
+    const call = Object.entries(CALLS).find(([, start]) =>
+      line.startsWith(start),
+    )?.[0] as keyof Calls | undefined;
+    if (call === undefined) return;
+    calls[call] = record.nowMs;
+    record.add(`store    ${id} ${line.split(' HTTP')[0]}`);
   });
   const store = await relay.start();
   atEnd(() => relay.stop());
@@ -53,14 +66,19 @@
 }
 
 /**
- * Whether the daemon's next call to the store will be the list of daemons, and
- * its next renewal comes only after that.
+ * Whether the daemon's next call to the store will be the list of daemons, its
+ * next renewal comes only after that, no call but the watch is in flight, and
+ * the watch is not about to end.
  */
-function isListNext({listAtMs, renewAtMs}: Calls, nowMs: number): boolean {
+function isListNext(calls: Calls, nowMs: number): boolean {
+  const {listAtMs, renewAtMs, watchAtMs} = calls;
   const nextListAtMs = listAtMs + LIST_INTERVAL_MS;
   const nextRenewAtMs = renewAtMs + RENEW_INTERVAL_MS;
   return (
-    nextListAtMs > nowMs + MARGIN_MS && nextListAtMs + MARGIN_MS < nextRenewAtMs
+    nowMs - Math.max(listAtMs, renewAtMs) > MARGIN_MS &&
+    nowMs - watchAtMs < MAX_WATCH_AGE_MS &&
+    nextListAtMs > nowMs + MARGIN_MS &&
+    nextListAtMs + MARGIN_MS < nextRenewAtMs
   );
 }
 
@@ -130,4 +148,7 @@
   return breaches;
 }
 
-void runCase(play);
+/** `TROUBLE=0` plays the same without the disruption. */
+const hasTrouble = process.env.TROUBLE !== '0';
+
+void runCase(play, hasTrouble);
--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,4 +1,5 @@
 #!/bin/sh
 # Exits with 1 if the rule was broken, 0 if it held, 2 if it could not run.
+# With TROUBLE=0 it plays the same without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 exec node target/review/2/case.cjs review/2/record.txt
--- a/review/3/case.ts
+++ b/review/3/case.ts
@@ -92,4 +92,7 @@
     });
 }
 
-void runCase(play);
+/** `TROUBLE=0` plays the same without the disruption. */
+const hasTrouble = process.env.TROUBLE !== '0';
+
+void runCase(play, hasTrouble);
--- a/review/support/daemon.ts
+++ b/review/support/daemon.ts
@@ -1,11 +1,10 @@
 /** A daemon of the deploy file as a process of its own. */
 import {spawn, type ChildProcess} from 'node:child_process';
 import {once} from 'node:events';
-import {createWriteStream, writeFileSync} from 'node:fs';
+import {createWriteStream, readFileSync, writeFileSync} from 'node:fs';
 import {createServer} from 'node:net';
 import path from 'node:path';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {listen} from './listen.js';
 
 /** The bounds of the site that the daemons get with their settings. */
 export const BOUNDS = {
@@ -31,6 +30,8 @@
 
 const REPOSITORY = path.resolve(process.cwd());
 const START_TIMEOUT_MS = 20_000;
+const FIRST_PORT = 10_000;
+const PORTS = 22_000;
 
 export class Daemon {
   readonly callers: string;
@@ -96,7 +97,11 @@
     this.#child = child;
     const endMs = performance.now() + START_TIMEOUT_MS;
     while (!(await this.isReady())) {
-      if (performance.now() > endMs) throw new Error('daemon is not ready');
+      const hasEnded = child.exitCode !== null || child.signalCode !== null;
+      if (hasEnded || performance.now() > endMs) {
+        const lines = readFileSync(this.#logFile, 'utf8').trim().split('\n');
+        throw new Error(`daemon is not ready: ${lines.slice(-2).join(' ')}`);
+      }
       await sleep(20);
     }
   }
@@ -124,10 +129,22 @@
   }
 }
 
+/**
+ * A port below the range from which the system gives out ports, so that nothing
+ * else takes it before the daemon listens or while it is down.
+ */
 async function freeAddress(): Promise<string> {
+  const port = FIRST_PORT + Math.floor(Math.random() * PORTS);
   const server = createServer();
-  const address = await listen(server);
+  try {
+    const listening = once(server, 'listening');
+    server.listen(port, '127.0.0.1');
+    await listening;
+  } catch {
+    // The port is taken.
+    return freeAddress();
+  }
   server.close();
   await once(server, 'close');
-  return address;
+  return `127.0.0.1:${port}`;
 }
--- a/review/support/run_case.ts
+++ b/review/support/run_case.ts
@@ -8,7 +8,7 @@
   readonly record: Record;
   /** Temporary folder, removed at the end. */
   readonly folder: string;
-  /** False with `TROUBLE=0`: the same without the disruption. */
+  /** False: the same without the disruption. */
   readonly hasTrouble: boolean;
   /** Calls `stop` at the end, the last one added first. */
   readonly atEnd: (stop: () => void | Promise<void>) => void;
@@ -23,12 +23,12 @@
 
 export async function runCase(
   play: (context: CaseContext) => Promise<Breaches>,
+  hasTrouble: boolean,
 ): Promise<void> {
   const recordFile = process.argv[2] ?? 'record.txt';
   const record = new Record(recordFile);
   const folder = mkdtempSync(path.join(tmpdir(), 'review-'));
   const stops: (() => void | Promise<void>)[] = [];
-  const hasTrouble = process.env.TROUBLE !== '0';
   const context: CaseContext = {
     record,
     folder,
