--- a/features/steps/platform_adapter_steps.ts
+++ b/features/steps/platform_adapter_steps.ts
@@ -93,6 +93,21 @@
   }
 }
 
+/** Starts the store with a first version; resolves to its address. */
+export async function startStore(
+  world: object,
+  version: number,
+): Promise<string> {
+  const state = stateOf(world);
+  state.address = await state.store.start();
+  writeVersion(world, version);
+  return state.address;
+}
+
+export function writeVersion(world: object, version: number): void {
+  writeDocument(stateOf(world), documentOf(formatVersion(version)));
+}
+
 function writeDocument(state: AdapterState, text: string): void {
   const Value = Buffer.from(text).toString('base64');
   state.store.write({Key: CONFIGURATION_KEY, Value});
@@ -150,9 +165,7 @@
 Given(
   "the platform's store with version {int}",
   async function (version: number) {
-    const state = stateOf(this);
-    state.address = await state.store.start();
-    writeDocument(state, documentOf(formatVersion(version)));
+    await startStore(this, version);
   },
 );
 
@@ -296,7 +309,7 @@
 });
 
 When('the operators write version {int}', function (version: number) {
-  writeDocument(stateOf(this), documentOf(formatVersion(version)));
+  writeVersion(this, version);
 });
 
 When('the operators write a truncated document', async function () {
--- a/features/steps/platform_busy_steps.ts
+++ b/features/steps/platform_busy_steps.ts
@@ -5,7 +5,7 @@
 import {until} from '../support/fleet.js';
 import {stateOf, VM_KEY_PREFIX} from './platform_adapter_steps.js';
 
-/** The list is read every 5 s. */
+/** The list is read every 3 s. */
 const LIST_DUE_MS = 6000;
 
 When('the store answers every watch at once', function () {
--- a/features/support/platform_store.ts
+++ b/features/support/platform_store.ts
@@ -9,6 +9,7 @@
   type IncomingMessage,
   type ServerResponse,
 } from 'node:http';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {listen} from '../../src/http/listener.js';
 
 interface Item {
@@ -62,6 +63,8 @@
   isUnavailable = false;
   /** Calls get no response; watches that are open now never get one. */
   isSilent = false;
+  /** Delay of every response but those of watches. */
+  delayMs = 0;
   /** Sent in place of the era; undefined: the era itself. */
   eraField: string | undefined;
   /** Watches are answered without a wait, also if there is no change. */
@@ -211,6 +214,7 @@
     if (this.isSilent) return;
     if (this.isUnavailable) return void res.writeHead(503).end();
     if (!handle) return void res.writeHead(400).end();
+    if (call !== 'kv-watch' && this.delayMs > 0) await sleep(this.delayMs);
     await handle(url, Buffer.concat(chunks).toString(), res);
   }
 
@@ -233,7 +237,7 @@
       if (events.length > 0 || this.answersWatchesAtOnce) {
         return send(res, 200, {events, AsOf: this.#revision});
       }
-      await new Promise(resolve => setTimeout(resolve, WATCH_POLL_INTERVAL_MS));
+      await sleep(WATCH_POLL_INTERVAL_MS);
     }
     send(res, 200, {events: [], AsOf: this.#revision});
   }
