Keep an instance that left out after a restart of the daemon

Two requests reached the instance 3.3 s after the acknowledgement.

Cause: a leaving instance is recorded with the start of its incarnation, and later starts are accepted. A daemon that has just started has no heartbeat to take the start from and recorded 0, so every heartbeat was later. The deregistration names the start, but its body wasn't read.

Change: the body of a deregistration is read. Without a start in it, that of the last heartbeat is meant, and without a heartbeat all incarnations until now. A deregistration of an earlier incarnation leaves the known one alone. Related paths with the same cause: a response that tells that the instance leaves, and a deregistration before the probe.

--- a/src/mesh/gate/backend_identity.ts
+++ b/src/mesh/gate/backend_identity.ts
@@ -48,12 +48,32 @@
     return true;
   }
 
-  /** Marks an instance as leaving for good. */
-  markLeaving(instance: string): void {
+  /**
+   * Marks an incarnation of an instance as leaving for good. Does nothing if a
+   * later one has been heard of since.
+   */
+  markLeaving(
+    instance: string,
+    startedAtUnixMs = this.#latestStartOf(instance),
+  ): void {
+    const known = this.#known?.instance === instance ? this.#known : undefined;
+    if (known && known.startedAtUnixMs > startedAtUnixMs) return;
+    const leftStartMs = this.#leftIncarnations.get(instance) ?? startedAtUnixMs;
+    this.#leftIncarnations.set(
+      instance,
+      Math.max(leftStartMs, startedAtUnixMs),
+    );
+    if (known) this.#known = {...known, state: 'draining'};
+  }
+
+  /**
+   * The start of an instance's last incarnation. One that no heartbeat has
+   * reported, such as one found by a probe, started at some time until now.
+   */
+  #latestStartOf(instance: string): number {
     const known = this.#known;
-    const isKnown = known?.instance === instance;
-    this.#leftIncarnations.set(instance, isKnown ? known.startedAtUnixMs : 0);
-    if (isKnown) this.#known = {...known, state: 'draining'};
+    const isReported = known?.instance === instance && known.sequence >= 0;
+    return isReported ? known.startedAtUnixMs : Date.now();
   }
 
   /** Adopts the result of a probe, unless a heartbeat has come first. */
--- a/src/mesh/gate/gate.ts
+++ b/src/mesh/gate/gate.ts
@@ -103,10 +103,13 @@
     this.#applyIdentity(before);
   }
 
-  /** Marks the instance as leaving; it gets no new requests from now on. */
-  markLeaving(instance: string): void {
+  /**
+   * Marks an instance as leaving; it gets no new requests from now on. Without a
+   * start, its last incarnation is meant.
+   */
+  markLeaving(instance: string, startedAtUnixMs?: number): void {
     const before = this.#identity.known;
-    this.#identity.markLeaving(instance);
+    this.#identity.markLeaving(instance, startedAtUnixMs);
     this.#applyIdentity(before);
   }
 
