Merge the small chunks of a body as they arrive

A report of other operators: bytes without end from a faulty instance exhaust the memory of the machine that had called it.

Cause here: limits count the bytes of a body, but each chunk is an object of some 150 bytes, kept until the end. A chunked body whose chunks have one byte took a daemon far above the memory of its VM.

Change: BodyBuffer merges chunks once they have 16 KB together or there are 1,024 of them. All places that collect a body use it.

--- a/features/steps/platform_process_steps.ts
+++ b/features/steps/platform_process_steps.ts
@@ -1,7 +1,12 @@
 /** Steps for a mesh daemon that runs as a process of its own. */
 import assert from 'node:assert/strict';
 import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
-import {createServer, request, type Server} from 'node:http';
+import {
+  createServer,
+  request,
+  type RequestListener,
+  type Server,
+} from 'node:http';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import {setTimeout as sleep} from 'node:timers/promises';
@@ -14,7 +19,7 @@
 import {stateOf} from './platform_adapter_steps.js';
 
 /** The process of one scenario and what belongs to it. */
-interface DaemonProcess {
+export interface DaemonProcess {
   readonly process: TestProcess;
   readonly backend: Server;
   readonly folder: string;
@@ -28,10 +33,12 @@
 const daemons = new WeakMap<object, DaemonProcess>();
 const ANY_PORT = '127.0.0.1:0';
 const INSTANCE = 'i-1';
+/** As in deploy/system.toml. */
+const HEAP_LIMIT_MB = 158;
 /** The second signal comes while the daemon still accepts callers. */
 const SECOND_SIGNAL_MS = 300;
 
-function daemonOf(world: object): DaemonProcess {
+export function daemonOf(world: object): DaemonProcess {
   const daemon = daemons.get(world);
   assert.ok(daemon);
   return daemon;
@@ -40,6 +47,7 @@
 After(async function () {
   const daemon = daemons.get(this);
   await daemon?.process.end();
+  daemon?.backend.closeAllConnections();
   daemon?.backend.close();
   if (daemon) rmSync(daemon.folder, {recursive: true});
 });
@@ -47,49 +55,61 @@
 Given(
   'the process of a mesh daemon whose instance takes {int} ms',
   async function (takesMs: number) {
-    const seen: string[] = [];
-    const backend = createServer((req, res) => {
-      res.setHeader(NAMES.instance, INSTANCE);
-      if (req.url === '/health') return res.end();
-      const id = String(req.headers[NAMES.requestId]);
-      seen.push(id);
-      res.setHeader(NAMES.requestId, id);
-      res.setHeader(NAMES.signature, 'signed');
-      return setTimeout(() => res.end('done'), takesMs);
+    await startDaemonProcess(this, (_, res) => {
+      setTimeout(() => res.end('done'), takesMs);
     });
-    const address = await listen(backend, ANY_PORT, 'backend server');
-    const listens = {
-      callers: await freeAddress(),
-      readiness: await freeAddress(),
-      announcements: await freeAddress(),
-      peers: await freeAddress(),
-      metrics: await freeAddress(),
-    };
-    const folder = mkdtempSync(path.join(tmpdir(), 'mesh-daemon-'));
-    const file = path.join(folder, 'settings.json');
-    const settings = {
-      vm: {id: 'vm-1', failureDomain: 'a'},
-      listen: listens,
-      backend: {address, service: 'pay'},
-      store: {address: stateOf(this).address},
-      isFirstStart: false,
-      stopTimeoutS: 6,
-      repeats: {ratio: 0.2, windowS: 10, slack: 60},
-    };
-    writeFileSync(file, JSON.stringify(settings));
-    const process = await TestProcess.start({
-      script: 'platform/main.ts',
-      nodeArgs: ['--import', 'tsx'],
-      args: ['--settings', file],
-    });
-    const {callers} = listens;
-    daemons.set(this, {process, backend, folder, callers, seen});
-    const isReady = async () =>
-      (await fetch(`http://${listens.readiness}/`)).status === 200;
-    await until('the daemon is ready', isReady, 5000);
   },
 );
 
+/** Starts a daemon whose instance answers as `respond` does. */
+export async function startDaemonProcess(
+  world: object,
+  respond: RequestListener,
+): Promise<DaemonProcess> {
+  const seen: string[] = [];
+  const backend = createServer((req, res) => {
+    res.setHeader(NAMES.instance, INSTANCE);
+    if (req.url === '/health') return res.end();
+    const id = String(req.headers[NAMES.requestId]);
+    seen.push(id);
+    res.setHeader(NAMES.requestId, id);
+    res.setHeader(NAMES.signature, 'signed');
+    return respond(req, res);
+  });
+  const address = await listen(backend, ANY_PORT, 'backend server');
+  const listens = {
+    callers: await freeAddress(),
+    readiness: await freeAddress(),
+    announcements: await freeAddress(),
+    peers: await freeAddress(),
+    metrics: await freeAddress(),
+  };
+  const folder = mkdtempSync(path.join(tmpdir(), 'mesh-daemon-'));
+  const file = path.join(folder, 'settings.json');
+  const settings = {
+    vm: {id: 'vm-1', failureDomain: 'a'},
+    listen: listens,
+    backend: {address, service: 'pay'},
+    store: {address: stateOf(world).address},
+    isFirstStart: false,
+    stopTimeoutS: 6,
+    repeats: {ratio: 0.2, windowS: 10, slack: 60},
+  };
+  writeFileSync(file, JSON.stringify(settings));
+  const process = await TestProcess.start({
+    script: 'platform/main.ts',
+    nodeArgs: ['--import', 'tsx', `--max-old-space-size=${HEAP_LIMIT_MB}`],
+    args: ['--settings', file],
+  });
+  const {callers} = listens;
+  const daemon = {process, backend, folder, callers, seen};
+  daemons.set(world, daemon);
+  const isReady = async () =>
+    (await fetch(`http://${listens.readiness}/`)).status === 200;
+  await until('the daemon is ready', isReady, 5000);
+  return daemon;
+}
+
 When(
   'a caller sends a request, and the process gets SIGTERM twice',
   async function () {
@@ -107,11 +127,11 @@
 );
 
 /** Sends a request; resolves to its status, or 0 without a response. */
-function post(callers: string): Promise<number> {
+export function post(callers: string, id = 'request-1'): Promise<number> {
   const [host, port] = callers.split(':');
   const headers = {
     host: 'app.example',
-    [NAMES.requestId]: 'request-1',
+    [NAMES.requestId]: id,
     [NAMES.deadline]: '4000',
     [NAMES.key]: 'key-1',
   };
--- a/features/support/process.ts
+++ b/features/support/process.ts
@@ -1,6 +1,6 @@
 /** One process of a test: started by us, watched, and ended by its id. */
 import {spawn, type ChildProcess} from 'node:child_process';
-import {readFileSync} from 'node:fs';
+import {readFileSync, writeFileSync} from 'node:fs';
 import {createInterface} from 'node:readline';
 
 /** Options of {@link TestProcess.start}. */
@@ -13,6 +13,8 @@
 
 const READY_TIMEOUT_MS = 20_000;
 const CLOCK_TICK_MS = 10;
+/** As the kernel expects it in `clear_refs`. */
+const RESET_PEAK = '5';
 
 /** A process that printed its first line. */
 export class TestProcess {
@@ -66,6 +68,17 @@
     return (Number(fields[11]) + Number(fields[12])) * CLOCK_TICK_MS;
   }
 
+  /** Highest resident memory since the last reset of the peak, in megabytes. */
+  get peakMemoryMb(): number {
+    const text = readFileSync(`/proc/${this.#child.pid}/status`, 'utf8');
+    return Number(/VmHWM:\s+(\d+) kB/.exec(text)?.[1]) / 1024;
+  }
+
+  /** Starts to measure the peak of memory anew. */
+  resetPeakMemory(): void {
+    writeFileSync(`/proc/${this.#child.pid}/clear_refs`, RESET_PEAK);
+  }
+
   signal(signal: NodeJS.Signals): void {
     this.#child.kill(signal);
   }
--- a/src/admin/answers.ts
+++ b/src/admin/answers.ts
@@ -5,6 +5,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {CATALOGUE, type FailureName} from '../errors/catalogue.js';
 import {Failure, reasonOf} from '../errors/failure.js';
+import {BodyBuffer} from '../http/body_buffer.js';
 import type {Logger} from '../log/logger.js';
 
 /** HTTP status of each failure that the API can end in. */
@@ -70,14 +71,13 @@
   req: IncomingMessage,
   maxBytes: number,
 ): Promise<Buffer> {
-  const chunks: Buffer[] = [];
-  let bytes = 0;
+  const received = new BodyBuffer();
   for await (const chunk of req) {
-    bytes += (chunk as Buffer).length;
-    if (bytes > maxBytes) throw new Failure('bodyTooLarge', {maxBytes});
-    chunks.push(chunk as Buffer);
+    received.append(chunk as Buffer);
+    const isTooLarge = received.sizeBytes > maxBytes;
+    if (isTooLarge) throw new Failure('bodyTooLarge', {maxBytes});
   }
-  return Buffer.concat(chunks);
+  return received.toBuffer();
 }
 
 /** The object in a body; throws `recordInvalid` if it is anything else. */
--- a/src/gate/announcements.ts
+++ b/src/gate/announcements.ts
@@ -1,6 +1,7 @@
 /** HTTP API through which instances announce, renew and withdraw themselves. */
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import polka from 'polka';
+import {BodyBuffer} from '../http/body_buffer.js';
 import {announcementSchema, type Instances} from './instances.js';
 
 const MAX_BODY_BYTES = 4096;
@@ -26,14 +27,12 @@
 }
 
 async function readText(req: IncomingMessage): Promise<string> {
-  const chunks: Buffer[] = [];
-  let bytes = 0;
+  const received = new BodyBuffer();
   for await (const chunk of req) {
-    bytes += (chunk as Buffer).length;
-    if (bytes > MAX_BODY_BYTES) return '';
-    chunks.push(chunk as Buffer);
+    received.append(chunk as Buffer);
+    if (received.sizeBytes > MAX_BODY_BYTES) return '';
   }
-  return Buffer.concat(chunks).toString();
+  return received.toBuffer().toString();
 }
 
 function parseJson(text: string): unknown {
--- a/src/gate/body.ts
+++ b/src/gate/body.ts
@@ -6,6 +6,7 @@
  * and can be sent only once.
  */
 import type {Readable} from 'node:stream';
+import {BodyBuffer} from '../http/body_buffer.js';
 
 /** Bodies up to this size are buffered completely. */
 export const MAX_BUFFERED_BYTES = 64 * 1024;
@@ -74,15 +75,13 @@
   // Ending the iteration early must not destroy the caller's connection.
   const chunks = source.iterator({destroyOnReturn: false});
   const rest = chunks as AsyncIterator<Buffer>;
-  const head: Buffer[] = [];
-  let bytes = 0;
-  while (bytes <= MAX_BUFFERED_BYTES) {
+  const head = new BodyBuffer();
+  while (head.sizeBytes <= MAX_BUFFERED_BYTES) {
     const next = await rest.next();
-    if (next.done) return new BufferedBody(Buffer.concat(head));
-    head.push(next.value);
-    bytes += next.value.length;
+    if (next.done) return new BufferedBody(head.toBuffer());
+    head.append(next.value);
   }
-  return new StreamedBody(head, rest);
+  return new StreamedBody(head.chunks, rest);
 }
 
 /** A body that is not read before it is opened and iterated. */
--- a/src/mesh/gate/backend_client.ts
+++ b/src/mesh/gate/backend_client.ts
@@ -4,6 +4,7 @@
  */
 import {request, type IncomingMessage} from 'node:http';
 import {reasonOf} from '../../errors/failure.js';
+import {BodyBuffer} from '../../http/body_buffer.js';
 import {findFieldFault} from '../../http/field_syntax.js';
 import {
   isFramed,
@@ -228,20 +229,18 @@
 }
 
 function readToEnd(res: IncomingMessage): Promise<RawResponse> {
-  const chunks: Buffer[] = [];
-  let size = 0;
+  const received = new BodyBuffer();
   return new Promise((resolve, reject) => {
     res.on('data', (chunk: Buffer) => {
-      size += chunk.length;
-      chunks.push(chunk);
-      if (size <= MAX_RESPONSE_BYTES) return;
-      chunks.length = 0;
+      received.append(chunk);
+      if (received.sizeBytes <= MAX_RESPONSE_BYTES) return;
+      received.clear();
       res.destroy(new ResponseTooLongError('body without end'));
     });
     res.on('end', () => {
       if (!res.complete) return reject(new TruncationError('answer cut short'));
       const status = res.statusCode ?? 0;
-      const body = Buffer.concat(chunks);
+      const body = received.toBuffer();
       resolve({status, headers: res.rawHeaders, body});
     });
     res.on('error', reject);
--- a/src/mesh/router/caller_body.ts
+++ b/src/mesh/router/caller_body.ts
@@ -1,5 +1,6 @@
 /** Reads a whole request body, up to a size limit. */
 import type {IncomingMessage} from 'node:http';
+import {BodyBuffer} from '../../http/body_buffer.js';
 
 /** The body, or why there is none. */
 export type BodyResult =
@@ -12,17 +13,15 @@
   req: IncomingMessage,
   maxBytes: number,
 ): Promise<BodyResult> {
-  const chunks: Buffer[] = [];
-  let sizeBytes = 0;
+  const received = new BodyBuffer();
   try {
     for await (const chunk of req as AsyncIterable<Buffer>) {
-      sizeBytes += chunk.length;
-      if (sizeBytes > maxBytes) return {kind: 'too-large'};
-      chunks.push(chunk);
+      received.append(chunk);
+      if (received.sizeBytes > maxBytes) return {kind: 'too-large'};
     }
   } catch {
     // The connection is closed: no error response can reach the caller.
     return {kind: 'broken'};
   }
-  return {kind: 'whole', bytes: Buffer.concat(chunks)};
+  return {kind: 'whole', bytes: received.toBuffer()};
 }
