Try an address again that is taken at the start

Reproduced: a listen address that is taken when a daemon starts ends the process with EADDRINUSE at once, the peers' address even with an uncaught error.

Cause: listen tried once, and the WebSocket server repeats the errors of the HTTP server that it is attached to, with nothing listening to them.

--- a/features/platform_process.feature
+++ b/features/platform_process.feature
@@ -9,3 +9,19 @@
     When a caller sends a request, and the process gets SIGTERM twice
     Then the request is served
     And the process ends with exit code 0
+
+  # Guards against a daemon that ends at its start because the process before it,
+  # or an outgoing connection, still has one of its ports.
+  Scenario Outline: A daemon whose <listener> address is taken starts once it is free
+    Given the platform's store with version 1
+    And the <listener> address of a mesh daemon is taken
+    When its process starts, and the address is free 700 ms later
+    Then the process is ready within 5000 ms
+
+    Examples:
+      | listener      |
+      | callers       |
+      | readiness     |
+      | announcements |
+      | peers         |
+      | metrics       |
--- a/features/steps/platform_process_steps.ts
+++ b/features/steps/platform_process_steps.ts
@@ -18,19 +18,41 @@
 import {TestProcess} from '../support/process.js';
 import {stateOf} from './platform_adapter_steps.js';
 
-/** The process of one scenario and what belongs to it. */
-export interface DaemonProcess {
-  readonly process: TestProcess;
+/** Addresses of a daemon's listeners. */
+type Listens = Readonly<
+  Record<
+    'callers' | 'readiness' | 'announcements' | 'peers' | 'metrics',
+    string
+  >
+>;
+
+/** What a daemon needs to start. */
+interface DaemonSetup {
   readonly backend: Server;
+  /** Contains the settings file. */
   readonly folder: string;
+  readonly listens: Listens;
   readonly callers: string;
   /** Ids of the requests that reached the instance. */
   readonly seen: string[];
+}
+
+/** The process of one scenario and what belongs to it. */
+export interface DaemonProcess extends DaemonSetup {
+  readonly process: TestProcess;
   status?: number;
   exitCode?: number | null;
 }
 
+/** A daemon one of whose addresses another server has. */
+interface OccupiedAddress {
+  readonly setup: DaemonSetup;
+  readonly occupant: Server;
+}
+
 const daemons = new WeakMap<object, DaemonProcess>();
+const occupied = new WeakMap<object, OccupiedAddress>();
+const SETTINGS_FILE = 'settings.json';
 const ANY_PORT = '127.0.0.1:0';
 const INSTANCE = 'i-1';
 /** As in deploy/system.toml. */
@@ -45,8 +67,10 @@
 }
 
 After(async function () {
-  const daemon = daemons.get(this);
-  await daemon?.process.end();
+  await daemons.get(this)?.process.end();
+  const {setup, occupant} = occupied.get(this) ?? {};
+  occupant?.close();
+  const daemon = daemons.get(this) ?? setup;
   daemon?.backend.closeAllConnections();
   daemon?.backend.close();
   if (daemon) rmSync(daemon.folder, {recursive: true});
@@ -61,11 +85,11 @@
   },
 );
 
-/** Starts a daemon whose instance answers as `respond` does. */
-export async function startDaemonProcess(
+/** The backend server of a daemon, and the daemon's settings. */
+async function prepareDaemon(
   world: object,
   respond: RequestListener,
-): Promise<DaemonProcess> {
+): Promise<DaemonSetup> {
   const seen: string[] = [];
   const backend = createServer((req, res) => {
     res.setHeader(NAMES.instance, INSTANCE);
@@ -85,7 +109,6 @@
     metrics: await freeAddress(),
   };
   const folder = mkdtempSync(path.join(tmpdir(), 'mesh-daemon-'));
-  const file = path.join(folder, 'settings.json');
   const settings = {
     vm: {id: 'vm-1', failureDomain: 'a'},
     listen: listens,
@@ -95,21 +118,78 @@
     stopTimeoutS: 6,
     repeats: {ratio: 0.2, windowS: 10, slack: 60},
   };
-  writeFileSync(file, JSON.stringify(settings));
+  writeFileSync(path.join(folder, SETTINGS_FILE), JSON.stringify(settings));
+  return {backend, folder, listens, callers: listens.callers, seen};
+}
+
+/** Starts the process; resolves at its first line of output. */
+async function startProcess(
+  world: object,
+  setup: DaemonSetup,
+): Promise<DaemonProcess> {
   const process = await TestProcess.start({
     script: 'platform/main.ts',
     nodeArgs: ['--import', 'tsx', `--max-old-space-size=${HEAP_LIMIT_MB}`],
-    args: ['--settings', file],
+    args: ['--settings', path.join(setup.folder, SETTINGS_FILE)],
   });
-  const {callers} = listens;
-  const daemon = {process, backend, folder, callers, seen};
+  const daemon = {...setup, process};
   daemons.set(world, daemon);
+  return daemon;
+}
+
+async function untilReady(
+  {listens}: DaemonSetup,
+  withinMs: number,
+): Promise<void> {
   const isReady = async () =>
     (await fetch(`http://${listens.readiness}/`)).status === 200;
-  await until('the daemon is ready', isReady, 5000);
+  await until('the daemon is ready', isReady, withinMs);
+}
+
+/** Starts a daemon whose instance answers as `respond` does. */
+export async function startDaemonProcess(
+  world: object,
+  respond: RequestListener,
+): Promise<DaemonProcess> {
+  const daemon = await startProcess(world, await prepareDaemon(world, respond));
+  await untilReady(daemon, 5000);
   return daemon;
 }
 
+Given(
+  'the {word} address of a mesh daemon is taken',
+  async function (listener: keyof DaemonSetup['listens']) {
+    const setup = await prepareDaemon(this, (_, res) => res.end('done'));
+    const occupant = createServer();
+    await listen(occupant, setup.listens[listener], 'occupant');
+    occupied.set(this, {setup, occupant});
+  },
+);
+
+function occupiedOf(world: object): OccupiedAddress {
+  const found = occupied.get(world);
+  assert.ok(found);
+  return found;
+}
+
+When('its process starts', async function () {
+  await startProcess(this, occupiedOf(this).setup);
+});
+
+When(
+  'its process starts, and the address is free {int} ms later',
+  async function (laterMs: number) {
+    const {setup, occupant} = occupiedOf(this);
+    await startProcess(this, setup);
+    await sleep(laterMs);
+    occupant.close();
+  },
+);
+
+Then('the process is ready within {int} ms', async function (withinMs: number) {
+  await untilReady(daemonOf(this), withinMs);
+});
+
 When(
   'a caller sends a request, and the process gets SIGTERM twice',
   async function () {
--- a/src/mesh/mesh_daemon.ts
+++ b/src/mesh/mesh_daemon.ts
@@ -8,7 +8,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import polka from 'polka';
 import {reasonOf} from '../errors/failure.js';
-import {listen} from '../http/listener.js';
+import {listen, type ListenRetry} from '../http/listener.js';
 import {StrictServer} from '../http/strict_server.js';
 import type {DecisionLog} from '../log/decision_log.js';
 import {ConfigurationTracker} from './configuration/configuration_tracker.js';
@@ -192,13 +192,18 @@
     this.#repeatBudget.start();
     const callers = await this.#callerServer.start();
     const {listen: addresses} = settings;
+    const onRetry = (retry: ListenRetry) =>
+      log.belief('listen-retried', {...retry});
     this.#boundAddresses = {
       readiness: await listen(
         this.#readinessServer,
         addresses.readiness,
         'readiness',
+        {onRetry},
       ),
-      metrics: await listen(this.#metricsServer, addresses.metrics, 'metrics'),
+      metrics: await listen(this.#metricsServer, addresses.metrics, 'metrics', {
+        onRetry,
+      }),
     };
     const {vm, backend, isFirstStart} = settings;
     log.belief('daemon-started', {...vm, ...backend, isFirstStart});
--- a/src/mesh/peers/peer_server.ts
+++ b/src/mesh/peers/peer_server.ts
@@ -84,7 +84,14 @@
       // so the next one goes to all in full.
       this.#lastBroadcast = undefined;
     });
-    const bound = await listen(this.#http, this.#options.address, 'peers');
+    const {address, log} = this.#options;
+    // The WebSocket server repeats the errors of the HTTP server.
+    this.#server.on('error', err => {
+      log.belief('peer-listener-failed', {reason: reasonOf(err)});
+    });
+    const bound = await listen(this.#http, address, 'peers', {
+      onRetry: retry => log.belief('listen-retried', {...retry}),
+    });
     this.#statusInterval = setInterval(
       () => this.#broadcastStatus(),
       STATUS_INTERVAL_MS,
--- a/src/mesh/router/caller_server.ts
+++ b/src/mesh/router/caller_server.ts
@@ -114,12 +114,11 @@
   }
 
   start(): Promise<string> {
-    return listen(
-      this.#server,
-      this.#options.address,
-      'callers',
-      LISTEN_BACKLOG,
-    );
+    const {address, log} = this.#options;
+    return listen(this.#server, address, 'callers', {
+      backlog: LISTEN_BACKLOG,
+      onRetry: retry => log.belief('listen-retried', {...retry}),
+    });
   }
 
   /** Applies the limits of a new configuration. */
