--- a/features/steps/platform_process_steps.ts
+++ b/features/steps/platform_process_steps.ts
@@ -172,10 +172,22 @@
   return found;
 }
 
-When('its process starts', async function () {
-  await startProcess(this, occupiedOf(this).setup);
+When('its process starts and gets SIGTERM', async function () {
+  const daemon = await startProcess(this, occupiedOf(this).setup);
+  daemon.exitCode = await daemon.process.end('SIGTERM');
 });
 
+When(
+  'its process starts and gets SIGHUP, and the address is free {int} ms later',
+  async function (laterMs: number) {
+    const {setup, occupant} = occupiedOf(this);
+    const {process} = await startProcess(this, setup);
+    process.signal('SIGHUP');
+    await sleep(laterMs);
+    occupant.close();
+  },
+);
+
 When(
   'its process starts, and the address is free {int} ms later',
   async function (laterMs: number) {
