Hash a bounded part of a request's body for its fingerprint

A body may have 64 MB, and hashing it would block the event loop for as long as peers wait for an acknowledgement. Of a body over 256 KB its length, beginning and end count.

--- a/features/query_of_death.feature
+++ b/features/query_of_death.feature
@@ -78,6 +78,10 @@
     Then requests with the same content have the same fingerprint
     And requests that differ in the customer, the path, the query, the method or the body don't
 
+  Scenario: Large bodies that differ at their beginning, end or length differ
+    Then bodies of 1000000 bytes that differ in the first or last byte have different fingerprints
+    And a body of 1000001 bytes has another one
+
   Scenario Outline: Evidence with <fault> is refused with one log line
     Given a daemon that gets evidence with <fault> from a peer
     Then it refuses the evidence with one log line
--- a/features/steps/query_of_death_steps.ts
+++ b/features/steps/query_of_death_steps.ts
@@ -304,6 +304,30 @@
   },
 );
 
+function fingerprintOfBody(body: Buffer): string {
+  return fingerprintOf({...CONTENT, body});
+}
+
+Then(
+  'bodies of {int} bytes that differ in the first or last byte have different fingerprints',
+  (size: number) => {
+    const bodies = [undefined, 0, size - 1].map(changed => {
+      const body = Buffer.alloc(size);
+      if (changed !== undefined) body[changed] = 1;
+      return body;
+    });
+    const fingerprints = new Set(bodies.map(fingerprintOfBody));
+    assert.equal(fingerprints.size, bodies.length);
+  },
+);
+
+Then('a body of {int} bytes has another one', (size: number) => {
+  const [longer, shorter] = [size, size - 1].map(length =>
+    fingerprintOfBody(Buffer.alloc(length)),
+  );
+  assert.notEqual(longer, shorter);
+});
+
 const RECORD: FingerprintRecord = {
   fingerprint: fingerprintOf(CONTENT),
   ends: [{instance: 'i-1', ageMs: 10}],
--- a/src/mesh/router/fingerprint.ts
+++ b/src/mesh/router/fingerprint.ts
@@ -16,6 +16,11 @@
   readonly body: Buffer;
 }
 
+/**
+ * Of a larger body only the beginning and the end are hashed, this many bytes of
+ * each: hashing all of it would block the event loop.
+ */
+const MAX_HASHED_BYTES = 128 * 1024;
 /** Bytes of the hash that are used, enough to rule out collisions. */
 const FINGERPRINT_BYTES = 16;
 /** A fingerprint as text: 16 bytes in URL-safe Base64. */
@@ -24,10 +29,14 @@
 /** Returns the fingerprint of a request. */
 export function fingerprintOf(content: RequestContent): string {
   const {route, customer = '', method, host, path, body} = content;
-  const head = JSON.stringify([route, customer, method, host, path]);
+  const {length} = body;
+  const head = JSON.stringify([route, customer, method, host, path, length]);
   return createHash('sha256')
     .update(head)
-    .update(body)
+    .update(body.subarray(0, MAX_HASHED_BYTES))
+    .update(
+      body.subarray(Math.max(MAX_HASHED_BYTES, length - MAX_HASHED_BYTES)),
+    )
     .digest()
     .subarray(0, FINGERPRINT_BYTES)
     .toString('base64url');
