Specify how daemons share evidence of deadly requests

Two daemons that are cut off and restart: once both know of three ends, neither sends the request again, and a request beside it isn't refused. Each of the five rules is needed: without it an unsafe state is found.

--- a/spec/specifications.feature
+++ b/spec/specifications.feature
@@ -80,6 +80,22 @@
       | expire          |
       | ageFromMaking   |
 
+  Scenario: Quarantine of deadly requests is safe
+    When "quarantine" is explored
+    Then no state is unsafe
+
+  Scenario Outline: Quarantine of deadly requests needs each of its rules
+    When "quarantine" is explored without the rule "<rule>"
+    Then an unsafe state is found
+
+    Examples:
+      | rule              |
+      | shareEnds         |
+      | addUp             |
+      | exchangeOnConnect |
+      | learnAtStart      |
+      | countOnce         |
+
   Scenario: At most once is safe
     When "at most once" is explored
     Then no state is unsafe
--- a/spec/steps/specification_steps.ts
+++ b/spec/steps/specification_steps.ts
@@ -7,6 +7,7 @@
 import {escrow, ESCROW_RULES} from '../escrow.js';
 import {ejectionFloor} from '../ejection_floor.js';
 import {explore, rulesWithout, type Exploration} from '../explore.js';
+import {quarantine, QUARANTINE_RULES} from '../quarantine.js';
 import {repeatTokens, REPEAT_TOKENS_RULES} from '../repeat_tokens.js';
 import {witnesses, WITNESS_RULES} from '../witnesses.js';
 
@@ -45,6 +46,8 @@
     explore(configurationForce(rulesWithout(FORCE_RULES, without))),
   'configuration order': without =>
     explore(configurationOrder(rulesWithout(ORDER_RULES, without))),
+  quarantine: without =>
+    explore(quarantine(rulesWithout(QUARANTINE_RULES, without))),
   'repeat tokens': without =>
     explore(repeatTokens(rulesWithout(REPEAT_TOKENS_RULES, without))),
   'ejection floor': without =>
