--- a/features/steps/platform_leaving_steps.ts
+++ b/features/steps/platform_leaving_steps.ts
@@ -11,7 +11,7 @@
   readonly gate: Gate;
   readonly heartbeats: HeartbeatServer;
   readonly address: string;
-  /** All starts are told in relation to it, as Unix milliseconds. */
+  /** Starts are relative to it, as Unix milliseconds. */
   readonly nowUnixMs: number;
 }
 
--- a/src/mesh/router/query_of_death.ts
+++ b/src/mesh/router/query_of_death.ts
@@ -82,7 +82,7 @@
   readonly #suspects = new Map<string, Suspect>();
   /** Monotonic time of the last good response, in that order. */
   readonly #succeededAtMs = new Map<string, number>();
-  /** When the peers were last told of a good response. */
+  /** When a good response was last announced to the peers. */
   readonly #announcedAtMs = new Map<string, number>();
 
   constructor(options: QueryOfDeathOptions) {
