Add a soak of whole mesh fleets

Real daemons on loopback, as many as a deployment has VMs, with a store, instances and callers in processes of their own. One trouble affects the whole fleet while the callers go on; the result shows, for each part of the time after it, what was served, of how many daemons no caller was served, which processes ended by themselves, and how long the starts took.

--- a/features/support/platform_documents.ts
+++ b/features/support/platform_documents.ts
@@ -54,3 +54,42 @@
   Sequence: 4,
   born: 1000,
 });
+
+/** A service and the route that leads to it. */
+export interface ServiceRoute {
+  readonly service: string;
+  readonly host: string;
+  readonly prefix: string;
+  readonly kind: 'safe' | 'unsafe';
+  readonly timeoutMs: number;
+}
+
+/** Returns the text of a configuration with these routes and no customers. */
+export function documentOfRoutes(
+  version: string,
+  routes: readonly ServiceRoute[],
+): string {
+  const routeResources = routes.map(route => ({
+    ResourceKind: 'Routes',
+    Metadata: {Name: `route-${route.service}`},
+    Spec: {
+      Host: route.host,
+      PathPrefix: route.prefix,
+      Kind: route.kind,
+      Service: route.service,
+      TimeoutMs: route.timeoutMs,
+      TargetLatencyMs: route.timeoutMs / 3,
+      Priority: 1,
+      MaxAttempts: 2,
+      Public: true,
+    },
+  }));
+  const serviceResources = routes.map(({service}) => ({
+    ResourceKind: 'Services',
+    Metadata: {Name: service},
+    Spec: {HealthPath: '/health'},
+  }));
+  const limits = {ResourceKind: 'Limits', Spec: {MaxBodyBytes: 1000}};
+  const Resources = [...routeResources, ...serviceResources, limits];
+  return JSON.stringify({Version: version, Resources});
+}
--- a/features/support/platform_store.ts
+++ b/features/support/platform_store.ts
@@ -10,6 +10,7 @@
   type ServerResponse,
 } from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {CONFIGURATION_KEY} from '../../platform/configuration_document.js';
 import {listen} from '../../src/http/listener.js';
 
 interface Item {
@@ -132,6 +133,12 @@
     this.#history = [...this.#history, item];
   }
 
+  /** Writes a configuration document as the operators do. */
+  writeConfiguration(document: string): void {
+    const Value = Buffer.from(document).toString('base64');
+    this.write({Key: CONFIGURATION_KEY, Value});
+  }
+
   /** Keeps a copy of the current state. */
   keepCopy(): void {
     this.#copy = {
--- /dev/null
+++ b/soak/mesh/mesh_soak.ts
@@ -0,0 +1,187 @@
+/**
+ * A mesh soak: as many real daemons as a deployment has VMs, with a store,
+ * instances and callers in processes of their own. One trouble affects the whole
+ * fleet while the callers go on. What the callers of each daemon were told
+ * afterwards shows whether any of them are starved.
+ */
+import {mkdirSync} from 'node:fs';
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {Answer} from './callers.js';
+import {planFleet, type FleetOptions, type SoakVm} from './fleet_plan.js';
+import {SoakDaemon, Worker, type OwnEnd} from './processes.js';
+import {TROUBLES, type Fleet, type TroubleName} from './troubles.js';
+
+/** Options of {@link soakMesh}. */
+export interface MeshSoakOptions extends FleetOptions {
+  readonly trouble: TroubleName;
+  /** How long the callers go on after the trouble. */
+  readonly seconds: number;
+  /** Where logs and settings of the daemons are kept. */
+  readonly folder: string;
+}
+
+/** What callers saw in one part of the time after the trouble. */
+export interface Window {
+  readonly fromS: number;
+  readonly sent: number;
+  readonly served: number;
+  /** Daemons of whose callers none was served. */
+  readonly starvedDaemons: number;
+}
+
+/** What a run showed. */
+export interface MeshSoakResult {
+  readonly trouble: TroubleName;
+  readonly daemons: number;
+  readonly firstStart: StartTimes;
+  readonly lastStart: StartTimes;
+  readonly servedBefore: number;
+  readonly windows: readonly Window[];
+  readonly ownEnds: readonly OwnEnd[];
+  readonly peakMemoryMb: number;
+  /** Of the daemons' current processes. */
+  readonly meanProcessorMs: number;
+}
+
+/** Times from the start of the processes until they were ready. */
+interface StartTimes {
+  readonly notReady: number;
+  readonly medianMs: number;
+  readonly maxMs: number;
+}
+
+const VMS_PER_WORKER = 24;
+const MAX_START_MS = 60_000;
+const POLL_MS = 200;
+/** Callers that the daemons serve before the trouble begins. */
+const BASELINE_MS = 10_000;
+const WINDOW_MS = 5000;
+
+/** Plays one trouble; ends every process that it started. */
+export async function soakMesh(
+  options: MeshSoakOptions,
+): Promise<MeshSoakResult> {
+  mkdirSync(options.folder, {recursive: true});
+  const vms = planFleet(options);
+  const parts = partsOf(vms);
+  const store = new Worker();
+  const instanceWorkers = parts.map(() => new Worker());
+  const callerWorkers = parts.map(() => new Worker());
+  const {address = ''} = await store.ask({kind: 'store'});
+  await store.ask({kind: 'configure', version: '1'});
+  const daemons = vms.map(vm => new SoakDaemon(vm, options.folder, address));
+  try {
+    await askAll(instanceWorkers, parts, vms => ({
+      kind: 'instances',
+      vms,
+      options,
+    }));
+    daemons.forEach(daemon => daemon.start(true));
+    await untilReady(daemons);
+    const firstStart = startTimesOf(daemons);
+    await askAll(callerWorkers, parts, vms => ({
+      kind: 'callers',
+      vms,
+      options,
+    }));
+    await sleep(BASELINE_MS);
+    const beginsAtUnixMs = Date.now();
+    const fleet: Fleet = {daemons, store, instanceWorkers};
+    await TROUBLES[options.trouble](fleet);
+    const endsAtUnixMs = Date.now();
+    await sleep(options.seconds * 1000);
+    const replies = await Promise.all(
+      callerWorkers.map(worker => worker.ask({kind: 'answers'})),
+    );
+    const answers = replies.flatMap(reply => reply.answers ?? []);
+    const before = answers.filter(a => a.sentAtUnixMs < beginsAtUnixMs);
+    const served = before.filter(isServed).length;
+    return {
+      trouble: options.trouble,
+      daemons: options.daemons,
+      firstStart,
+      lastStart: startTimesOf(daemons),
+      servedBefore: round(served / before.length),
+      windows: windowsOf(answers, vms, endsAtUnixMs, options.seconds),
+      ownEnds: daemons.flatMap(({ownEnds}) => ownEnds),
+      peakMemoryMb: Math.max(...daemons.map(d => Math.round(d.peakMemoryMb))),
+      meanProcessorMs: Math.round(
+        sum(daemons.map(({processorMs}) => processorMs)) / daemons.length,
+      ),
+    };
+  } finally {
+    await Promise.all(daemons.map(daemon => daemon.end('SIGKILL')));
+    [store, ...instanceWorkers, ...callerWorkers].forEach(w => w.stop());
+  }
+}
+
+function partsOf(vms: readonly SoakVm[]): readonly (readonly SoakVm[])[] {
+  const count = Math.ceil(vms.length / VMS_PER_WORKER);
+  return Array.from({length: count}, (_, part) =>
+    vms.filter(({index}) => index % count === part),
+  );
+}
+
+async function askAll(
+  workers: readonly Worker[],
+  parts: readonly (readonly SoakVm[])[],
+  commandFor: (vms: readonly SoakVm[]) => Parameters<Worker['ask']>[0],
+): Promise<void> {
+  await Promise.all(
+    workers.map((worker, part) => worker.ask(commandFor(parts[part] ?? []))),
+  );
+}
+
+/** Waits until all daemons are ready, or for the longest time of a start. */
+async function untilReady(daemons: readonly SoakDaemon[]): Promise<void> {
+  const endMs = performance.now() + MAX_START_MS;
+  const isComplete = () => daemons.every(d => d.readyAfterMs !== undefined);
+  while (!isComplete() && performance.now() < endMs) await sleep(POLL_MS);
+}
+
+function startTimesOf(daemons: readonly SoakDaemon[]): StartTimes {
+  const times = daemons
+    .flatMap(({readyAfterMs}) => readyAfterMs ?? [])
+    .toSorted((a, b) => a - b)
+    .map(Math.round);
+  return {
+    notReady: daemons.length - times.length,
+    medianMs: times[Math.floor(times.length / 2)] ?? 0,
+    maxMs: times.at(-1) ?? 0,
+  };
+}
+
+function windowsOf(
+  answers: readonly Answer[],
+  vms: readonly SoakVm[],
+  fromUnixMs: number,
+  seconds: number,
+): readonly Window[] {
+  const count = Math.floor((seconds * 1000) / WINDOW_MS);
+  return Array.from({length: count}, (_, index) => {
+    const startMs = fromUnixMs + index * WINDOW_MS;
+    const sent = answers.filter(
+      ({sentAtUnixMs: atMs}) => atMs >= startMs && atMs < startMs + WINDOW_MS,
+    );
+    const served = sent.filter(isServed);
+    const servedVms = new Set(served.map(({vm}) => vm));
+    return {
+      fromS: (index * WINDOW_MS) / 1000,
+      sent: sent.length,
+      served: round(served.length / Math.max(1, sent.length)),
+      starvedDaemons: vms.length - servedVms.size,
+    };
+  });
+}
+
+function isServed({status}: Answer): boolean {
+  return status === 200;
+}
+
+function sum(values: readonly number[]): number {
+  return values.reduce((total, value) => total + value, 0);
+}
+
+function round(value: number): number {
+  return Math.round(value * 1000) / 1000;
+}
