--- a/soak/mesh/mesh_soak.ts
+++ b/soak/mesh/mesh_soak.ts
@@ -8,6 +8,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {Answer} from './callers.js';
 import {planFleet, type FleetOptions, type SoakVm} from './fleet_plan.js';
+import {sampleMetrics, type MetricsSample} from './metrics_sample.js';
 import {SoakDaemon, Worker, type OwnEnd} from './processes.js';
 import {TROUBLES, type Fleet, type TroubleName} from './troubles.js';
 
@@ -37,6 +38,7 @@
   readonly lastStart: StartTimes;
   readonly servedBefore: number;
   readonly windows: readonly Window[];
+  readonly samples: readonly MetricsSample[];
   readonly ownEnds: readonly OwnEnd[];
   readonly peakMemoryMb: number;
   /** Of the daemons' current processes. */
@@ -56,6 +58,7 @@
 /** Callers that the daemons serve before the trouble begins. */
 const BASELINE_MS = 10_000;
 const WINDOW_MS = 5000;
+const SAMPLE_INTERVAL_MS = 10_000;
 
 /** Plays one trouble; ends every process that it started. */
 export async function soakMesh(
@@ -89,7 +92,7 @@
     const fleet: Fleet = {daemons, store, instanceWorkers};
     await TROUBLES[options.trouble](fleet);
     const endsAtUnixMs = Date.now();
-    await sleep(options.seconds * 1000);
+    const samples = await collectSamples(daemons, options.seconds * 1000);
     const replies = await Promise.all(
       callerWorkers.map(worker => worker.ask({kind: 'answers'})),
     );
@@ -103,6 +106,7 @@
       lastStart: startTimesOf(daemons),
       servedBefore: round(served / before.length),
       windows: windowsOf(answers, vms, endsAtUnixMs, options.seconds),
+      samples,
       ownEnds: daemons.flatMap(({ownEnds}) => ownEnds),
       peakMemoryMb: Math.max(...daemons.map(d => Math.round(d.peakMemoryMb))),
       meanProcessorMs: Math.round(
@@ -139,6 +143,22 @@
   while (!isComplete() && performance.now() < endMs) await sleep(POLL_MS);
 }
 
+/** Reads the metrics at intervals until the time is over. */
+async function collectSamples(
+  daemons: readonly SoakDaemon[],
+  forMs: number,
+): Promise<readonly MetricsSample[]> {
+  const startMs = performance.now();
+  const samples: MetricsSample[] = [];
+  const sinceMs = () => performance.now() - startMs;
+  while (sinceMs() + SAMPLE_INTERVAL_MS <= forMs) {
+    await sleep(SAMPLE_INTERVAL_MS);
+    samples.push(await sampleMetrics(daemons, round(sinceMs() / 1000)));
+  }
+  await sleep(Math.max(0, forMs - sinceMs()));
+  return samples;
+}
+
 function startTimesOf(daemons: readonly SoakDaemon[]): StartTimes {
   const times = daemons
     .flatMap(({readyAfterMs}) => readyAfterMs ?? [])
