Export links to peers, attempts to connect, and how late a daemon is

Metrics: links by state, attempts to connect with their time and outcome, the delay of the event loop, the time of calls to the store, memory, open handles. Log: attempts that fail, fewer as they go on, and the states of the links in each no-slot line. No behaviour is changed.

--- a/features/steps/platform_adapter_steps.ts
+++ b/features/steps/platform_adapter_steps.ts
@@ -271,6 +271,7 @@
   const {address, tracker, log, end} = state;
   const self = {id: 'vm-1', address: '127.0.0.1:9', failureDomain: 'a'};
   const peers = new Peers({
+    metrics: new MeshMetrics(),
     self: () => self,
     log,
     onStatus: () => undefined,
@@ -286,6 +287,7 @@
   const client = new StoreClient(address, new MeshMetrics());
   const self = {id: 'vm-1', address: '127.0.0.1:9', failureDomain: 'a'};
   const peers = new Peers({
+    metrics: new MeshMetrics(),
     self: () => self,
     log,
     onStatus: () => undefined,
--- a/features/steps/platform_entry_steps.ts
+++ b/features/steps/platform_entry_steps.ts
@@ -53,6 +53,7 @@
   const {address, tracker, log, end} = stateOf(this);
   const self = {id: 'vm-1', address: '127.0.0.1:9', failureDomain: 'a'};
   const peers = new Peers({
+    metrics: new MeshMetrics(),
     self: () => self,
     log,
     onStatus: () => undefined,
--- a/features/steps/query_of_death_steps.ts
+++ b/features/steps/query_of_death_steps.ts
@@ -3,6 +3,7 @@
 import {once} from 'node:events';
 import {Given, Then, When} from '@cucumber/cucumber';
 import {WebSocketServer} from 'ws';
+import {MeshMetrics} from '../../src/mesh/mesh_metrics.js';
 import {encodeFrame, PEER_PATH} from '../../src/mesh/peers/frames.js';
 import {Peers} from '../../src/mesh/peers/peers.js';
 import {
@@ -374,6 +375,7 @@
     const {port} = server.address() as {readonly port: number};
     const self = {id: 'vm-0', address: '127.0.0.1:9', failureDomain: 'a'};
     const peers = new Peers({
+      metrics: new MeshMetrics(),
       self: () => self,
       log: {step: record, failure: record, belief: record},
       onStatus: () => undefined,
--- a/features/support/mesh_fleet.ts
+++ b/features/support/mesh_fleet.ts
@@ -219,21 +219,31 @@
   readonly lines: LogLine[] = [];
   #heldReader: HeldReader | undefined;
 
-  /** Starts `vm-0`, `vm-1` … with one backend server for each service given. */
+  /** Starts a fleet, and waits until all daemons are connected. */
   async start(services: readonly string[], slots: number): Promise<void> {
+    await this.launch(services, slots);
+    while (!this.isConnected) {
+      await new Promise(resolve => setTimeout(resolve, 10));
+    }
+  }
+
+  /** Starts `vm-0`, `vm-1` … with one backend server for each service given. */
+  async launch(services: readonly string[], slots: number): Promise<void> {
     for (const [index, service] of services.entries()) {
       const log = this.#log();
       this.vms.push(await startVm({id: `vm-${index}`, service, slots, log}));
     }
     const all = this.vms.map(({daemon}) => daemon.self);
     this.vms.forEach(({daemon}) => daemon.peers.applyList(all));
-    const isComplete = () =>
-      this.vms.every(({daemon}) => {
-        const links = daemon.peers.links;
-        const heard = links.filter(link => link.status?.backend);
-        return heard.length === this.vms.length - 1;
-      });
-    while (!isComplete()) await new Promise(resolve => setTimeout(resolve, 10));
+  }
+
+  /** Whether each daemon has the status of all others. */
+  get isConnected(): boolean {
+    return this.vms.every(({daemon}) => {
+      const links = daemon.peers.links;
+      const heard = links.filter(link => link.status?.backend);
+      return heard.length === this.vms.length - 1;
+    });
   }
 
   configure(configuration: FleetConfiguration): void {
--- a/src/mesh/mesh_daemon.ts
+++ b/src/mesh/mesh_daemon.ts
@@ -106,6 +106,7 @@
     this.peers = new Peers({
       self: () => this.self,
       log,
+      metrics,
       onStatus: link => void this.configurationTracker.fetchIfNewer(link),
       onFingerprints: records =>
         records.forEach(record => this.#quarantine.merge(record)),
--- a/src/mesh/mesh_metrics.ts
+++ b/src/mesh/mesh_metrics.ts
@@ -9,6 +9,16 @@
   0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1, 1.5, 2, 3, 5,
 ];
 
+/** From a handshake on an idle machine to one that a busy peer leaves open. */
+const CONNECT_BUCKETS_S = [0.005, 0.02, 0.1, 0.25, 0.5, 1, 2, 4, 8];
+/** A delay over 0.15 s is longer than peers wait for a reply. */
+const DELAY_BUCKETS_S = [0.01, 0.05, 0.15, 0.5, 1, 2, 4, 8];
+/** The store normally answers in 4 ms; calls are given up after 1.5 s. */
+const STORE_BUCKETS_S = [0.005, 0.01, 0.05, 0.1, 0.25, 0.5, 1, 1.5];
+
+/** How an attempt to connect to a peer ended. */
+export type ConnectOutcome = 'opened' | 'failed';
+
 /** The counters, histograms and gauges of one daemon. */
 export class MeshMetrics {
   readonly #registry = new Registry();
@@ -56,6 +66,26 @@
     labelNames: ['operation', 'outcome'],
     registers: [this.#registry],
   });
+  readonly #storeSeconds = new Histogram({
+    name: 'chicorycourse_store_call_seconds',
+    help: 'Time that calls to the store took, except watches, by operation',
+    labelNames: ['operation'],
+    buckets: STORE_BUCKETS_S,
+    registers: [this.#registry],
+  });
+  readonly #peerConnects = new Histogram({
+    name: 'chicorycourse_peer_connect_seconds',
+    help: 'Time that attempts to connect to a peer took, by outcome',
+    labelNames: ['outcome'],
+    buckets: CONNECT_BUCKETS_S,
+    registers: [this.#registry],
+  });
+  readonly #eventLoopDelay = new Histogram({
+    name: 'chicorycourse_event_loop_delay_seconds',
+    help: 'How late a timer fired that is due once a second',
+    buckets: DELAY_BUCKETS_S,
+    registers: [this.#registry],
+  });
   readonly #backendLimit = new Gauge({
     name: 'chicorycourse_backend_limit_per_second',
     help: 'Rate limit that the instance of this VM named last, if any',
@@ -75,6 +105,24 @@
   constructor() {
     // A gauge without labels starts at 0, which would be a limit.
     this.#backendLimit.remove();
+    new Gauge({
+      name: 'chicorycourse_resident_memory_bytes',
+      help: 'Resident memory of the process',
+      registers: [this.#registry],
+      collect() {
+        this.set(process.memoryUsage.rss());
+      },
+    });
+    new Gauge({
+      name: 'chicorycourse_active_resources',
+      help: 'Open sockets, timers and other handles of the process, by type',
+      labelNames: ['type'],
+      registers: [this.#registry],
+      collect() {
+        this.reset();
+        process.getActiveResourcesInfo().forEach(type => this.inc({type}));
+      },
+    });
     let last = performance.eventLoopUtilization();
     new Gauge({
       name: 'chicorycourse_event_loop_utilization',
@@ -120,8 +168,33 @@
     else this.#backendLimit.set(limitPerS);
   }
 
-  recordStoreCall(operation: string, outcome: string): void {
+  /** Exports how many links to peers are in each state. */
+  exportPeerLinks(countByState: () => Readonly<Record<string, number>>): void {
+    new Gauge({
+      name: 'chicorycourse_peer_links',
+      help: 'Links to peers, by state',
+      labelNames: ['state'],
+      registers: [this.#registry],
+      collect() {
+        Object.entries(countByState()).forEach(([state, count]) =>
+          this.set({state}, count),
+        );
+      },
+    });
+  }
+
+  recordPeerConnect(outcome: ConnectOutcome, tookMs: number): void {
+    this.#peerConnects.observe({outcome}, tookMs / 1000);
+  }
+
+  recordEventLoopDelay(delayMs: number): void {
+    this.#eventLoopDelay.observe(Math.max(0, delayMs) / 1000);
+  }
+
+  recordStoreCall(operation: string, outcome: string, tookMs: number): void {
     this.#store.inc({operation, outcome});
+    if (operation === 'watch') return;
+    this.#storeSeconds.observe({operation}, tookMs / 1000);
   }
 
   setConfigurationVersion(version: number): void {
--- a/src/mesh/peers/peer_link.ts
+++ b/src/mesh/peers/peer_link.ts
@@ -6,6 +6,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {WebSocket} from 'ws';
 import type {DecisionLog} from '../../log/decision_log.js';
+import type {ConnectOutcome, MeshMetrics} from '../mesh_metrics.js';
 import {reasonOf} from '../../errors/failure.js';
 import {
   declined,
@@ -36,6 +37,7 @@
   readonly self: () => Vm;
   readonly peer: Vm;
   readonly log: DecisionLog;
+  readonly metrics: Pick<MeshMetrics, 'recordPeerConnect'>;
   readonly onStatus: (link: PeerLink) => void;
   readonly onFingerprints: (records: readonly FingerprintRecord[]) => void;
 }
@@ -55,6 +57,15 @@
 const RECONNECT_MIN_MS = 100;
 const RECONNECT_MAX_MS = 1500;
 
+/** What a link's task is doing, from the view of this daemon. */
+export const LINK_STATES = [
+  'open',
+  'backing-off',
+  'connecting',
+  'waiting',
+] as const;
+export type LinkState = (typeof LINK_STATES)[number];
+
 type FingerprintsFrame = Extract<
   ResponseFrame,
   {readonly kind: 'fingerprints'}
@@ -76,6 +87,8 @@
   #backoffUntilMs = -Infinity;
   #backoffMs = BACKOFF_MIN_MS;
   #connectedAtMs = -Infinity;
+  /** Attempts to connect that failed since the last connection. */
+  #failedAttempts = 0;
   #nextId = 1;
   /** Reservations in progress, which the peer's status may not show yet. */
   #outstanding = 0;
@@ -105,6 +118,13 @@
     return isOpen && isHeardRecently && nowMs >= this.#backoffUntilMs;
   }
 
+  get state(): LinkState {
+    const {readyState = WebSocket.CLOSED} = this.#socket ?? {};
+    if (readyState === WebSocket.CONNECTING) return 'connecting';
+    if (readyState !== WebSocket.OPEN) return 'waiting';
+    return this.isReachable ? 'open' : 'backing-off';
+  }
+
   /** Monotonic time of the last frame from the peer. */
   get lastHeardAtMs(): number {
     return this.#lastHeardAtMs;
@@ -295,13 +315,17 @@
   /** Opens one connection; resolves when it is closed. */
   #connectOnce(): Promise<void> {
     const {peer, self, log} = this.#options;
+    const startedAtMs = performance.now();
+    let isOpened = false;
     const socket = new WebSocket(`ws://${peer.address}${PEER_PATH}`, {
       handshakeTimeout: CONNECT_TIMEOUT_MS,
       perMessageDeflate: false,
     });
     this.#socket = socket;
     socket.on('open', () => {
+      isOpened = true;
       this.#connectedAtMs = performance.now();
+      this.#recordConnect('opened', startedAtMs);
       this.#lastHeardAtMs = this.#connectedAtMs;
       this.#backoffUntilMs = -Infinity;
       this.#send({kind: 'hello', vm: self()});
@@ -312,9 +336,9 @@
     socket.on('error', err => (reason = reasonOf(err)));
     return new Promise(resolve => {
       socket.on('close', () => {
-        if (this.#lastHeardAtMs > -Infinity) {
-          log.belief('peer-lost', {peer: peer.id, reason});
-        }
+        if (isOpened) log.belief('peer-lost', {peer: peer.id, reason});
+        else if (!this.#stopController.signal.aborted)
+          this.#recordConnect('failed', startedAtMs, reason);
         this.#lastHeardAtMs = -Infinity;
         this.#status = undefined;
         this.#failPendingReplies();
@@ -323,6 +347,26 @@
     });
   }
 
+  /** Logs failed attempts at a rate that falls with their number. */
+  #recordConnect(
+    outcome: ConnectOutcome,
+    startedAtMs: number,
+    reason?: string,
+  ): void {
+    const {peer, log, metrics} = this.#options;
+    const tookMs = performance.now() - startedAtMs;
+    metrics.recordPeerConnect(outcome, tookMs);
+    if (outcome === 'opened') {
+      this.#failedAttempts = 0;
+      return;
+    }
+    this.#failedAttempts += 1;
+    const attempts = this.#failedAttempts;
+    if (!isPowerOfTwo(attempts)) return;
+    const fields = {peer: peer.id, reason, attempts};
+    log.belief('peer-connect-failed', {...fields, tookMs: Math.round(tookMs)});
+  }
+
   #backOff(what: string): void {
     const forMs = this.#backoffMs;
     this.#backoffUntilMs = performance.now() + forMs;
@@ -382,3 +426,7 @@
     this.#socket.send(encodeFrame(frame));
   }
 }
+
+function isPowerOfTwo(count: number): boolean {
+  return Number.isInteger(Math.log2(count));
+}
--- a/src/mesh/peers/peers.ts
+++ b/src/mesh/peers/peers.ts
@@ -12,13 +12,20 @@
   TokenRequest,
 } from '../limits/shared_limits.js';
 import type {Vm} from '../model.js';
-import {PeerLink, type PeerLinkOptions} from './peer_link.js';
+import type {MeshMetrics} from '../mesh_metrics.js';
+import {
+  LINK_STATES,
+  PeerLink,
+  type LinkState,
+  type PeerLinkOptions,
+} from './peer_link.js';
 
 /** Options of {@link Peers}. */
 export interface PeersOptions {
   /** How others reach this daemon, once it listens. */
   readonly self: () => Vm;
   readonly log: DecisionLog;
+  readonly metrics: MeshMetrics;
   readonly onStatus: (link: PeerLink) => void;
   readonly onFingerprints: PeerLinkOptions['onFingerprints'];
 }
@@ -45,10 +52,15 @@
 
   constructor(options: PeersOptions) {
     this.#options = options;
+    options.metrics.exportPeerLinks(() => this.linkStates());
   }
 
   start(): void {
+    let dueAtMs = performance.now() + SILENCE_CHECK_INTERVAL_MS;
     this.#silenceCheck = setInterval(() => {
+      const nowMs = performance.now();
+      this.#options.metrics.recordEventLoopDelay(nowMs - dueAtMs);
+      dueAtMs = nowMs + SILENCE_CHECK_INTERVAL_MS;
       this.links.forEach(link => link.terminateIfSilent());
     }, SILENCE_CHECK_INTERVAL_MS);
   }
@@ -62,6 +74,16 @@
     return [...this.#knownPeers.values()].map(({link}) => link);
   }
 
+  /** How many links are in each state. */
+  linkStates(): Readonly<Record<LinkState, number>> {
+    const states = this.links.map(({state}) => state);
+    const counts = LINK_STATES.map(state => [
+      state,
+      states.filter(s => s === state).length,
+    ]);
+    return Object.fromEntries(counts) as Record<LinkState, number>;
+  }
+
   reachable(): readonly string[] {
     return this.links.filter(link => link.isReachable).map(link => link.vm.id);
   }
--- a/src/mesh/router/dispatcher.ts
+++ b/src/mesh/router/dispatcher.ts
@@ -410,6 +410,7 @@
       slots: sumOf(ready, ({backend}) => backend.slots),
       running: sumOf(ready, ({backend}) => backend.running),
       waiting: sumOf(ready, ({backend}) => backend.waiting),
+      links: this.#options.gates.linkStates,
       oldestHeardMs: Math.round(Math.max(0, ...ready.map(g => g.statusAgeMs))),
     });
     if (this.#signal.aborted) return this.#notRun('deadline', declined.waitMs);
--- a/src/mesh/router/gates.ts
+++ b/src/mesh/router/gates.ts
@@ -6,6 +6,7 @@
 import type {Gate} from '../gate/gate.js';
 import type {GateClient} from '../gate/work.js';
 import type {Vm} from '../model.js';
+import type {LinkState} from '../peers/peer_link.js';
 import type {Peers} from '../peers/peers.js';
 import type {Candidate} from './gate_ranking.js';
 
@@ -36,6 +37,11 @@
     );
   }
 
+  /** How many links to peers are in each state. */
+  get linkStates(): Readonly<Record<LinkState, number>> {
+    return this.#peers.linkStates();
+  }
+
   #localGate(): readonly GateCandidate[] {
     const backend = this.#local.status;
     if (!backend) return [];
