--- /dev/null
+++ b/src/timing/response_timeout.ts
@@ -0,0 +1,36 @@
+/**
+ * A timeout for a response, which counts only time in which this process read
+ * what it received. The event loop runs due timers before it reads from sockets:
+ * after a pause of the process, or a long turn of the loop, an ordinary timer
+ * expires although the response is there.
+ */
+
+/** The loop reads from its sockets at least this often before the timeout. */
+const SLICES = 6;
+
+/** Calls back once, unless it is cancelled before. */
+export class ResponseTimeout {
+  readonly #sliceMs: number;
+  readonly #onExpire: () => void;
+  #slicesLeft = SLICES;
+  #timer: NodeJS.Timeout | undefined;
+
+  constructor(timeoutMs: number, onExpire: () => void) {
+    this.#sliceMs = timeoutMs / SLICES;
+    this.#onExpire = onExpire;
+    this.#waitForSlice();
+  }
+
+  cancel(): void {
+    clearTimeout(this.#timer);
+  }
+
+  /** However late its timer is, a slice counts as one. */
+  #waitForSlice(): void {
+    this.#timer = setTimeout(() => {
+      this.#slicesLeft -= 1;
+      if (this.#slicesLeft === 0) this.#onExpire();
+      else this.#waitForSlice();
+    }, this.#sliceMs);
+  }
+}
