--- a/features/mesh_links.feature
+++ b/features/mesh_links.feature
@@ -9,3 +9,22 @@
     And 2 attempts to connect to it have failed
     Then the metrics of vm-0 count 1 open link and the failed attempts
     And its log has the first two failures
+
+  # Guards against attempts to connect that fail because this process is late:
+  # the response is there, but is read after the timeout.
+  Scenario: Daemons connect while their event loop is late
+    When 6 mesh daemons start in a process whose event loop takes 1200 ms to turn
+    Then each daemon reaches every service within 15 s
+
+  # Guards against a fleet that never connects: attempts that time out cost as
+  # much as those that succeed, and all are repeated at once.
+  Scenario: Many daemons connect that start at once on one processor
+    When 72 mesh daemons start in one process
+    Then each daemon reaches every service within 15 s
+
+  # Guards against a process that takes its own pause for the silence of others,
+  # and drops all its connections when it goes on.
+  Scenario: Daemons keep their connections over a pause of the process
+    Given a mesh fleet of 4 VMs with 2 slots each
+    When the process is paused for 9 s
+    Then no connection between daemons is lost in the next 3 s
--- a/features/steps/mesh_link_steps.ts
+++ b/features/steps/mesh_link_steps.ts
@@ -1,13 +1,24 @@
 /** Steps for the links between mesh daemons. */
 import assert from 'node:assert/strict';
-import {Then, When} from '@cucumber/cucumber';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {After, Then, When} from '@cucumber/cucumber';
 import {until} from '../support/fleet.js';
+import {blockFor, LateEventLoop} from '../support/late_event_loop.js';
+import type {MeshVm} from '../support/mesh_fleet.js';
 import type {World} from '../support/world.js';
 import {stateOf} from './mesh_path_steps.js';
 
 /** Port 9 discards what it gets, where it is served at all. */
 const UNUSED = {id: 'gone', address: '127.0.0.1:9', failureDomain: 'test'};
 const ATTEMPTS_MS = 5000;
+/** More than any bound of the scenarios. */
+const START_TIMEOUT_MS = 30_000;
+
+const lateLoops = new WeakMap<World, LateEventLoop>();
+
+After(function (this: World) {
+  lateLoops.get(this)?.stop();
+});
 
 function failuresOf(world: World): readonly unknown[] {
   return stateOf(world)
@@ -40,3 +51,67 @@
 Then('its log has the first two failures', function (this: World) {
   assert.deepEqual(failuresOf(this), [1, 2]);
 });
+
+const SERVICES = ['pay', 'book'] as const;
+
+/** Starts daemons whose instances belong to the services in turn. */
+async function launch(world: World, daemons: number): Promise<void> {
+  const services = Array.from(
+    {length: daemons},
+    (_, index) => SERVICES[index % SERVICES.length] ?? SERVICES[0],
+  );
+  await stateOf(world).fleet.launch(services, 2);
+}
+
+/** Whether the daemon can use a gate of each service. */
+function reachesAll(
+  {daemon}: MeshVm,
+  services: ReadonlySet<string | undefined>,
+): boolean {
+  const reached = daemon.peers.links
+    .filter(({isReachable}) => isReachable)
+    .map(({status}) => status?.backend?.service);
+  const own = daemon.gate.status?.service;
+  return [...services].every(s => s === own || reached.includes(s));
+}
+
+When(
+  '{int} mesh daemons start in a process whose event loop takes {int} ms to turn',
+  async function (this: World, daemons: number, turnMs: number) {
+    await launch(this, daemons);
+    lateLoops.set(this, new LateEventLoop(turnMs));
+  },
+);
+
+When(
+  '{int} mesh daemons start in one process',
+  async function (this: World, daemons: number) {
+    await launch(this, daemons);
+  },
+);
+
+When('the process is paused for {int} s', (seconds: number) => {
+  blockFor(seconds * 1000);
+});
+
+Then(
+  'each daemon reaches every service within {int} s',
+  {timeout: START_TIMEOUT_MS},
+  async function (this: World, seconds: number) {
+    const {vms} = stateOf(this).fleet;
+    const services = new Set(
+      vms.map(({daemon}) => daemon.gate.status?.service),
+    );
+    const allReach = () => vms.every(vm => reachesAll(vm, services));
+    await until('each reaches every service', allReach, seconds * 1000);
+  },
+);
+
+Then(
+  'no connection between daemons is lost in the next {int} s',
+  async function (this: World, seconds: number) {
+    await sleep(seconds * 1000);
+    const lost = stateOf(this).fleet.lines.filter(l => l.event === 'peer-lost');
+    assert.deepEqual(lost, []);
+  },
+);
