Don't give up handshakes that only this process's lateness delays

Cause, first part: an attempt to connect to a peer was given up by a timer of 1 s. A late event loop runs the timer before it reads the response that is there; the attempt is repeated, and fails the same way, for good. The timeout now counts at most a sixth of itself for each turn of the loop.

Before: "Daemons connect while their event loop is late" failed (6 daemons, turns of 1.2 s: not every daemon reached both services within 15 s).

--- a/src/mesh/peers/peer_link.ts
+++ b/src/mesh/peers/peer_link.ts
@@ -21,6 +21,7 @@
 import type {PartPayment} from '../limits/rate_parts.js';
 import type {FingerprintRecord} from '../router/query_of_death.js';
 import type {TokenAnswer, TokenRequest} from '../limits/shared_limits.js';
+import {ResponseTimeout} from '../../timing/response_timeout.js';
 import type {FleetConfiguration, Vm, VmStatus} from '../model.js';
 import {fingerprintRecordsSchema} from './fingerprint_schema.js';
 import {
@@ -318,11 +319,16 @@
     const startedAtMs = performance.now();
     let isOpened = false;
     const socket = new WebSocket(`ws://${peer.address}${PEER_PATH}`, {
-      handshakeTimeout: CONNECT_TIMEOUT_MS,
       perMessageDeflate: false,
     });
     this.#socket = socket;
+    let reason: string | undefined;
+    const timeout = new ResponseTimeout(CONNECT_TIMEOUT_MS, () => {
+      reason = 'handshake timed out';
+      socket.terminate();
+    });
     socket.on('open', () => {
+      timeout.cancel();
       isOpened = true;
       this.#connectedAtMs = performance.now();
       this.#recordConnect('opened', startedAtMs);
@@ -332,11 +338,12 @@
       log.belief('peer-connected', {peer: peer.id});
     });
     socket.on('message', (bytes: Buffer) => this.#receive(bytes));
-    let reason = 'closed';
-    socket.on('error', err => (reason = reasonOf(err)));
+    socket.on('error', err => (reason ??= reasonOf(err)));
     return new Promise(resolve => {
       socket.on('close', () => {
-        if (isOpened) log.belief('peer-lost', {peer: peer.id, reason});
+        timeout.cancel();
+        if (isOpened)
+          log.belief('peer-lost', {peer: peer.id, reason: reason ?? 'closed'});
         else if (!this.#stopController.signal.aborted)
           this.#recordConnect('failed', startedAtMs, reason);
         this.#lastHeardAtMs = -Infinity;
@@ -351,7 +358,7 @@
   #recordConnect(
     outcome: ConnectOutcome,
     startedAtMs: number,
-    reason?: string,
+    reason = 'closed',
   ): void {
     const {peer, log, metrics} = this.#options;
     const tookMs = performance.now() - startedAtMs;
