Bound the handshakes that a daemon has in progress

Cause, second part: each daemon began its handshakes with all 95 peers at once, gave each up after 1 s, and repeated them at most 1.5 s later, all together. When the handshakes of the fleet take longer than that, the processors work for handshakes whose other end has given up, and none succeeds.

Now a daemon has 4 handshakes in progress (one that takes over 0.25 s makes room for the next), begins with peers in random order, those that failed least first, and repeats with jitter. The timeout of a handshake doubles with each failure up to 8 s; that of the connection below it stays 1 s, since the peer's system accepts it however busy the peer is, and a peer that is cut off takes up no more time.

--- a/src/mesh/peers/peer_link.ts
+++ b/src/mesh/peers/peer_link.ts
@@ -3,6 +3,7 @@
  * uses the peer's gate and shared limits over it. A peer that stays silent is
  * considered unreachable, since a network partition resets no connection.
  */
+import {connect, type TcpNetConnectOpts} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {WebSocket} from 'ws';
 import type {DecisionLog} from '../../log/decision_log.js';
@@ -32,11 +33,14 @@
   type RequestFrame,
   type ResponseFrame,
 } from './frames.js';
+import type {HandshakeQueue} from './handshake_queue.js';
 
 /** Options of {@link PeerLink}. */
 export interface PeerLinkOptions {
   readonly self: () => Vm;
   readonly peer: Vm;
+  /** Shared by the links of a daemon. */
+  readonly handshakes: HandshakeQueue;
   readonly log: DecisionLog;
   readonly metrics: Pick<MeshMetrics, 'recordPeerConnect'>;
   readonly onStatus: (link: PeerLink) => void;
@@ -53,10 +57,19 @@
 /** A peer replies from memory, and a caller's request waits for the reply. */
 const SHARE_TIMEOUT_MS = 150;
 const CONFIGURATION_TIMEOUT_MS = 1000;
+/** The peer's system accepts a connection however busy the peer is. */
 const CONNECT_TIMEOUT_MS = 1000;
+/**
+ * Timeout of a handshake; doubles up to a maximum with each attempt that fails,
+ * since a busy peer has to do the work of an attempt that was given up as well.
+ */
+const HANDSHAKE_TIMEOUT_MIN_MS = 1000;
+const HANDSHAKE_TIMEOUT_MAX_MS = 8000;
 /** Delay between attempts to connect; doubles up to a maximum. */
 const RECONNECT_MIN_MS = 100;
 const RECONNECT_MAX_MS = 1500;
+/** Up to this share of the delay is random, so that daemons spread out. */
+const RECONNECT_JITTER_RATIO = 0.5;
 
 /** What a link's task is doing, from the view of this daemon. */
 export const LINK_STATES = [
@@ -67,6 +80,13 @@
 ] as const;
 export type LinkState = (typeof LINK_STATES)[number];
 
+/** A connection that is being opened. */
+interface Connection {
+  /** Resolves when the handshake has succeeded or failed. */
+  readonly settled: Promise<void>;
+  readonly closed: Promise<void>;
+}
+
 type FingerprintsFrame = Extract<
   ResponseFrame,
   {readonly kind: 'fingerprints'}
@@ -146,14 +166,16 @@
     const {signal} = this.#stopController;
     let reconnectDelayMs = RECONNECT_MIN_MS;
     while (!signal.aborted) {
-      await this.#connectOnce();
+      await this.#connectOnce(signal);
       if (performance.now() - this.#connectedAtMs < RECONNECT_MAX_MS) {
         reconnectDelayMs = Math.min(RECONNECT_MAX_MS, reconnectDelayMs * 2);
       } else {
         reconnectDelayMs = RECONNECT_MIN_MS;
       }
+      const jitterMs = reconnectDelayMs * RECONNECT_JITTER_RATIO;
+      const delayMs = reconnectDelayMs - jitterMs * Math.random();
       // Rejects only if the link is stopped during the delay.
-      await sleep(reconnectDelayMs, undefined, {signal}).catch(() => undefined);
+      await sleep(delayMs, undefined, {signal}).catch(() => undefined);
     }
   }
 
@@ -314,32 +336,71 @@
   }
 
   /** Opens one connection; resolves when it is closed. */
-  #connectOnce(): Promise<void> {
+  async #connectOnce(signal: AbortSignal): Promise<void> {
+    const {handshakes} = this.#options;
+    let closed: Promise<void> | undefined;
+    const handshake = () => {
+      const connection = this.#openConnection();
+      closed = connection.closed;
+      return connection.settled;
+    };
+    // Rejects only if the link is stopped before its turn.
+    await handshakes
+      .run(handshake, this.#failedAttempts, signal)
+      .catch(() => undefined);
+    await closed;
+  }
+
+  #openConnection(): Connection {
     const {peer, self, log} = this.#options;
     const startedAtMs = performance.now();
-    let isOpened = false;
-    const socket = new WebSocket(`ws://${peer.address}${PEER_PATH}`, {
-      perMessageDeflate: false,
-    });
-    this.#socket = socket;
     let reason: string | undefined;
-    const timeout = new ResponseTimeout(CONNECT_TIMEOUT_MS, () => {
-      reason = 'handshake timed out';
+    const giveUpWith = (why: string) => () => {
+      reason = why;
       socket.terminate();
-    });
-    socket.on('open', () => {
+    };
+    let timeout = new ResponseTimeout(
+      CONNECT_TIMEOUT_MS,
+      giveUpWith('connection timed out'),
+    );
+    const onAccepted = () => {
       timeout.cancel();
-      isOpened = true;
-      this.#connectedAtMs = performance.now();
-      this.#recordConnect('opened', startedAtMs);
-      this.#lastHeardAtMs = this.#connectedAtMs;
-      this.#backoffUntilMs = -Infinity;
-      this.#send({kind: 'hello', vm: self()});
-      log.belief('peer-connected', {peer: peer.id});
+      timeout = new ResponseTimeout(
+        Math.min(
+          HANDSHAKE_TIMEOUT_MAX_MS,
+          HANDSHAKE_TIMEOUT_MIN_MS * 2 ** this.#failedAttempts,
+        ),
+        giveUpWith('handshake timed out'),
+      );
+    };
+    // `path` is that of the request, and would be taken for a local socket's.
+    const openSocket = (options: TcpNetConnectOpts) =>
+      connect({...options, path: undefined} as TcpNetConnectOpts).once(
+        'connect',
+        onAccepted,
+      );
+    const socket = new WebSocket(`ws://${peer.address}${PEER_PATH}`, {
+      perMessageDeflate: false,
+      createConnection: openSocket as typeof connect,
     });
+    this.#socket = socket;
     socket.on('message', (bytes: Buffer) => this.#receive(bytes));
     socket.on('error', err => (reason ??= reasonOf(err)));
-    return new Promise(resolve => {
+    let isOpened = false;
+    const opened = new Promise<void>(resolve => {
+      socket.on('open', () => {
+        timeout.cancel();
+        isOpened = true;
+        this.#connectedAtMs = performance.now();
+        this.#recordConnect('opened', startedAtMs);
+        this.#lastHeardAtMs = this.#connectedAtMs;
+        this.#backoffUntilMs = -Infinity;
+        this.#send({kind: 'hello', vm: self()});
+        log.belief('peer-connected', {peer: peer.id});
+        resolve();
+      });
+    });
+    const closed = new Promise<void>(resolve => {
       socket.on('close', () => {
         timeout.cancel();
         if (isOpened)
@@ -352,6 +413,7 @@
         resolve();
       });
     });
+    return {settled: Promise.race([opened, closed]), closed};
   }
 
   /** Logs failed attempts at a rate that falls with their number. */
--- a/src/mesh/peers/peers.ts
+++ b/src/mesh/peers/peers.ts
@@ -13,6 +13,7 @@
 } from '../limits/shared_limits.js';
 import type {Vm} from '../model.js';
 import type {MeshMetrics} from '../mesh_metrics.js';
+import {HandshakeQueue} from './handshake_queue.js';
 import {
   LINK_STATES,
   PeerLink,
@@ -45,6 +46,7 @@
 export class Peers implements LimitPeers, BudgetPeers {
   readonly #options: PeersOptions;
   readonly #knownPeers = new Map<string, KnownPeer>();
+  readonly #handshakes = new HandshakeQueue();
 
   #silenceCheck: NodeJS.Timeout | undefined;
   /** Whether the list has been read since the start. */
@@ -121,7 +123,11 @@
       return;
     }
     known?.link.stop();
-    const link = new PeerLink({...this.#options, peer: vm});
+    const link = new PeerLink({
+      ...this.#options,
+      handshakes: this.#handshakes,
+      peer: vm,
+    });
     this.#knownPeers.set(vm.id, {link, listedAtMs: performance.now()});
     void link.run();
   }
