Keep the connections to peers over a pause of the process

Cause: the check for silent peers compares times. After a pause its timer fires before anything is read, so that every peer seems to have been silent for over 6 s; a daemon closed all its connections, and the handshakes of the whole fleet began at once. Checks are counted now: seven in a row, a second apart, without a frame.

--- a/src/mesh/peers/peer_link.ts
+++ b/src/mesh/peers/peer_link.ts
@@ -49,8 +49,10 @@
 
 /** A gate replies at once, and a round trip on the slowest path takes 20 ms. */
 const ACKNOWLEDGE_TIMEOUT_MS = 150;
+/** How often a link is checked for frames from its peer. */
+export const SILENCE_CHECK_INTERVAL_MS = 1000;
 /** Peers send their status every 2.5 s: two in a row are missing. */
-const SILENCE_TIMEOUT_MS = 6000;
+const MAX_SILENT_CHECKS = 6;
 /** Backoff from a peer that did not reply in time; doubles up to a maximum. */
 const BACKOFF_MIN_MS = 700;
 const BACKOFF_MAX_MS = 3000;
@@ -103,6 +105,8 @@
   #socket: WebSocket | undefined;
   #status: VmStatus | undefined;
   #lastHeardAtMs = -Infinity;
+  /** Checks for silence since the last frame. */
+  #silentChecks = 0;
   /** When the load in the status was received. */
   #loadAtMs = -Infinity;
   #backoffUntilMs = -Infinity;
@@ -133,10 +137,8 @@
 
   /** Whether the peer is expected to reply now. */
   get isReachable(): boolean {
-    const nowMs = performance.now();
-    const isHeardRecently = nowMs - this.#lastHeardAtMs < SILENCE_TIMEOUT_MS;
     const isOpen = this.#socket?.readyState === WebSocket.OPEN;
-    return isOpen && isHeardRecently && nowMs >= this.#backoffUntilMs;
+    return isOpen && !this.#isSilent && !this.#isBackingOff;
   }
 
   get state(): LinkState {
@@ -179,11 +181,15 @@
     }
   }
 
-  /** Ends the connection if the peer is silent, so that a new one is opened. */
-  terminateIfSilent(): void {
+  /**
+   * Closes the connection if the peer is silent, so that a new one is opened.
+   * Checks are counted, not time: after a pause of this process, what the peer
+   * sent meanwhile is read only after the timer of the check has fired.
+   */
+  checkSilence(): void {
     if (this.#socket?.readyState !== WebSocket.OPEN) return;
-    if (performance.now() - this.#lastHeardAtMs < SILENCE_TIMEOUT_MS) return;
-    this.#socket.terminate();
+    this.#silentChecks += 1;
+    if (this.#isSilent) this.#socket.terminate();
   }
 
   stop(): void {
@@ -394,6 +400,7 @@
         this.#connectedAtMs = performance.now();
         this.#recordConnect('opened', startedAtMs);
         this.#lastHeardAtMs = this.#connectedAtMs;
+        this.#silentChecks = 0;
         this.#backoffUntilMs = -Infinity;
         this.#send({kind: 'hello', vm: self()});
         log.belief('peer-connected', {peer: peer.id});
@@ -444,8 +451,17 @@
     log.belief('peer-silent', {peer: peer.id, what, forMs});
   }
 
+  get #isSilent(): boolean {
+    return this.#silentChecks > MAX_SILENT_CHECKS;
+  }
+
+  get #isBackingOff(): boolean {
+    return performance.now() < this.#backoffUntilMs;
+  }
+
   #receive(bytes: Buffer): void {
     this.#lastHeardAtMs = performance.now();
+    this.#silentChecks = 0;
     const frame = this.#decode(bytes);
     if (!frame) return;
     if (frame.kind === 'fingerprints') return this.#receiveRecords(frame);
--- a/src/mesh/peers/peers.ts
+++ b/src/mesh/peers/peers.ts
@@ -17,6 +17,7 @@
 import {
   LINK_STATES,
   PeerLink,
+  SILENCE_CHECK_INTERVAL_MS,
   type LinkState,
   type PeerLinkOptions,
 } from './peer_link.js';
@@ -34,9 +35,6 @@
 /** An unreachable peer is removed after this time, unless it is listed. */
 const FORGET_AFTER_MS = 15_000;
 
-/** How often the links are checked for silent peers. */
-const SILENCE_CHECK_INTERVAL_MS = 1000;
-
 interface KnownPeer {
   readonly link: PeerLink;
   listedAtMs: number;
@@ -63,7 +61,7 @@
       const nowMs = performance.now();
       this.#options.metrics.recordEventLoopDelay(nowMs - dueAtMs);
       dueAtMs = nowMs + SILENCE_CHECK_INTERVAL_MS;
-      this.links.forEach(link => link.terminateIfSilent());
+      this.links.forEach(link => link.checkSilence());
     }, SILENCE_CHECK_INTERVAL_MS);
   }
 
