Don't take this process's lateness for the silence of a gate

Cause: the timers of reservations and of calls to peers run before what arrived meanwhile is read, as those of handshakes did.

"A late router waits for the reply of a gate" failed before (no-instance after 0.2 s) and passes now.

--- a/features/mesh_links.feature
+++ b/features/mesh_links.feature
@@ -28,3 +28,11 @@
     Given a mesh fleet of 4 VMs with 2 slots each
     When the process is paused for 9 s
     Then no connection between daemons is lost in the next 3 s
+
+  # Guards against a router that takes its own lateness for the silence of a
+  # gate, and refuses requests that the gate would have taken.
+  Scenario: A late router waits for the reply of a gate
+    Given a mesh fleet of 2 VMs, of which only vm-1 has an instance of "pay"
+    When a caller sends a request to vm-0 while the event loop takes 200 ms to turn
+    Then the response has status 200
+    And no gate counted as silent
--- a/features/steps/mesh_link_steps.ts
+++ b/features/steps/mesh_link_steps.ts
@@ -1,12 +1,12 @@
 /** Steps for the links between mesh daemons. */
 import assert from 'node:assert/strict';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {After, Then, When} from '@cucumber/cucumber';
+import {After, Given, Then, When} from '@cucumber/cucumber';
 import {until} from '../support/fleet.js';
 import {blockFor, LateEventLoop} from '../support/late_event_loop.js';
 import type {MeshVm} from '../support/mesh_fleet.js';
 import type {World} from '../support/world.js';
-import {stateOf} from './mesh_path_steps.js';
+import {configuration, send, stateOf} from './mesh_path_steps.js';
 
 /** Port 9 discards what it gets, where it is served at all. */
 const UNUSED = {id: 'gone', address: '127.0.0.1:9', failureDomain: 'test'};
@@ -14,6 +14,8 @@
 /** More than any bound of the scenarios. */
 const START_TIMEOUT_MS = 30_000;
 
+const PATIENCE_MS = 8000;
+
 const lateLoops = new WeakMap<World, LateEventLoop>();
 
 After(function (this: World) {
@@ -115,3 +117,35 @@
     assert.deepEqual(lost, []);
   },
 );
+
+Given(
+  'a mesh fleet of 2 VMs, of which only vm-1 has an instance of "pay"',
+  async function (this: World) {
+    const {fleet} = stateOf(this);
+    await fleet.start(['book', 'pay'], 2);
+    fleet.configure(configuration(1));
+  },
+);
+
+When(
+  'a caller sends a request to vm-0 while the event loop takes {int} ms to turn',
+  {timeout: START_TIMEOUT_MS},
+  async function (this: World, turnMs: number) {
+    const state = stateOf(this);
+    lateLoops.set(this, new LateEventLoop(turnMs));
+    const answer = await send(state.fleet.vm(0), {
+      path: '/long/1',
+      key: 'key-big',
+      deadlineMs: PATIENCE_MS,
+    });
+    state.answers = answer ? [answer] : [];
+  },
+);
+
+Then('no gate counted as silent', function (this: World) {
+  const {lines} = stateOf(this).fleet;
+  assert.deepEqual(
+    lines.filter(({event}) => event === 'peer-silent'),
+    [],
+  );
+});
--- a/features/steps/mesh_path_steps.ts
+++ b/features/steps/mesh_path_steps.ts
@@ -47,7 +47,7 @@
 const SERVICE = 'pay';
 const targets = [{service: SERVICE, weight: 1}];
 
-function configuration(version: number): FleetConfiguration {
+export function configuration(version: number): FleetConfiguration {
   return {
     version,
     routes: [
--- a/src/mesh/peers/peer_link.ts
+++ b/src/mesh/peers/peer_link.ts
@@ -206,7 +206,7 @@
     return new Promise(resolve => {
       this.#outstanding += 1;
       const settle = (result: Reservation | Declined) => {
-        clearTimeout(acknowledgeTimer);
+        timeout.cancel();
         signal.removeEventListener('abort', onAbort);
         this.#replyHandlers.delete(id);
         this.#outstanding -= 1;
@@ -217,13 +217,13 @@
         settle(why);
       };
       const onAbort = () => withdraw(declined('withdrawn'));
-      const acknowledgeTimer = setTimeout(() => {
+      const timeout = new ResponseTimeout(ACKNOWLEDGE_TIMEOUT_MS, () => {
         this.#backOff('reservation not acknowledged');
         withdraw(declined('silent'));
-      }, ACKNOWLEDGE_TIMEOUT_MS);
+      });
       signal.addEventListener('abort', onAbort, {once: true});
       this.#replyHandlers.set(id, reply => {
-        if (reply?.kind === 'queued') return clearTimeout(acknowledgeTimer);
+        if (reply?.kind === 'queued') return timeout.cancel();
         if (reply?.kind === 'declined') return settle(reply.why);
         if (reply?.kind !== 'reserved') return settle(declined('silent'));
         settle(this.#createReservation(id, reply.instance, reply.lateAfterMs));
@@ -280,13 +280,13 @@
     if (!this.isReachable) return Promise.resolve(undefined);
     const id = this.#nextId++;
     return new Promise(resolve => {
-      const timer = setTimeout(() => {
+      const timeout = new ResponseTimeout(timeoutMs, () => {
         this.#replyHandlers.delete(id);
         this.#backOff(what);
         resolve(undefined);
-      }, timeoutMs);
+      });
       this.#replyHandlers.set(id, reply => {
-        clearTimeout(timer);
+        timeout.cancel();
         this.#replyHandlers.delete(id);
         resolve(reply);
       });
