Don't take a late daemon for an instance that is down

What callers saw: after all daemons of a fleet of 96 had restarted at once, 14 daemons marked a healthy instance as down, and 2 did so after a pause of 9 s, one of them twice. The requests that were being sent to it were refused (13 and 3 refusals with CONNECT_TIMEOUT as "not run"), and the gate gave no slots until the next heartbeat, 0.3 to 3.1 s later in the six logs that were read.

Cause: a connection to the instance had to open within 1 s (0.5 s in `serve`) by an ordinary timer. The event loop runs due timers before it reads from sockets. A loop that is late by the time limit therefore gives up a connection that the kernel has opened long ago, and the gate takes this for an address at which nothing accepts.

`cucumber-js features/late_daemon.feature`, on the code before: "CONNECT_TIMEOUT", the gate's outcome is "not-run" instead of "answered". Passes with the change.

The limit now counts only time in which this process read what it received. That a request that isn't sent is reported as not run holds as before: nothing is written before the connection is open.

Ruled out: that the instances didn't accept. They were processes of their own that sent heartbeats throughout and accepted later requests.

--- a/src/http/single_use_connection.ts
+++ b/src/http/single_use_connection.ts
@@ -10,6 +10,7 @@
 import {Agent, type ClientRequest, type IncomingMessage} from 'node:http';
 import {connect, type NetConnectOpts, type Socket} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {ResponseTimeout} from '../timing/response_timeout.js';
 
 /** Interim responses (1xx) before the final one; servers send one or two. */
 const MAX_INTERIM_RESPONSES = 16;
@@ -44,11 +45,10 @@
 
 /** Aborts a request whose connection is not accepted in time. */
 export function limitConnectTime(req: ClientRequest, timeoutMs: number): void {
-  const timer = setTimeout(
-    () => req.destroy(new ConnectTimeoutError('connection not accepted')),
-    timeoutMs,
+  const timeout = new ResponseTimeout(timeoutMs, () =>
+    req.destroy(new ConnectTimeoutError('connection not accepted')),
   );
-  const stop = () => clearTimeout(timer);
+  const stop = () => timeout.cancel();
   req.on('socket', socket => socket.once('connect', stop));
   req.once('close', stop);
 }
