Keep reservations that a late gate hasn't read the request of

Cause: a reservation lasts 0.5 s by the gate's clock. Between the grant and the request the gate's own event loop may be that late: its timer then fires before it reads the request that has arrived. If the loops of router and gate together are late by 0.5 s throughout, no request can pass between two daemons, and each takes a slot for nothing.

`cucumber-js features/late_daemon.feature` on the code before: "reservation expired" of a request that came at once, at a gate that was busy for 0.7 s. Passes with the change.

The reservation now lasts 0.5 s of time in which the gate reads. What the limit by the clock was for, that a gate doesn't run what nobody waits for any more after a pause, holds by the request's own time left: the router measured it later than the reservation was made, so if the reservation is older than that, the caller has given up. At most once holds as before: a reservation is used at most once, and one that expired never.

--- a/features/late_daemon.feature
+++ b/features/late_daemon.feature
@@ -12,3 +12,18 @@
     When VM 0 runs a request and is then busy for 1200 ms
     Then the instance has answered it
     And the gate of VM 0 regards its instance as "ready"
+
+  # Guards against reservations that expire while the request that uses them
+  # waits to be read.
+  Scenario: A gate that was late runs a request that came within its reservation
+    When VM 0 sends a request with 8000 ms left to the gate of VM 1, which is then busy for 700 ms
+    Then the instance has answered it
+
+  # Guards against running what no caller waits for any more.
+  Scenario: A gate that was late doesn't run a request whose caller has given up
+    When VM 0 sends a request with 600 ms left to the gate of VM 1, which is then busy for 700 ms
+    Then it hasn't run, for the reason "reservation expired"
+
+  Scenario: A reservation that isn't used is released
+    When VM 0 reserves a slot at the gate of VM 1 and doesn't use it
+    Then the gate of VM 1 has no request within 1000 ms
--- a/features/steps/late_daemon_steps.ts
+++ b/features/steps/late_daemon_steps.ts
@@ -2,9 +2,15 @@
 import assert from 'node:assert/strict';
 import {Then, When} from '@cucumber/cucumber';
 import {DEFAULT_HEADER_NAMES as NAMES} from '../../src/mesh/header_names.js';
-import type {Outcome, Reservation, Work} from '../../src/mesh/gate/work.js';
+import type {
+  GateClient,
+  Outcome,
+  Reservation,
+  Work,
+} from '../../src/mesh/gate/work.js';
+import {until} from '../support/fleet.js';
 import {blockFor} from '../support/late_event_loop.js';
-import type {MeshVm} from '../support/mesh_fleet.js';
+import type {MeshFleet} from '../support/mesh_fleet.js';
 import type {World} from '../support/world.js';
 import {stateOf} from './mesh_path_steps.js';
 
@@ -24,8 +30,8 @@
   isRepeat: false,
 };
 
-/** Reserves a slot at the gate of a VM, as the router of that VM does. */
-async function reserveAt({daemon}: MeshVm): Promise<Reservation> {
+/** Reserves a slot at a gate, as a router does. */
+async function reserveAt(gate: GateClient): Promise<Reservation> {
   const slot = {
     requestId: ID,
     service: 'pay',
@@ -35,11 +41,20 @@
     leftMs: 0,
     assurance: 'none',
   } as const;
-  const result = await daemon.gate.reserve(slot, new AbortController().signal);
+  const result = await gate.reserve(slot, new AbortController().signal);
   assert.ok(result.kind === 'reserved', JSON.stringify(result));
   return result;
 }
 
+/** The gate of a VM, as the router of another one uses it. */
+function remoteGate(fleet: MeshFleet, from: number, to: number): GateClient {
+  const {id} = fleet.vm(to);
+  const {links} = fleet.vm(from).daemon.peers;
+  const link = links.find(({vm}) => vm.id === id);
+  assert.ok(link);
+  return link;
+}
+
 /** Keeps the process busy before it reads from any socket again. */
 function blockAfterTicks(ticks: number, ms: number): void {
   if (ticks === 0) return blockFor(ms);
@@ -49,13 +64,62 @@
 When(
   'VM {int} runs a request and is then busy for {int} ms',
   async function (this: World, index: number, busyMs: number) {
-    const reservation = await reserveAt(stateOf(this).fleet.vm(index));
+    const reservation = await reserveAt(
+      stateOf(this).fleet.vm(index).daemon.gate,
+    );
     const outcome = reservation.run(WORK, new AbortController().signal);
     blockAfterTicks(TICKS, busyMs);
     outcomes.set(this, await outcome);
   },
 );
 
+When(
+  'VM {int} sends a request with {int} ms left to the gate of VM {int}, which is then busy for {int} ms',
+  async function (
+    this: World,
+    from: number,
+    leftMs: number,
+    to: number,
+    busyMs: number,
+  ) {
+    const gate = remoteGate(stateOf(this).fleet, from, to);
+    const reservation = await reserveAt(gate);
+    const work = {...WORK, leftMs};
+    const outcome = reservation.run(work, new AbortController().signal);
+    blockAfterTicks(TICKS, busyMs);
+    outcomes.set(this, await outcome);
+  },
+);
+
+When(
+  "VM {int} reserves a slot at the gate of VM {int} and doesn't use it",
+  async function (this: World, from: number, to: number) {
+    const {fleet} = stateOf(this);
+    await reserveAt(remoteGate(fleet, from, to));
+    assert.equal(fleet.vm(to).daemon.gate.status?.running, 1);
+  },
+);
+
+Then(
+  'the gate of VM {int} has no request within {int} ms',
+  async function (this: World, index: number, withinMs: number) {
+    const {gate} = stateOf(this).fleet.vm(index).daemon;
+    await until('the slot is released', () => gate.isIdle, withinMs);
+  },
+);
+
+Then(
+  "it hasn't run, for the reason {string}",
+  function (this: World, reason: string) {
+    const outcome = outcomes.get(this);
+    assert.ok(outcome?.kind === 'not-run', JSON.stringify(outcome));
+    assert.equal(outcome.reason, reason);
+    const {vms} = stateOf(this).fleet;
+    const seen = vms.flatMap(({backend}) => backend.seen);
+    assert.deepEqual(seen, []);
+  },
+);
+
 Then('the instance has answered it', function (this: World) {
   const {kind, ...rest} = outcomes.get(this) ?? {};
   assert.equal(kind, 'answered', JSON.stringify(rest));
--- a/src/mesh/gate/gate.ts
+++ b/src/mesh/gate/gate.ts
@@ -5,6 +5,7 @@
  * from the moment that the server leaves.
  */
 import type {DecisionLog} from '../../log/decision_log.js';
+import {ResponseTimeout} from '../../timing/response_timeout.js';
 import type {MeshMetrics} from '../mesh_metrics.js';
 import type {Heartbeat, BackendStatus} from '../model.js';
 import {InFlightRequests} from './in_flight_requests.js';
@@ -220,22 +221,27 @@
   #createReservation(request: SlotRequest, slot: Slot): Reservation {
     const instance = this.#identity.known?.instance ?? '';
     const {route, objectiveMs} = request;
-    const expiresAtMs = performance.now() + RESERVATION_TTL_MS;
-    const expiry = setTimeout(() => slot.releaseUnused(), RESERVATION_TTL_MS);
+    const reservedAtMs = performance.now();
+    let isExpired = false;
+    const expiry = new ResponseTimeout(RESERVATION_TTL_MS, () => {
+      isExpired = true;
+      slot.releaseUnused();
+    });
     let isUsed = false;
     return {
       kind: 'reserved',
       instance,
       lateAfterMs: this.#responseTimes.lateAfterMs(route, objectiveMs),
       release: () => {
-        clearTimeout(expiry);
+        expiry.cancel();
         if (isUsed) slot.release();
         else slot.releaseUnused();
       },
       run: async (work, signal) => {
-        clearTimeout(expiry);
-        // After a pause of the process this may run before the expiry timer.
-        if (performance.now() > expiresAtMs) {
+        expiry.cancel();
+        // The router read the time left later than this reservation was made.
+        const ageMs = performance.now() - reservedAtMs;
+        if (isExpired || ageMs >= work.leftMs) {
           slot.releaseUnused();
           return notRun(instance, 'reservation expired');
         }
