Answer a request on an idle connection after the daemon was late

What callers saw: a request on a kept connection ended with ECONNRESET instead of an answer, when the daemon was paused, or its event loop was late, while the connection was idle. Callers may reuse connections that were idle for up to four fifths of the limit; if such a request can't be repeated, it is lost.

Cause: the idle timer counts the daemon's own lateness as the caller's. The event loop runs due timers before it reads from sockets, so after a pause all idle connections were closed unread, with the requests that had arrived on them. The same server takes instances' heartbeats, and requests of gates of `serve`, on connections that are kept; no test shows it there.

Evidence: `cucumber-js features/late_daemon.feature` on the code before: with a limit of 1 s, a request after 0.7 s, and a daemon that is then busy for 1.8 s, "ECONNRESET" after the first answer. Passes with the change.

When the timer fires, the connection is now closed only if nothing arrives in the same turn of the event loop. Reading restarts the timer; a request that starts and doesn't go on is still ended by the limit on its head.

Not changed: Node.js ends requests whose head takes longer than its limit by a timer as well; only a connection that was accepted and not read before a pause of 5 s or more is affected.

--- a/features/late_daemon.feature
+++ b/features/late_daemon.feature
@@ -27,3 +27,14 @@
   Scenario: A reservation that isn't used is released
     When VM 0 reserves a slot at the gate of VM 1 and doesn't use it
     Then the gate of VM 1 has no request within 1000 ms
+
+  # Guards against closing a connection on which a request has arrived.
+  Scenario: A request on an idle connection is answered although the daemon was late
+    Given callers' connections may be idle for 1000 ms
+    When a caller sends a request on a connection that was idle for 700 ms and VM 0 is then busy for 1800 ms
+    Then both of its requests are answered with 200
+
+  Scenario: A connection that stays idle is closed
+    Given callers' connections may be idle for 1000 ms
+    When a caller leaves a connection to VM 0 idle after a request
+    Then it is closed 900 to 3000 ms later
--- a/features/steps/late_daemon_steps.ts
+++ b/features/steps/late_daemon_steps.ts
@@ -1,6 +1,9 @@
 /** Steps for daemons that are late themselves. */
 import assert from 'node:assert/strict';
-import {Then, When} from '@cucumber/cucumber';
+import {once} from 'node:events';
+import {connect, type Socket} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {Given, Then, When} from '@cucumber/cucumber';
 import {DEFAULT_HEADER_NAMES as NAMES} from '../../src/mesh/header_names.js';
 import type {
   GateClient,
@@ -10,13 +13,22 @@
 } from '../../src/mesh/gate/work.js';
 import {until} from '../support/fleet.js';
 import {blockFor} from '../support/late_event_loop.js';
-import type {MeshFleet} from '../support/mesh_fleet.js';
+import type {MeshFleet, MeshVm} from '../support/mesh_fleet.js';
 import type {World} from '../support/world.js';
 import {stateOf} from './mesh_path_steps.js';
 
 /** More than it takes until a connection is being opened. */
 const TICKS = 20;
 
+/** What a caller received on a connection. */
+interface CallerConnection {
+  readonly socket: Socket;
+  text: string;
+}
+
+const connections = new WeakMap<World, CallerConnection>();
+const ANSWER_MS = 3000;
+
 const outcomes = new WeakMap<World, Outcome>();
 
 const ID = 'direct';
@@ -132,3 +144,82 @@
     assert.equal(status?.state, state);
   },
 );
+
+Given(
+  "callers' connections may be idle for {int} ms",
+  function (this: World, idleTimeoutMs: number) {
+    const {fleet} = stateOf(this);
+    const {configuration} = fleet.vm(0).daemon.configurationTracker;
+    assert.ok(configuration);
+    const version = configuration.version + 1;
+    const limits = {...configuration.limits, idleTimeoutMs};
+    fleet.configure({...configuration, version, limits});
+  },
+);
+
+/** Opens a connection, and sends a first request on it. */
+async function openConnection({callers}: MeshVm): Promise<CallerConnection> {
+  const [host, port] = callers.split(':');
+  const socket = connect(Number(port), host);
+  const connection = {socket, text: ''};
+  socket.on('data', chunk => (connection.text += chunk.toString()));
+  socket.on('error', err => (connection.text += err.message));
+  sendOn(connection);
+  await until('it is answered', () => okCount(connection) === 1, ANSWER_MS);
+  return connection;
+}
+
+function sendOn({socket}: CallerConnection): void {
+  const fields = `host: app.example\r\n${NAMES.requestId}: ${ID}\r\n`;
+  socket.write(`GET /open/ HTTP/1.1\r\n${fields}\r\n`);
+}
+
+function okCount({text}: CallerConnection): number {
+  return text.split('HTTP/1.1 200 ').length - 1;
+}
+
+When(
+  'a caller sends a request on a connection that was idle for {int} ms and VM {int} is then busy for {int} ms',
+  async function (this: World, idleMs: number, index: number, busyMs: number) {
+    const connection = await openConnection(stateOf(this).fleet.vm(index));
+    connections.set(this, connection);
+    await sleep(idleMs);
+    // The timers run next after an immediate, and the reads after them.
+    await new Promise(resolve => setImmediate(resolve));
+    sendOn(connection);
+    blockFor(busyMs);
+  },
+);
+
+When(
+  'a caller leaves a connection to VM {int} idle after a request',
+  async function (this: World, index: number) {
+    const connection = await openConnection(stateOf(this).fleet.vm(index));
+    connections.set(this, connection);
+  },
+);
+
+Then(
+  'both of its requests are answered with 200',
+  async function (this: World) {
+    const connection = connections.get(this);
+    assert.ok(connection);
+    const {socket} = connection;
+    const isOver = () => okCount(connection) === 2 || socket.destroyed;
+    await until('the second answer or the end', isOver, ANSWER_MS);
+    assert.equal(okCount(connection), 2, connection.text);
+    socket.destroy();
+  },
+);
+
+Then(
+  'it is closed {int} to {int} ms later',
+  async function (this: World, minMs: number, maxMs: number) {
+    const socket = connections.get(this)?.socket;
+    assert.ok(socket);
+    const sinceMs = performance.now();
+    await once(socket, 'close');
+    const tookMs = performance.now() - sinceMs;
+    assert.ok(tookMs >= minMs && tookMs <= maxMs, `${tookMs} ms`);
+  },
+);
--- a/src/http/strict_server.ts
+++ b/src/http/strict_server.ts
@@ -1,7 +1,8 @@
 /**
  * An HTTP server that refuses requests with faulty header fields before any
  * handler gets them, whatever the parser of the Node.js release accepts. The
- * connection is closed, since where the request ends is in doubt.
+ * connection is closed, since where the request ends is in doubt. An idle
+ * connection is closed only if no request has arrived on it.
  */
 import {
   Server,
@@ -9,6 +10,7 @@
   type ServerOptions,
   type ServerResponse,
 } from 'node:http';
+import type {Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
 import {findFieldFault, type FieldFault} from './field_syntax.js';
 import {sendProblem, type RefusalKind} from './problem.js';
@@ -58,6 +60,7 @@
       res.writeContinue();
       this.emit('request', req, res);
     });
+    this.on('timeout', closeUnlessReceiving);
   }
 
   override emit(event: string | symbol, ...args: unknown[]): boolean {
@@ -72,6 +75,17 @@
   }
 }
 
+/**
+ * Closes a connection that was idle for too long. The event loop runs due
+ * timers before it reads from sockets, so a request may have arrived.
+ */
+function closeUnlessReceiving(socket: Socket): void {
+  const {bytesRead} = socket;
+  setImmediate(() => {
+    if (socket.bytesRead === bytesRead) socket.destroy();
+  });
+}
+
 function describe({field, part}: FieldFault) {
   return {field, detail: `invalid ${part} of the header field ${field}`};
 }
