Wait for what a starting daemon still looks for

Requests are held after a start to spare callers that, but these weren't.

Cause: requests are held for 1 s, which is counted from the creation of the daemon by the clock. The time was over before anything could become known.

The second now starts anew when the configuration is known and when the list of daemons is, and counts only time in which this process read what it received. If one of the two doesn't come within its second, requests are held no longer, as before: a daemon without a store refuses as soon as it did. A request is no longer held beyond its own time, which the old limit could do for a route with less than a second.

The steps of three scenarios of mesh_policies.feature gave the delay a clock; now the time really passes, with the same limits.

--- a/features/mesh_policies.feature
+++ b/features/mesh_policies.feature
@@ -83,6 +83,24 @@
     When a request arrives and a peer becomes known 100 ms later
     Then the request continues once a peer is known
 
+  # Guards against counting the daemon's own lateness as startup time.
+  Scenario: A request waits although the start took long on scarce processors
+    Given a daemon that was busy for the first 1200 ms of its start
+    When a request arrives and a peer becomes known 100 ms later
+    Then the request continues once a peer is known
+
+  # Guards against a startup time that is over before peers can be found.
+  Scenario: A request waits although the store was slow to answer
+    Given a daemon that found its configuration 800 ms and its peers 1500 ms after its start
+    When a request arrives and a peer becomes known 300 ms later
+    Then the request continues once a peer is known
+
+  Scenario: A request isn't delayed longer than its caller waits
+    Given a daemon that started 50 ms ago and knows no peer
+    And a caller that waits for 200 ms
+    When a request arrives and no peer becomes known
+    Then the request continues within 300 ms
+
   Scenario: A daemon that has run for a while delays no request
     Given a daemon that started 1500 ms ago and knows no peer
     When a request arrives and no peer becomes known
--- a/features/steps/late_daemon_steps.ts
+++ b/features/steps/late_daemon_steps.ts
@@ -15,7 +15,7 @@
 import {blockFor} from '../support/late_event_loop.js';
 import type {MeshFleet, MeshVm} from '../support/mesh_fleet.js';
 import type {World} from '../support/world.js';
-import {stateOf} from './mesh_path_steps.js';
+import {configuration, send, SERVICE, stateOf} from './mesh_path_steps.js';
 
 /** More than it takes until a connection is being opened. */
 const TICKS = 20;
@@ -46,7 +46,7 @@
 async function reserveAt(gate: GateClient): Promise<Reservation> {
   const slot = {
     requestId: ID,
-    service: 'pay',
+    service: SERVICE,
     route: 'once',
     priority: 1,
     objectiveMs: 400,
@@ -223,3 +223,26 @@
     assert.ok(tookMs >= minMs && tookMs <= maxMs, `${tookMs} ms`);
   },
 );
+
+Given(
+  'a mesh fleet of {int} VMs that is busy for {int} ms as it starts',
+  async function (this: World, count: number, busyMs: number) {
+    await stateOf(this).fleet.launch(Array<string>(count).fill(SERVICE), 2);
+    // The timers run next after an immediate, and the reads after them.
+    await new Promise(resolve => setImmediate(resolve));
+    blockFor(busyMs);
+  },
+);
+
+When(
+  'a caller sends a request to VM {int} and the configuration comes {int} ms later',
+  async function (this: World, index: number, laterMs: number) {
+    const state = stateOf(this);
+    const vm = state.fleet.vm(index);
+    const sent = send(vm, {path: '/once/', key: 'key-big'});
+    await sleep(laterMs);
+    state.fleet.configure(configuration(1));
+    const answer = await sent;
+    state.answers = answer ? [answer] : [];
+  },
+);
--- a/features/steps/mesh_path_steps.ts
+++ b/features/steps/mesh_path_steps.ts
@@ -44,10 +44,10 @@
   await states.get(this)?.fleet.stop();
 });
 
-const SERVICE = 'pay';
+export const SERVICE = 'pay';
 const targets = [{service: SERVICE, weight: 1}];
 
-function configuration(version: number): FleetConfiguration {
+export function configuration(version: number): FleetConfiguration {
   return {
     version,
     routes: [
--- a/features/steps/mesh_policy_steps.ts
+++ b/features/steps/mesh_policy_steps.ts
@@ -1,5 +1,6 @@
 /** Steps for the policies of a mesh fleet; none of them uses a network. */
 import assert from 'node:assert/strict';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {Given, Then, When} from '@cucumber/cucumber';
 import {BackendIdentity} from '../../src/mesh/gate/backend_identity.js';
 import {ResponseTimes} from '../../src/mesh/gate/response_times.js';
@@ -13,6 +14,7 @@
 import {queueTimeoutMs} from '../../src/mesh/gate/queue_timeout.js';
 import {computeRetryAfterMs} from '../../src/mesh/router/retry_after.js';
 import {StartupDelay} from '../../src/mesh/router/startup_delay.js';
+import {blockFor} from '../support/late_event_loop.js';
 import {RepeatLoad} from '../support/repeat_load.js';
 import {
   SimulatedRateFleet,
@@ -37,7 +39,8 @@
   waits: readonly Wait[];
   retriesAtMs: readonly number[];
   daemons: SimulatedRateFleet;
-  daemonUptimeMs: number;
+  delay: StartupDelay | undefined;
+  callerTimeoutMs: number;
   delayedMs: number;
   wasPeerKnown: boolean;
   queueTimeoutMs: number;
@@ -63,7 +66,8 @@
     daemons: new SimulatedRateFleet(1, {perS: 1, burst: 1}),
     repeats: new RepeatLoad(),
     requestsPerS: 0,
-    daemonUptimeMs: 0,
+    delay: undefined,
+    callerTimeoutMs: Infinity,
     delayedMs: 0,
     wasPeerKnown: false,
     queueTimeoutMs: 0,
@@ -410,25 +414,56 @@
 
 Given(
   'a daemon that started {int} ms ago and knows no peer',
-  function (agoMs: number) {
-    stateOf(this).daemonUptimeMs = agoMs;
+  async function (agoMs: number) {
+    const delay = new StartupDelay([]);
+    delay.begin();
+    stateOf(this).delay = delay;
+    await sleep(agoMs);
   },
 );
 
+Given(
+  'a daemon that was busy for the first {int} ms of its start',
+  async function (busyMs: number) {
+    const delay = new StartupDelay([]);
+    delay.begin();
+    stateOf(this).delay = delay;
+    // The timers run next after an immediate, and the reads after them.
+    await new Promise(resolve => setImmediate(resolve));
+    blockFor(busyMs);
+  },
+);
+
+Given(
+  'a daemon that found its configuration {int} ms and its peers {int} ms after its start',
+  async function (configuredMs: number, listedMs: number) {
+    const startedAtMs = performance.now();
+    const isKnownAfter = (ms: number) => () =>
+      performance.now() - startedAtMs >= ms;
+    const delay = new StartupDelay([configuredMs, listedMs].map(isKnownAfter));
+    delay.begin();
+    stateOf(this).delay = delay;
+    await sleep(listedMs);
+  },
+);
+
+Given('a caller that waits for {int} ms', function (timeoutMs: number) {
+  stateOf(this).callerTimeoutMs = timeoutMs;
+});
+
 async function delayRequest(
   state: PolicyState,
   knownAfterMs: number,
-  signal: AbortSignal,
+  callerSignal: AbortSignal,
 ): Promise<void> {
   const arrivedAtMs = performance.now();
-  const startedAtMs = arrivedAtMs - state.daemonUptimeMs;
-  // The first reading of the clock is the daemon's start.
-  const times = [startedAtMs];
-  const delay = new StartupDelay(() => times.shift() ?? performance.now());
   const isKnown = () => performance.now() - arrivedAtMs >= knownAfterMs;
-  await delay.waitUntil(isKnown, signal);
+  const deadlineAtMs = arrivedAtMs + state.callerTimeoutMs;
+  const limits = {callerSignal, deadlineAtMs};
+  await state.delay?.waitUntil(isKnown, limits);
   state.delayedMs = performance.now() - arrivedAtMs;
   state.wasPeerKnown = isKnown();
+  state.delay?.stop();
 }
 
 When(
--- a/src/mesh/router/caller_server.ts
+++ b/src/mesh/router/caller_server.ts
@@ -91,7 +91,7 @@
 
 export class CallerServer {
   readonly #options: CallerServerOptions;
-  readonly #startupDelay = new StartupDelay();
+  readonly #startupDelay: StartupDelay;
   readonly #server;
   #maxBodyBytes = DEFAULT_MAX_BODY_BYTES;
   #openRequests = 0;
@@ -99,6 +99,11 @@
 
   constructor(options: CallerServerOptions) {
     this.#options = options;
+    const {routes, isFleetKnown} = options;
+    this.#startupDelay = new StartupDelay([
+      () => routes() !== undefined,
+      isFleetKnown,
+    ]);
     const app = polka({
       onNoMatch: (req, res) => void this.#handleRequest(req, res),
     });
@@ -115,6 +120,7 @@
 
   start(): Promise<string> {
     const {address, log} = this.#options;
+    this.#startupDelay.begin();
     return listen(this.#server, address, 'callers', {
       backlog: LISTEN_BACKLOG,
       onRetry: retry => log.belief('listen-retried', {...retry}),
@@ -135,6 +141,7 @@
 
   /** Stops accepting connections; in-flight requests continue. */
   close(): void {
+    this.#startupDelay.stop();
     this.#server.close();
     this.#server.closeIdleConnections();
   }
@@ -165,12 +172,13 @@
     context: RequestContext,
     callerSignal: AbortSignal,
   ): Promise<void> {
-    const {req} = context;
-    const {routes, isFleetKnown, hasInstances} = this.#options;
-    await this.#startupDelay.waitUntil(
-      () => routes() !== undefined,
+    const {req, startedAtMs} = context;
+    const {routes, isFleetKnown, hasInstances, names} = this.#options;
+    const callerTimeoutMs = parseCallerTimeoutMs(req, names) ?? Infinity;
+    await this.#startupDelay.waitUntil(() => routes() !== undefined, {
       callerSignal,
-    );
+      deadlineAtMs: startedAtMs + callerTimeoutMs,
+    });
     const table = routes();
     if (!table) return this.#refuse(context, {name: 'not-ready'});
     const route = table.findRoute(req.headers.host ?? '', req.url ?? '/');
@@ -191,13 +199,15 @@
       return this.#refuse(context, {name: 'body-too-large'});
     }
     if (body.kind === 'broken') return this.#record(context, 0, 'caller-gone');
-    await this.#startupDelay.waitUntil(isFleetKnown, callerSignal);
     const request = this.#buildAdmittedRequest(context, {
       route,
       customer,
       table,
       body: body.bytes,
     });
+    const {deadlineAtMs} = request;
+    const delayLimits = {callerSignal, deadlineAtMs};
+    await this.#startupDelay.waitUntil(isFleetKnown, delayLimits);
     const verdict = this.#options.quarantine.check(request.fingerprint);
     if (verdict.kind === 'quarantined') {
       const {retryAfterMs} = verdict;
@@ -208,7 +218,7 @@
     const {service} = request;
     await this.#startupDelay.waitUntil(
       () => hasInstances(service),
-      callerSignal,
+      delayLimits,
     );
     // Backend servers send no API key, so only requests without one count.
     if (!customer)
