--- a/features/steps/mesh_path_steps.ts
+++ b/features/steps/mesh_path_steps.ts
@@ -44,7 +44,7 @@
   await states.get(this)?.fleet.stop();
 });
 
-const SERVICE = 'pay';
+export const SERVICE = 'pay';
 const targets = [{service: SERVICE, weight: 1}];
 
 export function configuration(version: number): FleetConfiguration {
