Give the mesh soak limits, uploads, customers and a verdict

Each daemon has the descriptors and the memory of a VM, a tenth of the instances accept uploads, callers may have keys, and the store may share a busy process with the instances.

--- a/features/support/platform_documents.ts
+++ b/features/support/platform_documents.ts
@@ -60,14 +60,29 @@
   readonly service: string;
   readonly host: string;
   readonly prefix: string;
-  readonly kind: 'safe' | 'unsafe';
+  readonly kind: 'safe' | 'unsafe' | 'upload';
   readonly timeoutMs: number;
 }
 
-/** Returns the text of a configuration with these routes and no customers. */
+/** A customer and its key. */
+export interface KeyedCustomer {
+  readonly name: string;
+  readonly key: string;
+  readonly ratePerS: number;
+}
+
+/** What a configuration contains beside its routes. */
+export interface DocumentOptions {
+  readonly maxBodyBytes?: number;
+  /** If there are any, no route is public. */
+  readonly customers?: readonly KeyedCustomer[];
+}
+
+/** Returns the text of a configuration with these routes. */
 export function documentOfRoutes(
   version: string,
   routes: readonly ServiceRoute[],
+  {maxBodyBytes = 1000, customers = []}: DocumentOptions = {},
 ): string {
   const routeResources = routes.map(route => ({
     ResourceKind: 'Routes',
@@ -81,7 +96,7 @@
       TargetLatencyMs: route.timeoutMs / 3,
       Priority: 1,
       MaxAttempts: 2,
-      Public: true,
+      Public: customers.length === 0,
     },
   }));
   const serviceResources = routes.map(({service}) => ({
@@ -89,7 +104,17 @@
     Metadata: {Name: service},
     Spec: {HealthPath: '/health'},
   }));
-  const limits = {ResourceKind: 'Limits', Spec: {MaxBodyBytes: 1000}};
-  const Resources = [...routeResources, ...serviceResources, limits];
+  const customerResources = customers.map(({name, key, ratePerS}) => ({
+    ResourceKind: 'Tenants',
+    Metadata: {Name: name},
+    Spec: {ApiKeys: [key], RatePerS: ratePerS, Burst: ratePerS},
+  }));
+  const limits = {ResourceKind: 'Limits', Spec: {MaxBodyBytes: maxBodyBytes}};
+  const Resources = [
+    ...routeResources,
+    ...serviceResources,
+    ...customerResources,
+    limits,
+  ];
   return JSON.stringify({Version: version, Resources});
 }
--- a/soak/mesh/callers.ts
+++ b/soak/mesh/callers.ts
@@ -4,8 +4,15 @@
  */
 import {randomUUID} from 'node:crypto';
 import {Agent, request} from 'node:http';
+import type {ServiceRoute} from '../../features/support/platform_documents.js';
 import {HEADER_NAMES as NAMES} from '../../platform/names.js';
-import {addressOf, ROUTES, type SoakVm} from './fleet_plan.js';
+import {
+  addressOf,
+  ROUTES,
+  UPLOAD_ROUTE,
+  type FleetOptions,
+  type SoakVm,
+} from './fleet_plan.js';
 
 /** What a caller was told of a request. */
 export interface Answer {
@@ -15,41 +22,68 @@
   readonly tookMs: number;
   /** 0 if there was no response. */
   readonly status: number;
+  readonly isUpload: boolean;
 }
 
 /** How long a caller waits for a response. */
 const PATIENCE_MS = 4500;
+/** Of the logarithm of the size of an upload. */
+const UPLOAD_SIZE_DEVIATION = 0.6;
+const SMALL_BODY = Buffer.from('amount=1');
 
 /** Sends requests to one daemon until it is stopped. */
 export class SteadyCallers {
   readonly #vm: SoakVm;
+  readonly #options: FleetOptions;
   readonly #agent = new Agent({keepAlive: true});
-  readonly #timer: NodeJS.Timeout;
+  readonly #timers: readonly NodeJS.Timeout[];
+  readonly #uploadBytes: Buffer;
   readonly answers: Answer[] = [];
 
-  constructor(vm: SoakVm, requestsPerS: number) {
+  /** `uploadBytes` is what the bodies of uploads are taken from. */
+  constructor(vm: SoakVm, options: FleetOptions, uploadBytes: Buffer) {
     this.#vm = vm;
-    this.#timer = setInterval(() => void this.#send(), 1000 / requestsPerS);
+    this.#options = options;
+    this.#uploadBytes = uploadBytes;
+    const {requestsPerS, uploadsPerS} = options;
+    const route = ROUTES.find(({service}) => service === vm.calledService);
+    const send = () => void this.#send(route, SMALL_BODY);
+    const sendUpload = () => void this.#send(UPLOAD_ROUTE, this.#newUpload());
+    this.#timers = [
+      repeatAt(requestsPerS, send),
+      repeatAt(uploadsPerS, sendUpload),
+    ].flat();
   }
 
   /** Sends nothing more; requests in flight are dropped. */
   stop(): void {
-    clearInterval(this.#timer);
+    this.#timers.forEach(timer => clearInterval(timer));
     this.#agent.destroy();
   }
 
-  async #send(): Promise<void> {
+  /** The sizes of uploads have a log-normal distribution. */
+  #newUpload(): Buffer {
+    const {uploadBytes, maxUploadBytes} = this.#options;
+    const mean = Math.log(uploadBytes) - UPLOAD_SIZE_DEVIATION ** 2 / 2;
+    const bytes = Math.exp(mean + UPLOAD_SIZE_DEVIATION * randomNormal());
+    return this.#uploadBytes.subarray(0, Math.min(bytes, maxUploadBytes));
+  }
+
+  async #send(route: ServiceRoute | undefined, body: Buffer): Promise<void> {
     const sentAtUnixMs = Date.now();
-    const status = await this.#post();
-    const tookMs = Date.now() - sentAtUnixMs;
-    this.answers.push({vm: this.#vm.index, sentAtUnixMs, tookMs, status});
+    const status = await this.#post(route, body);
+    this.answers.push({
+      vm: this.#vm.index,
+      sentAtUnixMs,
+      tookMs: Date.now() - sentAtUnixMs,
+      status,
+      isUpload: route === UPLOAD_ROUTE,
+    });
   }
 
-  #post(): Promise<number> {
+  #post(route: ServiceRoute | undefined, body: Buffer): Promise<number> {
+    const {key} = this.#vm;
     const [host, port] = addressOf(this.#vm, 'callers').split(':');
-    const route = ROUTES.find(
-      ({service}) => service === this.#vm.calledService,
-    );
     return new Promise(resolve => {
       const req = request({
         host,
@@ -62,6 +96,7 @@
           host: route?.host,
           [NAMES.requestId]: randomUUID(),
           [NAMES.deadline]: String(PATIENCE_MS),
+          ...(key !== undefined && {[NAMES.key]: key}),
         },
       });
       req.on('response', res => {
@@ -70,7 +105,17 @@
         res.on('error', () => resolve(0));
       });
       req.on('error', () => resolve(0));
-      req.end('amount=1');
+      req.end(body);
     });
   }
 }
+
+function repeatAt(timesPerS: number, act: () => void): NodeJS.Timeout[] {
+  return timesPerS > 0 ? [setInterval(act, 1000 / timesPerS)] : [];
+}
+
+/** A standard normal number (Box and Muller). */
+function randomNormal(): number {
+  const radius = Math.sqrt(-2 * Math.log(1 - Math.random()));
+  return radius * Math.cos(2 * Math.PI * Math.random());
+}
--- a/soak/mesh/mesh_soak.ts
+++ b/soak/mesh/mesh_soak.ts
@@ -9,7 +9,8 @@
 import type {Answer} from './callers.js';
 import {planFleet, type FleetOptions, type SoakVm} from './fleet_plan.js';
 import {sampleMetrics, type MetricsSample} from './metrics_sample.js';
-import {SoakDaemon, Worker, type OwnEnd} from './processes.js';
+import {SoakDaemon, Worker, type OwnEnd, type Start} from './processes.js';
+import {findBrokenRules} from './soak_rules.js';
 import {TROUBLES, type Fleet, type TroubleName} from './troubles.js';
 
 /** Options of {@link soakMesh}. */
@@ -19,6 +20,12 @@
   readonly seconds: number;
   /** Where logs and settings of the daemons are kept. */
   readonly folder: string;
+  /** Resident memory that no daemon may exceed, in megabytes. */
+  readonly memoryMb: number;
+  /** Descriptors that a daemon may open. */
+  readonly maxDescriptors: number;
+  /** One process runs the store and all instances. */
+  readonly hasBusyStore: boolean;
 }
 
 /** What callers saw in one part of the time after the trouble. */
@@ -28,6 +35,8 @@
   readonly served: number;
   /** Daemons of whose callers none was served. */
   readonly starvedDaemons: number;
+  readonly uploadsSent: number;
+  readonly uploadsServed: number;
 }
 
 /** What a run showed. */
@@ -39,10 +48,18 @@
   readonly servedBefore: number;
   readonly windows: readonly Window[];
   readonly samples: readonly MetricsSample[];
+  /** All starts together, beside those that were ended before they were ready. */
+  readonly starts: StartTimes;
   readonly ownEnds: readonly OwnEnd[];
+  /** Of the daemon with most, over all its processes. */
   readonly peakMemoryMb: number;
+  readonly peakDescriptors: number;
   /** Of the daemons' current processes. */
   readonly meanProcessorMs: number;
+  /** Responses after the trouble, by status; 0 counts those without one. */
+  readonly statuses: Readonly<Record<string, number>>;
+  /** Empty if the run is good. */
+  readonly brokenRules: readonly string[];
 }
 
 /** Times from the start of the processes until they were ready. */
@@ -68,13 +85,17 @@
   const vms = planFleet(options);
   const parts = partsOf(vms);
   const store = new Worker();
-  const instanceWorkers = parts.map(() => new Worker());
+  const instanceParts = options.hasBusyStore ? [vms] : parts;
+  const instanceWorkers = options.hasBusyStore
+    ? [store]
+    : parts.map(() => new Worker());
   const callerWorkers = parts.map(() => new Worker());
-  const {address = ''} = await store.ask({kind: 'store'});
-  await store.ask({kind: 'configure', version: '1'});
-  const daemons = vms.map(vm => new SoakDaemon(vm, options.folder, address));
+  const {address: storeAddress = ''} = await store.ask({kind: 'store'});
+  await store.ask({kind: 'configure', version: '1', options});
+  const daemonOptions = {...options, storeAddress};
+  const daemons = vms.map(vm => new SoakDaemon(vm, daemonOptions));
   try {
-    await askAll(instanceWorkers, parts, vms => ({
+    await askAll(instanceWorkers, instanceParts, vms => ({
       kind: 'instances',
       vms,
       options,
@@ -89,7 +110,7 @@
     }));
     await sleep(BASELINE_MS);
     const beginsAtUnixMs = Date.now();
-    const fleet: Fleet = {daemons, store, instanceWorkers};
+    const fleet: Fleet = {daemons, store, instanceWorkers, options};
     await TROUBLES[options.trouble](fleet);
     const endsAtUnixMs = Date.now();
     const samples = await collectSamples(daemons, options.seconds * 1000);
@@ -98,20 +119,30 @@
     );
     const answers = replies.flatMap(reply => reply.answers ?? []);
     const before = answers.filter(a => a.sentAtUnixMs < beginsAtUnixMs);
+    const after = answers.filter(a => a.sentAtUnixMs >= endsAtUnixMs);
     const served = before.filter(isServed).length;
+    const windows = windowsOf(answers, vms, endsAtUnixMs, options.seconds);
     return {
       trouble: options.trouble,
       daemons: options.daemons,
       firstStart,
       lastStart: startTimesOf(daemons),
       servedBefore: round(served / before.length),
-      windows: windowsOf(answers, vms, endsAtUnixMs, options.seconds),
+      windows,
       samples,
+      starts: timesOf(daemons.flatMap(({starts}) => starts)),
       ownEnds: daemons.flatMap(({ownEnds}) => ownEnds),
       peakMemoryMb: Math.max(...daemons.map(d => Math.round(d.peakMemoryMb))),
+      peakDescriptors: Math.max(...daemons.map(d => d.peakDescriptors)),
       meanProcessorMs: Math.round(
         sum(daemons.map(({processorMs}) => processorMs)) / daemons.length,
       ),
+      statuses: countBy(after, ({status}) => status),
+      brokenRules: findBrokenRules({
+        daemons,
+        windows,
+        memoryMb: options.memoryMb,
+      }),
     };
   } finally {
     await Promise.all(daemons.map(daemon => daemon.end('SIGKILL')));
@@ -160,12 +191,18 @@
 }
 
 function startTimesOf(daemons: readonly SoakDaemon[]): StartTimes {
-  const times = daemons
+  return timesOf(daemons.flatMap(({starts}) => starts.at(-1) ?? []));
+}
+
+function timesOf(starts: readonly Start[]): StartTimes {
+  const times = starts
     .flatMap(({readyAfterMs}) => readyAfterMs ?? [])
     .toSorted((a, b) => a - b)
     .map(Math.round);
+  const isWaiting = ({readyAfterMs, endedAfterMs}: Start) =>
+    readyAfterMs === undefined && endedAfterMs === undefined;
   return {
-    notReady: daemons.length - times.length,
+    notReady: starts.filter(isWaiting).length,
     medianMs: times[Math.floor(times.length / 2)] ?? 0,
     maxMs: times.at(-1) ?? 0,
   };
@@ -180,9 +217,11 @@
   const count = Math.floor((seconds * 1000) / WINDOW_MS);
   return Array.from({length: count}, (_, index) => {
     const startMs = fromUnixMs + index * WINDOW_MS;
-    const sent = answers.filter(
+    const inWindow = answers.filter(
       ({sentAtUnixMs: atMs}) => atMs >= startMs && atMs < startMs + WINDOW_MS,
     );
+    const sent = inWindow.filter(({isUpload}) => !isUpload);
+    const uploads = inWindow.filter(({isUpload}) => isUpload);
     const served = sent.filter(isServed);
     const servedVms = new Set(served.map(({vm}) => vm));
     return {
@@ -190,6 +229,8 @@
       sent: sent.length,
       served: round(served.length / Math.max(1, sent.length)),
       starvedDaemons: vms.length - servedVms.size,
+      uploadsSent: uploads.length,
+      uploadsServed: uploads.filter(isServed).length,
     };
   });
 }
@@ -198,6 +239,16 @@
   return status === 200;
 }
 
+function countBy<Value>(
+  values: readonly Value[],
+  keyOf: (value: Value) => number,
+): Readonly<Record<string, number>> {
+  return values.reduce<Record<string, number>>((counts, value) => {
+    const key = String(keyOf(value));
+    return {...counts, [key]: (counts[key] ?? 0) + 1};
+  }, {});
+}
+
 function sum(values: readonly number[]): number {
   return values.reduce((total, value) => total + value, 0);
 }
--- a/soak/mesh/metrics_sample.ts
+++ b/soak/mesh/metrics_sample.ts
@@ -13,11 +13,16 @@
   readonly connects: Readonly<Record<string, number>>;
   /** Seconds in which a timer fired over half a second late. */
   readonly lateSeconds: number;
+  /** Of the daemon with most, in megabytes. */
+  readonly maxResidentMb: number;
+  /** Sockets, timers and other handles of the daemon with most. */
+  readonly maxResources: number;
 }
 
 const METRIC = /^chicorycourse_(\w+)(?:\{(.*)\})? (\S+)$/gm;
 const LABEL = /(\w+)="([^"]*)"/g;
 const LATE_S = '0.5';
+const BYTES_PER_MB = 2 ** 20;
 
 interface Point {
   readonly name: string;
@@ -32,7 +37,10 @@
 ): Promise<MetricsSample> {
   const pages = await Promise.all(daemons.map(daemon => daemon.metrics()));
   const answered = pages.filter(page => page !== undefined);
-  const points = answered.flatMap(parse);
+  const pointsByDaemon = answered.map(parse);
+  const points = pointsByDaemon.flat();
+  const maxOf = (name: string) =>
+    Math.max(0, ...pointsByDaemon.map(ofDaemon => totalOf(ofDaemon, name)));
   const sumBy = (name: string, label: string) =>
     points
       .filter(point => point.name === name)
@@ -47,9 +55,17 @@
     links: sumBy('peer_links', 'state'),
     connects: sumBy('peer_connect_seconds_count', 'outcome'),
     lateSeconds: (delays['+Inf'] ?? 0) - (delays[LATE_S] ?? 0),
+    maxResidentMb: Math.round(maxOf('resident_memory_bytes') / BYTES_PER_MB),
+    maxResources: maxOf('active_resources'),
   };
 }
 
+function totalOf(points: readonly Point[], name: string): number {
+  return points
+    .filter(point => point.name === name)
+    .reduce((total, {value}) => total + value, 0);
+}
+
 function parse(page: string): readonly Point[] {
   return [...page.matchAll(METRIC)].map(([, name = '', labels = '', value]) => {
     const pairs = [...labels.matchAll(LABEL)].map(([, key, text]) => [
--- a/soak/mesh/worker.ts
+++ b/soak/mesh/worker.ts
@@ -2,12 +2,14 @@
  * A process of a mesh soak beside the daemons: it runs the store, or a part of
  * the instances, or a part of the callers. Commands and replies are messages.
  */
+import {setTimeout as sleep} from 'node:timers/promises';
 import {documentOfRoutes} from '../../features/support/platform_documents.js';
 import {PlatformInstance} from '../../features/support/platform_instance.js';
 import {PlatformStore} from '../../features/support/platform_store.js';
 import {SteadyCallers, type Answer} from './callers.js';
 import {
   addressOf,
+  documentOptionsOf,
   ROUTES,
   type FleetOptions,
   type SoakVm,
@@ -25,12 +27,14 @@
   | {
       readonly kind: 'configure';
       readonly version: string;
+      readonly options: FleetOptions;
     }
   | {readonly kind: 'keepCopy'}
   | {readonly kind: 'restoreCopy'}
   | ({readonly kind: 'instances'} & Part)
   | ({readonly kind: 'callers'} & Part)
   | {readonly kind: 'stopInstances'; readonly share: number}
+  | {readonly kind: 'replaceInstances'; readonly successors: readonly SoakVm[]}
   | {readonly kind: 'answers'};
 
 /** A worker's reply to each command. */
@@ -45,14 +49,37 @@
   ) => Reply | Promise<Reply>;
 };
 
+/** How long the address of an instance that is gone isn't used. */
+const ADDRESS_REUSE_MS = 2000;
+
 const store = new PlatformStore();
-let instances: readonly PlatformInstance[] = [];
+let instanceOptions: FleetOptions | undefined;
+/** By the index of the VM. */
+const instances = new Map<number, PlatformInstance>();
 let callers: readonly SteadyCallers[] = [];
 
+async function startInstance(
+  vm: SoakVm,
+  {slots, workMs}: FleetOptions,
+): Promise<void> {
+  const instance = new PlatformInstance({
+    id: `instance-of-${vm.id}`,
+    service: vm.service,
+    address: addressOf(vm, 'backend'),
+    announcements: addressOf(vm, 'announcements'),
+    slots,
+    workMs,
+  });
+  instances.set(vm.index, instance);
+  await instance.start();
+}
+
 const HANDLERS: Handlers = {
   store: async () => ({address: await store.start()}),
-  configure: ({version}) => {
-    store.writeConfiguration(documentOfRoutes(version, ROUTES));
+  configure: ({version, options}) => {
+    const documentOptions = documentOptionsOf(options);
+    const document = documentOfRoutes(version, ROUTES, documentOptions);
+    store.writeConfiguration(document);
     return {};
   },
   keepCopy: () => {
@@ -63,29 +90,29 @@
     store.restoreCopy();
     return {};
   },
-  instances: async ({vms, options: {slots, workMs}}) => {
-    instances = vms.map(
-      vm =>
-        new PlatformInstance({
-          id: `instance-${vm.index}`,
-          service: vm.service,
-          address: addressOf(vm, 'backend'),
-          announcements: addressOf(vm, 'announcements'),
-          slots,
-          workMs,
-        }),
-    );
-    await Promise.all(instances.map(instance => instance.start()));
+  instances: async ({vms, options}) => {
+    instanceOptions = options;
+    await Promise.all(vms.map(vm => startInstance(vm, options)));
     return {};
   },
   stopInstances: ({share}) => {
-    instances
-      .slice(0, Math.ceil(instances.length * share))
+    [...instances.values()]
+      .slice(0, Math.ceil(instances.size * share))
       .forEach(instance => instance.stop());
     return {};
   },
-  callers: ({vms, options: {requestsPerS}}) => {
-    callers = vms.map(vm => new SteadyCallers(vm, requestsPerS));
+  replaceInstances: async ({successors}) => {
+    const own = successors.filter(({index}) => instances.has(index));
+    own.forEach(({index}) => instances.get(index)?.stop());
+    await sleep(ADDRESS_REUSE_MS);
+    const options = instanceOptions;
+    if (!options) return {};
+    await Promise.all(own.map(vm => startInstance(vm, options)));
+    return {};
+  },
+  callers: ({vms, options}) => {
+    const uploadBytes = Buffer.alloc(options.maxUploadBytes, 'x');
+    callers = vms.map(vm => new SteadyCallers(vm, options, uploadBytes));
     return {};
   },
   answers: () => {
