--- a/soak/mesh/mesh_soak.ts
+++ b/soak/mesh/mesh_soak.ts
@@ -5,6 +5,7 @@
  * afterwards shows whether any of them are starved.
  */
 import {mkdirSync} from 'node:fs';
+import {loadavg} from 'node:os';
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {Answer} from './callers.js';
 import {planFleet, type FleetOptions, type SoakVm} from './fleet_plan.js';
@@ -43,6 +44,8 @@
 export interface MeshSoakResult {
   readonly trouble: TroubleName;
   readonly daemons: number;
+  /** Load average over a minute before the first start. */
+  readonly loadBefore: number;
   readonly firstStart: StartTimes;
   readonly lastStart: StartTimes;
   readonly servedBefore: number;
@@ -82,6 +85,7 @@
   options: MeshSoakOptions,
 ): Promise<MeshSoakResult> {
   mkdirSync(options.folder, {recursive: true});
+  const [loadBefore = 0] = loadavg();
   const vms = planFleet(options);
   const parts = partsOf(vms);
   const store = new Worker();
@@ -125,6 +129,7 @@
     return {
       trouble: options.trouble,
       daemons: options.daemons,
+      loadBefore: round(loadBefore),
       firstStart,
       lastStart: startTimesOf(daemons),
       servedBefore: round(served / before.length),
