Don't give up a probe because the daemon is late

What callers saw: after a daemon has restarted, its instance gets no request until the daemon knows it.

Cause: a probe has 1 s by an ordinary timer, and the event loop runs due timers before it reads the response.

`cucumber-js features/late_daemon.feature` on the code before: "AbortError" of a probe whose daemon was busy for 1.2 s, of an instance that answers at once. Passes with the change.

The second now counts only time in which this process read what it received.

--- a/features/late_daemon.feature
+++ b/features/late_daemon.feature
@@ -38,3 +38,9 @@
     Given callers' connections may be idle for 1000 ms
     When a caller leaves a connection to VM 0 idle after a request
     Then it is closed 900 to 3000 ms later
+
+  # Guards against instances that stay unknown until their next heartbeat because
+  # the daemon that restarted was late.
+  Scenario: A probe finds an instance although the daemon was late
+    When a daemon probes an instance and is then busy for 1200 ms
+    Then it has found the instance
--- a/features/steps/late_daemon_steps.ts
+++ b/features/steps/late_daemon_steps.ts
@@ -4,6 +4,10 @@
 import {connect, type Socket} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {Given, Then, When} from '@cucumber/cucumber';
+import {
+  BackendClient,
+  type ProbeResult,
+} from '../../src/mesh/gate/backend_client.js';
 import {DEFAULT_HEADER_NAMES as NAMES} from '../../src/mesh/header_names.js';
 import type {
   GateClient,
@@ -13,7 +17,11 @@
 } from '../../src/mesh/gate/work.js';
 import {until} from '../support/fleet.js';
 import {blockFor} from '../support/late_event_loop.js';
-import type {MeshFleet, MeshVm} from '../support/mesh_fleet.js';
+import {
+  MeshBackend,
+  type MeshFleet,
+  type MeshVm,
+} from '../support/mesh_fleet.js';
 import type {World} from '../support/world.js';
 import {configuration, send, SERVICE, stateOf} from './mesh_path_steps.js';
 
@@ -29,6 +37,7 @@
 const connections = new WeakMap<World, CallerConnection>();
 const ANSWER_MS = 3000;
 
+const probes = new WeakMap<World, ProbeResult>();
 const outcomes = new WeakMap<World, Outcome>();
 
 const ID = 'direct';
@@ -246,3 +255,24 @@
     state.answers = answer ? [answer] : [];
   },
 );
+
+When(
+  'a daemon probes an instance and is then busy for {int} ms',
+  async function (this: World, busyMs: number) {
+    const backend = new MeshBackend();
+    backend.notices.set(NAMES.instance, 'probed');
+    const client = new BackendClient(await backend.start(), NAMES);
+    try {
+      const probe = client.probe('/health');
+      blockAfterTicks(TICKS, busyMs);
+      const found = await probe;
+      if (found) probes.set(this, found);
+    } finally {
+      backend.stop();
+    }
+  },
+);
+
+Then('it has found the instance', function (this: World) {
+  assert.equal(probes.get(this)?.instance, 'probed');
+});
--- a/src/mesh/gate/backend_client.ts
+++ b/src/mesh/gate/backend_client.ts
@@ -18,6 +18,7 @@
   type ResetCheck,
 } from '../../http/single_use_connection.js';
 import {parseAddress} from '../../settings/address.js';
+import {ResponseTimeout} from '../../timing/response_timeout.js';
 import type {HeaderNames} from '../header_names.js';
 import {headerValue} from './header_value.js';
 import {readInstanceNotice, type InstanceNotice} from './instance_notice.js';
@@ -121,13 +122,15 @@
 
   /** Asks the health path for the instance; throws if there is no response. */
   async probe(healthPath: string): Promise<ProbeResult | undefined> {
+    const abort = new AbortController();
+    const timeout = new ResponseTimeout(PROBE_TIMEOUT_MS, () => abort.abort());
     const {status, headers} = await this.#send({
       method: 'GET',
       path: healthPath,
       headers: ['host', `${this.#host}:${this.#port}`],
       body: Buffer.alloc(0),
-      signal: AbortSignal.timeout(PROBE_TIMEOUT_MS),
-    });
+      signal: abort.signal,
+    }).finally(() => timeout.cancel());
     const instance = headerValue(headers, this.#names.instance);
     if (status !== 200 || instance === undefined) return undefined;
     const slots = Number(headerValue(headers, this.#names.load)?.split(',')[2]);
