Notice the end of an instance although the daemon is late

A late daemon gives no evidence of requests that end their instances, so such a request ends more of them before it is quarantined.

Cause: after a connection broke off, the daemon checks whether the address still takes connections. It gives up after 0.2 s by an ordinary timer, which fires before a late event loop reads that the connection was refused, and takes the instance for alive.

Evidence: `cucumber-js features/late_daemon.feature` on the code before: no `hasInstanceEnded` ("socket hang up") while each turn of the loop takes 0.3 s. Passes with the change.

The limit now counts only time in which this process read what it received.

--- a/features/late_daemon.feature
+++ b/features/late_daemon.feature
@@ -44,3 +44,9 @@
   Scenario: A probe finds an instance although the daemon was late
     When a daemon probes an instance and is then busy for 1200 ms
     Then it has found the instance
+
+  # Guards against missing the evidence of a request that ends instances.
+  Scenario: A late daemon notices that an instance has ended
+    Given the backend server of VM 0 ends when it gets the request
+    When VM 0 runs a request while each turn of its event loop takes 300 ms
+    Then the instance has ended within it
--- a/features/steps/late_daemon_steps.ts
+++ b/features/steps/late_daemon_steps.ts
@@ -16,7 +16,7 @@
   Work,
 } from '../../src/mesh/gate/work.js';
 import {until} from '../support/fleet.js';
-import {blockFor} from '../support/late_event_loop.js';
+import {blockFor, LateEventLoop} from '../support/late_event_loop.js';
 import {
   MeshBackend,
   type MeshFleet,
@@ -276,3 +276,31 @@
 Then('it has found the instance', function (this: World) {
   assert.equal(probes.get(this)?.instance, 'probed');
 });
+
+Given(
+  'the backend server of VM {int} ends when it gets the request',
+  function (this: World, index: number) {
+    stateOf(this).fleet.vm(index).backend.endsAtPath = WORK.path;
+  },
+);
+
+When(
+  'VM {int} runs a request while each turn of its event loop takes {int} ms',
+  async function (this: World, index: number, turnMs: number) {
+    const {gate} = stateOf(this).fleet.vm(index).daemon;
+    const reservation = await reserveAt(gate);
+    const loop = new LateEventLoop(turnMs);
+    try {
+      const {signal} = new AbortController();
+      outcomes.set(this, await reservation.run(WORK, signal));
+    } finally {
+      loop.stop();
+    }
+  },
+);
+
+Then('the instance has ended within it', function (this: World) {
+  const outcome = outcomes.get(this);
+  assert.ok(outcome?.kind === 'unknown', JSON.stringify(outcome));
+  assert.equal(outcome.hasInstanceEnded, true, outcome.reason);
+});
--- a/src/mesh/gate/backend_client.ts
+++ b/src/mesh/gate/backend_client.ts
@@ -139,18 +139,17 @@
 
   /** Whether nothing listens at the address, since the server has ended. */
   #refusesConnections(): Promise<boolean> {
-    const socket = connect({
-      host: this.#host,
-      port: this.#port,
-      timeout: LISTEN_CHECK_TIMEOUT_MS,
-    });
+    const socket = connect({host: this.#host, port: this.#port});
     return new Promise(resolve => {
       const settle = (isRefused: boolean) => {
+        timeout.cancel();
         socket.destroy();
         resolve(isRefused);
       };
+      const timeout = new ResponseTimeout(LISTEN_CHECK_TIMEOUT_MS, () =>
+        settle(false),
+      );
       socket.once('connect', () => settle(false));
-      socket.once('timeout', () => settle(false));
       socket.once('error', err => settle(codeOf(err) === 'ECONNREFUSED'));
     });
   }
