--- a/features/steps/late_daemon_steps.ts
+++ b/features/steps/late_daemon_steps.ts
@@ -4,6 +4,10 @@
 import {connect, type Socket} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {Given, Then, When} from '@cucumber/cucumber';
+import {
+  BackendClient,
+  type ProbeResult,
+} from '../../src/mesh/gate/backend_client.js';
 import {DEFAULT_HEADER_NAMES as NAMES} from '../../src/mesh/header_names.js';
 import type {
   GateClient,
@@ -12,8 +16,12 @@
   Work,
 } from '../../src/mesh/gate/work.js';
 import {until} from '../support/fleet.js';
-import {blockFor} from '../support/late_event_loop.js';
-import type {MeshFleet, MeshVm} from '../support/mesh_fleet.js';
+import {blockFor, LateEventLoop} from '../support/late_event_loop.js';
+import {
+  MeshBackend,
+  type MeshFleet,
+  type MeshVm,
+} from '../support/mesh_fleet.js';
 import type {World} from '../support/world.js';
 import {configuration, send, SERVICE, stateOf} from './mesh_path_steps.js';
 
@@ -29,6 +37,7 @@
 const connections = new WeakMap<World, CallerConnection>();
 const ANSWER_MS = 3000;
 
+const probes = new WeakMap<World, ProbeResult>();
 const outcomes = new WeakMap<World, Outcome>();
 
 const ID = 'direct';
@@ -246,3 +255,52 @@
     state.answers = answer ? [answer] : [];
   },
 );
+
+When(
+  'a daemon probes an instance and is then busy for {int} ms',
+  async function (this: World, busyMs: number) {
+    const backend = new MeshBackend();
+    backend.notices.set(NAMES.instance, 'probed');
+    const client = new BackendClient(await backend.start(), NAMES);
+    try {
+      const probe = client.probe('/health');
+      blockAfterTicks(TICKS, busyMs);
+      const found = await probe;
+      if (found) probes.set(this, found);
+    } finally {
+      backend.stop();
+    }
+  },
+);
+
+Then('it has found the instance', function (this: World) {
+  assert.equal(probes.get(this)?.instance, 'probed');
+});
+
+Given(
+  'the backend server of VM {int} ends when it gets the request',
+  function (this: World, index: number) {
+    stateOf(this).fleet.vm(index).backend.endsAtPath = WORK.path;
+  },
+);
+
+When(
+  'VM {int} runs a request while each turn of its event loop takes {int} ms',
+  async function (this: World, index: number, turnMs: number) {
+    const {gate} = stateOf(this).fleet.vm(index).daemon;
+    const reservation = await reserveAt(gate);
+    const loop = new LateEventLoop(turnMs);
+    try {
+      const {signal} = new AbortController();
+      outcomes.set(this, await reservation.run(WORK, signal));
+    } finally {
+      loop.stop();
+    }
+  },
+);
+
+Then('the instance has ended within it', function (this: World) {
+  const outcome = outcomes.get(this);
+  assert.ok(outcome?.kind === 'unknown', JSON.stringify(outcome));
+  assert.equal(outcome.hasInstanceEnded, true, outcome.reason);
+});
