Leave modules that no daemon uses out of its build

The starts compete for the processors, and the traffic begins 12 s after the machines.

A part of the rest goes to modules that a daemon never uses. By a profile: chalk, debug and the parser of cmd-ts (16 ms), a search for a native part of msgpackr, which a bundle doesn't contain and which makes a whole report of the process (12 ms), the default metrics of prom-client with OpenTelemetry (3 ms), and consola's prompts.

The build takes msgpackr without the search and of prom-client only what is used, as of undici before; the decision log imports consola/core, as it has its own reporter.

Ruled out: that msgpackr gets slower. Its native part was never loaded in a daemon, so its decoder is the same as before.

--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -2,7 +2,8 @@
  * Bundles the program and the stand-ins into dist/. With --binary it also
  * makes the single executable; with --mutant NAME it bundles the program
  * with the modules of features/mutants/NAME put in place of the real ones;
- * with --platform it only bundles one daemon for the platform, into target/.
+ * with --platform it only bundles one daemon for the platform, into target/;
+ * with --platform --list it prints what that bundle would contain.
  */
 import {execFileSync} from 'node:child_process';
 import {existsSync} from 'node:fs';
@@ -54,25 +55,54 @@
   });
 }
 
-/** Only undici's connection pool: all of undici doubles the time to start. */
-const poolOnlyPlugin = {
-  name: 'pool-only',
+/**
+ * Modules that the platform's build contains only in part, since all of them
+ * would double the time to start a daemon.
+ */
+const REPLACED_MODULES = {
+  undici: path.join(root, 'scripts/undici_pool.cjs'),
+  'prom-client': path.join(root, 'scripts/prom_metrics.cjs'),
+  // Without the search for a native part, which no bundle contains.
+  msgpackr: path.join(root, 'node_modules/msgpackr/index.js'),
+};
+
+const replaceModulesPlugin = {
+  name: 'replace-modules',
   setup({onResolve}) {
-    onResolve({filter: /^undici$/}, () => ({
-      path: path.join(root, 'scripts/undici_pool.cjs'),
-    }));
+    Object.entries(REPLACED_MODULES).forEach(([name, file]) =>
+      onResolve({filter: new RegExp(`^${name}$`)}, () => ({path: file})),
+    );
   },
 };
 
+const platformBundle = {
+  ...common,
+  entryPoints: [path.join(root, 'platform/main.ts')],
+  outfile: path.join(root, 'target/daemon.cjs'),
+  minify: true,
+  keepNames: true,
+  plugins: [replaceModulesPlugin],
+};
+
 async function bundleForPlatform() {
-  await build({
-    ...common,
-    entryPoints: [path.join(root, 'platform/main.ts')],
-    outfile: path.join(root, 'target/daemon.cjs'),
-    minify: true,
-    keepNames: true,
-    plugins: [poolOnlyPlugin],
+  await build(platformBundle);
+}
+
+/** Prints the packages in the platform's build, with bytes; writes no file. */
+async function listForPlatform() {
+  const {metafile} = await build({
+    ...platformBundle,
+    metafile: true,
+    write: false,
+  });
+  const [{inputs}] = Object.values(metafile.outputs);
+  const bytesByPackage = {};
+  Object.entries(inputs).forEach(([file, {bytesInOutput}]) => {
+    const [, name] = /node_modules\/((?:@[^/]+\/)?[^/]+)/.exec(file) ?? [];
+    const key = name ?? '(own code)';
+    bytesByPackage[key] = (bytesByPackage[key] ?? 0) + bytesInOutput;
   });
+  console.log(JSON.stringify(bytesByPackage));
 }
 
 async function bundleMutant(name) {
@@ -130,7 +160,9 @@
 }
 
 const mutantIndex = process.argv.indexOf('--mutant');
-if (process.argv.includes('--platform')) {
+if (process.argv.includes('--list')) {
+  await listForPlatform();
+} else if (process.argv.includes('--platform')) {
   await bundleForPlatform();
 } else if (mutantIndex > 0) {
   await bundleMutant(process.argv[mutantIndex + 1]);
--- a/src/log/decision_log.ts
+++ b/src/log/decision_log.ts
@@ -5,7 +5,7 @@
  * limit, so that ordinary lines can't displace them in a busy second. Printed
  * through consola.
  */
-import {createConsola, type ConsolaInstance} from 'consola';
+import {createConsola, type ConsolaInstance} from 'consola/core';
 import {LineSink, MAX_BUFFERED_BYTES, stdoutWriter} from './line_sink.js';
 
 /** Fields of a line. */
