--- a/features/steps/platform_process_steps.ts
+++ b/features/steps/platform_process_steps.ts
@@ -13,6 +13,7 @@
 import {After, Given, Then, When} from '@cucumber/cucumber';
 import {HEADER_NAMES as NAMES} from '../../platform/names.js';
 import {listen} from '../../src/http/listener.js';
+import {daemonNodeArgs} from '../support/deploy_file.js';
 import {until} from '../support/fleet.js';
 import {freeAddress} from '../support/ports.js';
 import {TestProcess} from '../support/process.js';
@@ -55,8 +56,6 @@
 const SETTINGS_FILE = 'settings.json';
 const ANY_PORT = '127.0.0.1:0';
 const INSTANCE = 'i-1';
-/** As in deploy/system.toml. */
-const HEAP_LIMIT_MB = 158;
 /** The second signal comes while the daemon still accepts callers. */
 const SECOND_SIGNAL_MS = 300;
 
@@ -129,7 +128,7 @@
 ): Promise<DaemonProcess> {
   const process = await TestProcess.start({
     script: 'platform/main.ts',
-    nodeArgs: ['--import', 'tsx', `--max-old-space-size=${HEAP_LIMIT_MB}`],
+    nodeArgs: ['--import', 'tsx', ...daemonNodeArgs()],
     args: ['--settings', path.join(setup.folder, SETTINGS_FILE)],
   });
   const daemon = {...setup, process};
--- a/soak/mesh/processes.ts
+++ b/soak/mesh/processes.ts
@@ -14,13 +14,12 @@
 import {get} from 'node:http';
 import path from 'node:path';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {daemonNodeArgs} from '../../features/support/deploy_file.js';
 import {addressOf, type Listener, type SoakVm} from './fleet_plan.js';
 import type {Command, Reply} from './worker.js';
 
 const ROOT = path.resolve(import.meta.dirname, '..', '..');
 const PROGRAM = path.join(ROOT, 'target', 'daemon.cjs');
-/** As in deploy/system.toml. */
-const HEAP_LIMIT_MB = 158;
 /** Sets the limit of descriptors and becomes the daemon. */
 const LIMIT_SCRIPT = 'ulimit -n "$0" && exec "$@"';
 const RESTART_DELAY_MS = 1000;
@@ -112,7 +111,7 @@
         LIMIT_SCRIPT,
         String(maxDescriptors),
         process.execPath,
-        `--max-old-space-size=${HEAP_LIMIT_MB}`,
+        ...daemonNodeArgs(),
         PROGRAM,
         '--settings',
         settingsFile,
