Accept replies of other daemons that a late daemon hasn't read yet

What callers of `serve` could see: requests refused as `rate-unknown` or `key-unsure`, or not run, after the daemon was paused or its event loop was late.

Cause: a call to another daemon fails when its timer fires, and the event loop runs due timers before it reads the reply. A daemon that is late by 0.3 to 1 s takes all daemons that it is calling for unreachable.

Evidence: `cucumber-js features/links.feature` on the code before: a call with a time-out of 0.3 s fails if the caller is busy for 0.5 s, with the other daemon on the same machine. Passes with the change.

The time-out now counts only time in which this process read what it received. What is valid only for a time is judged by the clock as before, from when its call was sent: vouches, loans, permits, and the agreement of a majority of the witnesses. A pause right after a reply was read has always had to be safe for them, so a reply that is read after a pause is no new case.

--- a/src/member/links.ts
+++ b/src/member/links.ts
@@ -8,6 +8,7 @@
 import {WebSocket, WebSocketServer} from 'ws';
 import {Failure, reasonOf} from '../errors/failure.js';
 import type {Logger} from '../log/logger.js';
+import {ResponseTimeout} from '../timing/response_timeout.js';
 import {decodeFrame, encodeFrame, type CallFrame} from '../wire/codec.js';
 import type {MessageKind, ReplyOf, RequestOf} from '../wire/messages.js';
 
@@ -98,9 +99,8 @@
     const reply = new Promise<unknown>((resolve, reject) => {
       link.calls.set(id, {resolve, reject});
     });
-    const timer = setTimeout(
-      () => this.#failCall(link, id, address, 'no reply in time'),
-      timeoutMs,
+    const timeout = new ResponseTimeout(timeoutMs, () =>
+      this.#failCall(link, id, address, 'no reply in time'),
     );
     try {
       link.opened
@@ -112,7 +112,7 @@
         );
       return (await reply) as ReplyOf<Kind>;
     } finally {
-      clearTimeout(timer);
+      timeout.cancel();
       link.calls.delete(id);
     }
   }
