Keep the links of a daemon that was paused

What callers of `serve` could see: after a pause of over 5 s all links of a daemon that it was using were closed, and the calls on them failed: draws of tokens, claims of keys, vouches.

Cause: a link was silent if its last call came over 5 s later than its last frame, by the clock. After a pause the timers run before anything is read: the first call after it made each link silent, and the next check closed it.

Evidence: `cucumber-js features/links.feature` on the code before: a call that a daemon makes as it resumes after 6 s fails with "connection closed". Passes with the change.

A link is now closed if, after a call has timed out without any frame in its time, nothing comes for another 5 s in which this process reads. A call that takes long, like one that waits for a slot, says nothing about its link, as before; a scenario holds this. In another, a link over which nothing comes back is opened anew within 7 s.

--- a/features/links.feature
+++ b/features/links.feature
@@ -14,3 +14,19 @@
     Given the other daemon answers no calls
     When it makes a call with a time-out of 300 ms
     Then the call fails with "no reply in time" within 1000 ms
+
+  # Guards against closing all links after a pause.
+  Scenario: A link outlives a pause of the process
+    When it is paused for 6000 ms and makes a call as it resumes
+    Then the call is answered
+
+  Scenario: A link over which nothing comes back is opened anew
+    Given the other daemon answers no calls
+    When it makes calls for 7 seconds
+    Then it has opened a new link
+
+  Scenario: A call may take long on a link that nothing else uses
+    Given the other daemon answers calls after 6 seconds
+    When it makes a call with a time-out of 8000 ms
+    Then the call is answered
+    And it has opened no new link
--- a/src/member/links.ts
+++ b/src/member/links.ts
@@ -49,16 +49,17 @@
   readonly calls: Map<number, PendingCall>;
   /** Time of the last call; monotonic clock, milliseconds. */
   usedAtMs: number;
-  /** Arrival of the last frame; monotonic clock, milliseconds. */
-  receivedAtMs: number;
+  frameCount: number;
+  /** Runs while calls time out and no frame arrives. */
+  silenceTimeout: ResponseTimeout | undefined;
 }
 
 const MAX_FRAME_BYTES = 4 * 1024 * 1024;
 const CONNECT_TIMEOUT_MS = 2000;
-const STALE_CHECK_INTERVAL_MS = 5000;
+const IDLE_CHECK_INTERVAL_MS = 5000;
 /** A link without calls for this long is closed. */
 const IDLE_TIMEOUT_MS = 30_000;
-/** A link in use that receives nothing for this long is closed and reopened. */
+/** A link that receives nothing for this long after a time-out is closed. */
 const SILENCE_TIMEOUT_MS = 5000;
 
 /** {@link Links} over websockets. */
@@ -72,14 +73,14 @@
     maxPayload: MAX_FRAME_BYTES,
     perMessageDeflate: false,
   });
-  readonly #staleCheckTimer: NodeJS.Timeout;
+  readonly #idleCheckTimer: NodeJS.Timeout;
   #nextCall = 1;
 
   constructor(options: LinksOptions) {
     this.#options = options;
-    this.#staleCheckTimer = setInterval(
-      () => this.#closeStaleLinks(),
-      STALE_CHECK_INTERVAL_MS,
+    this.#idleCheckTimer = setInterval(
+      () => this.#closeIdleLinks(),
+      IDLE_CHECK_INTERVAL_MS,
     );
   }
 
@@ -99,9 +100,11 @@
     const reply = new Promise<unknown>((resolve, reject) => {
       link.calls.set(id, {resolve, reject});
     });
-    const timeout = new ResponseTimeout(timeoutMs, () =>
-      this.#failCall(link, id, address, 'no reply in time'),
-    );
+    const {frameCount} = link;
+    const timeout = new ResponseTimeout(timeoutMs, () => {
+      this.#failCall(link, id, address, 'no reply in time');
+      if (link.frameCount === frameCount) this.#watchSilence(link);
+    });
     try {
       link.opened
         .then(() => {
@@ -136,18 +139,24 @@
 
   /** Closes all connections; pending calls fail. */
   stop(): void {
-    clearInterval(this.#staleCheckTimer);
+    clearInterval(this.#idleCheckTimer);
     this.#links.forEach(link => link.socket.terminate());
     this.#inbound.forEach(socket => socket.terminate());
     this.#server.close();
   }
 
-  #closeStaleLinks(): void {
+  /** Closes a link unless a frame arrives in time. */
+  #watchSilence(link: Link): void {
+    link.silenceTimeout ??= new ResponseTimeout(SILENCE_TIMEOUT_MS, () =>
+      link.socket.terminate(),
+    );
+  }
+
+  #closeIdleLinks(): void {
     const nowMs = performance.now();
     this.#links.forEach(link => {
       const isIdle = nowMs - link.usedAtMs > IDLE_TIMEOUT_MS;
-      const isSilent = link.usedAtMs - link.receivedAtMs > SILENCE_TIMEOUT_MS;
-      if (isIdle || isSilent) link.socket.terminate();
+      if (isIdle) link.socket.terminate();
     });
   }
 
@@ -166,13 +175,13 @@
       socket.once('error', reject);
     });
     opened.catch(() => undefined);
-    const nowMs = performance.now();
     const link: Link = {
       socket,
       opened,
       calls: new Map(),
-      usedAtMs: nowMs,
-      receivedAtMs: nowMs,
+      usedAtMs: performance.now(),
+      frameCount: 0,
+      silenceTimeout: undefined,
     };
     this.#links.set(address, link);
     socket.on('message', data =>
@@ -184,6 +193,7 @@
   }
 
   #removeLink(address: string, link: Link): void {
+    link.silenceTimeout?.cancel();
     if (this.#links.get(address) === link) this.#links.delete(address);
     [...link.calls.keys()].forEach(id =>
       this.#failCall(link, id, address, 'connection closed'),
@@ -196,7 +206,9 @@
   }
 
   #handleFrame(link: Link, bytes: Buffer, peer: string): void {
-    link.receivedAtMs = performance.now();
+    link.frameCount += 1;
+    link.silenceTimeout?.cancel();
+    link.silenceTimeout = undefined;
     try {
       const frame = decodeFrame(bytes, peer);
       if (frame.type !== 'reply') return;
