Don't refuse customers because the daemon was late to read a reply

Cause: a request waits 0.08 s for the reply of a holder, and 0.5 s in all for late ones, by the clock. If the event loop is late by 0.5 s, both are over when its timers run, before it reads the reply: the only holder counts as unresponsive, and the customer's requests are refused for a quarter of a second.

Evidence: `cucumber-js features/rate_account.feature` on the code before: "A request is admitted although the daemon was late to read a reply" fails with `rate-unknown` and `retryAfterMs` 1000, with a holder that replies at once and a daemon that is busy for 0.6 s. Passes with the change.

Both waits now count only time in which this process read what it received. A loan is valid by the clock from when it was asked for, as before, so a late reply admits no more requests than the rate.

--- a/features/rate_account.feature
+++ b/features/rate_account.feature
@@ -20,3 +20,10 @@
     Given a customer whose nearer holder replies at once and the other after 300 ms
     When a request needs a token
     Then the request is admitted within 100 ms
+
+  # Guards against customers below their rate being refused with rate-unknown by
+  # a daemon that was late to read a reply.
+  Scenario: A request is admitted although the daemon was late to read a reply
+    Given a customer whose only holder replies at once
+    When a request needs a token and the daemon is then busy for 600 ms
+    Then the request is admitted
--- a/features/steps/rate_account_steps.ts
+++ b/features/steps/rate_account_steps.ts
@@ -8,6 +8,7 @@
 import type {DrawReply, DrawRequest} from '../../src/rates/messages.js';
 import {BorrowedTokens} from '../../src/rates/borrowed_tokens.js';
 import type {Holder} from '../../src/rates/shares.js';
+import {blockFor} from '../support/late_event_loop.js';
 import type {World} from '../support/world.js';
 
 interface AccountWorld extends World {
@@ -39,11 +40,17 @@
     nextLoanId: () => `loan-${loanCount++}`,
     draw: async (holder, req) => {
       await sleep(answerAfterMs[indexOf(holder)] ?? 0);
+      // Replies are read after the timers of a turn.
+      await nextImmediate();
       return grant(holder, req);
     },
   });
 }
 
+function nextImmediate(): Promise<void> {
+  return new Promise(resolve => setImmediate(resolve));
+}
+
 function grant({share}: Holder, {wantedMicros}: DrawRequest): DrawReply {
   return {
     grants: true,
@@ -67,6 +74,13 @@
   },
 );
 
+Given(
+  'a customer whose only holder replies at once',
+  function (this: AccountWorld) {
+    this.account = accountOf([0]);
+  },
+);
+
 Given(
   'a customer whose only holder never replies',
   function (this: AccountWorld) {
@@ -80,6 +94,17 @@
   this.tookMs = performance.now() - startedAtMs;
 });
 
+When(
+  'a request needs a token and the daemon is then busy for {int} ms',
+  async function (this: AccountWorld, busyMs: number) {
+    const admitted = this.account?.admit();
+    // The timers run next after an immediate, and the reads after them.
+    await nextImmediate();
+    blockFor(busyMs);
+    this.admission = await admitted;
+  },
+);
+
 Then('the request is admitted', function (this: AccountWorld) {
   assert.equal(this.admission?.admitted, true, JSON.stringify(this.admission));
 });
--- a/src/rates/account.ts
+++ b/src/rates/account.ts
@@ -3,8 +3,8 @@
  * borrowed tokens and refills these from the holders, the nearest first. One
  * refill runs at a time; requests that arrive during a refill share its result.
  */
-import {setTimeout as sleep} from 'node:timers/promises';
 import type {Generation} from '../member/generation.js';
+import {ResponseTimeout} from '../timing/response_timeout.js';
 import {HolderView} from './holder_view.js';
 import type {Admission} from './limiter.js';
 import type {DrawReply, DrawRequest} from './messages.js';
@@ -138,13 +138,24 @@
   async #refill(): Promise<void> {
     // Requests of the same event loop turn are counted as waiting.
     await Promise.resolve();
+    let isTooLate = false;
+    const lateWait = new ResponseTimeout(LATE_REPLY_WAIT_MS, () => {
+      isTooLate = true;
+    });
+    try {
+      await this.#drawUntil(() => isTooLate);
+    } finally {
+      lateWait.cancel();
+    }
+  }
+
+  async #drawUntil(isTooLate: () => boolean): Promise<void> {
     const startMs = performance.now();
     let rounds = 0;
     while (rounds < MAX_DRAW_ROUNDS) {
       const draws = this.#planDraws();
       const waitedMs = performance.now() - startMs;
-      const mayComeLate =
-        this.#lateReplies.size > 0 && waitedMs < LATE_REPLY_WAIT_MS;
+      const mayComeLate = this.#lateReplies.size > 0 && !isTooLate();
       if (draws.length > 0) {
         if (!mayComeLate && waitedMs > MAX_REFILL_WAIT_MS) return;
         rounds += 1;
@@ -167,7 +178,7 @@
 
   /** Waits for a late reply, or until other holders may have gained tokens. */
   async #waitForLateReply(): Promise<void> {
-    await Promise.race([...this.#lateReplies, sleep(DRAW_WAIT_MS)]);
+    await waitForReply([...this.#lateReplies], DRAW_WAIT_MS);
   }
 
   #missingMicros(): number {
@@ -216,7 +227,7 @@
       answered = true;
       this.#lateReplies.delete(reply);
     });
-    await Promise.race([reply, sleep(DRAW_WAIT_MS)]);
+    await waitForReply([reply], DRAW_WAIT_MS);
     if (answered) return;
     planned.view.recordTimeout();
     // Waiting for a holder that was already unresponsive would delay every
@@ -279,3 +290,17 @@
     return {reason, untilMs: nowMs + pauseMs, dueAtMs: nowMs + dueMs};
   }
 }
+
+/** Waits until one of the draws has ended, or for the time given. */
+function waitForReply(
+  draws: readonly Promise<void>[],
+  timeoutMs: number,
+): Promise<void> {
+  return new Promise(resolve => {
+    const timeout = new ResponseTimeout(timeoutMs, resolve);
+    void Promise.race(draws).finally(() => {
+      timeout.cancel();
+      resolve();
+    });
+  });
+}
