Don't suspect an instance whose response a late gate hasn't read

Cause: the timer that marks a response as late runs before the response is read.

"An instance that responds in time isn't suspect" failed before and passes now.

--- a/features/late_daemon.feature
+++ b/features/late_daemon.feature
@@ -13,6 +13,12 @@
     Then the instance has answered it
     And the gate of VM 0 regards its instance as "ready"
 
+  # Guards against suspecting an instance whose response the daemon reads late.
+  Scenario: An instance that responds in time isn't suspect
+    When VM 0 runs a request and is then busy for 1200 ms
+    Then the instance has answered it
+    And the gate of VM 0 never suspected its instance
+
   # Guards against reservations that expire while the request that uses them
   # waits to be read.
   Scenario: A gate that was late runs a request that came within its reservation
--- a/features/steps/late_daemon_steps.ts
+++ b/features/steps/late_daemon_steps.ts
@@ -304,3 +304,10 @@
   assert.ok(outcome?.kind === 'unknown', JSON.stringify(outcome));
   assert.equal(outcome.hasInstanceEnded, true, outcome.reason);
 });
+
+Then('the gate of VM 0 never suspected its instance', function (this: World) {
+  const suspicions = stateOf(this).fleet.lines.filter(
+    ({event, trust}) => event === 'backend-trust' && trust === 'suspect',
+  );
+  assert.deepEqual(suspicions, []);
+});
--- a/src/mesh/gate/gate.ts
+++ b/src/mesh/gate/gate.ts
@@ -275,11 +275,11 @@
       instance,
       afterMs: Math.round(lateAfterMs),
     };
-    const lateTimer = setTimeout(() => {
+    const lateTimeout = new ResponseTimeout(lateAfterMs, () => {
       this.#updateTrust(lateCause, nowMs =>
         this.#outliers.recordLate(work.requestId, nowMs),
       );
-    }, lateAfterMs);
+    });
     const inFlightRequest = this.inFlight.start(work.isRepeat);
     const sentTo = this.#identity.known;
     const outcome = await this.#options.client.run(work, {
@@ -288,7 +288,7 @@
       onNotice: notice => this.#applyNotice(notice, sentTo),
     });
     this.inFlight.end(inFlightRequest);
-    clearTimeout(lateTimer);
+    lateTimeout.cancel();
     slot.release();
     this.#recordOutcome(request, outcome, sentAtMs);
     return outcome;
