Let the delay between attempts to connect grow

The delay was reset to 0.1 s after each attempt that never led to a connection, instead of doubled: it looked at the time since the last connection, and there was none. After a restart of a whole fleet the list names all daemons, so those that start first tried the addresses of the others, which refuse, some ten times a second each, on the processors that the others needed to start. That is a part of why a restart differs from a first start, when the list names only daemons that listen.

The delay now follows the number of attempts since a connection that lasted. A peer that connects ends the pause, since it is there. Only handshakes that time out lengthen the timeout of handshakes. Also from the review: p-queue left a listener on the link's signal for each attempt, and a peer with many failures could stay behind all others.

A turn of the event loop counts for at most 0.2 s of a timeout, and at least three turns are waited for, instead of always six turns: with six the check of the store's connections (0.5 s) and the call's own timeout (1.5 s) expired in the same turn.

--- a/features/mesh_links.feature
+++ b/features/mesh_links.feature
@@ -36,3 +36,22 @@
     When a caller sends a request to vm-0 while the event loop takes 200 ms to turn
     Then the response has status 200
     And no gate counted as silent
+
+  # Guards against a delay between attempts that doesn't grow: all daemons would
+  # try addresses that refuse, many times a second, while their peers start.
+  Scenario: Attempts to connect to an address that refuses become fewer
+    Given a mesh fleet of 2 VMs with 2 slots each
+    When vm-0 is given a peer that nothing listens for
+    Then it makes 3 to 8 attempts to connect to it within 3 s
+
+  # Guards against a peer that is back and waits for the end of a long delay.
+  Scenario: A peer that connects is connected to at once
+    Given a mesh fleet of 2 VMs with 2 slots each
+    And vm-0 knows a peer that has refused 6 attempts to connect
+    When that peer starts and connects to vm-0
+    Then vm-0 is connected to it within 500 ms
+
+  # Guards against listeners that add up over the attempts of a link.
+  Scenario: A handshake leaves nothing behind on the signal of its link
+    When 20 handshakes with the same signal take their turn
+    Then the signal has no listeners
--- a/features/steps/mesh_link_steps.ts
+++ b/features/steps/mesh_link_steps.ts
@@ -1,10 +1,15 @@
 /** Steps for the links between mesh daemons. */
 import assert from 'node:assert/strict';
+import {getEventListeners} from 'node:events';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {After, Given, Then, When} from '@cucumber/cucumber';
+import type {MeshDaemon} from '../../src/mesh/mesh_daemon.js';
+import type {Vm} from '../../src/mesh/model.js';
+import {HandshakeQueue} from '../../src/mesh/peers/handshake_queue.js';
 import {until} from '../support/fleet.js';
 import {blockFor, LateEventLoop} from '../support/late_event_loop.js';
 import type {MeshVm} from '../support/mesh_fleet.js';
+import {freeAddress} from '../support/ports.js';
 import type {World} from '../support/world.js';
 import {configuration, send, stateOf} from './mesh_path_steps.js';
 
@@ -149,3 +154,77 @@
     [],
   );
 });
+
+async function countFailedConnects(daemon: MeshDaemon): Promise<number> {
+  const res = await fetch(`http://${daemon.boundAddresses.metrics}/metrics`);
+  const failed =
+    /^chicorycourse_peer_connect_seconds_count\{outcome="failed"\} (\d+)$/m;
+  return Number(failed.exec(await res.text())?.[1] ?? 0);
+}
+
+Then(
+  'it makes {int} to {int} attempts to connect to it within {int} s',
+  async function (this: World, min: number, max: number, seconds: number) {
+    await sleep(seconds * 1000);
+    const {daemon} = stateOf(this).fleet.vm(0);
+    const attempts = await countFailedConnects(daemon);
+    assert.ok(attempts >= min && attempts <= max, `${attempts} attempts`);
+  },
+);
+
+const restarting = new WeakMap<World, Vm>();
+
+Given(
+  'vm-0 knows a peer that has refused {int} attempts to connect',
+  {timeout: START_TIMEOUT_MS},
+  async function (this: World, refused: number) {
+    const address = await freeAddress();
+    const peer = {id: 'vm-late', address, failureDomain: 'test'};
+    restarting.set(this, peer);
+    const {daemon} = stateOf(this).fleet.vm(0);
+    daemon.peers.upsert(peer);
+    const hasRefused = async () =>
+      (await countFailedConnects(daemon)) >= refused;
+    await until('the attempts failed', hasRefused, START_TIMEOUT_MS);
+  },
+);
+
+When('that peer starts and connects to vm-0', async function (this: World) {
+  const peer = restarting.get(this);
+  assert.ok(peer);
+  const {fleet} = stateOf(this);
+  await fleet.launchAt(peer.id, peer.address, 'pay', 2);
+});
+
+Then(
+  'vm-0 is connected to it within {int} ms',
+  async function (this: World, withinMs: number) {
+    const {daemon} = stateOf(this).fleet.vm(0);
+    const isConnected = () =>
+      daemon.peers.links.some(
+        ({vm, state}) => vm.id === restarting.get(this)?.id && state === 'open',
+      );
+    await until('it is connected', isConnected, withinMs);
+  },
+);
+
+const signals = new WeakMap<World, AbortSignal>();
+
+When(
+  '{int} handshakes with the same signal take their turn',
+  async function (this: World, count: number) {
+    const {signal} = new AbortController();
+    const queue = new HandshakeQueue();
+    const handshakes = Array.from({length: count}, () =>
+      queue.run(() => Promise.resolve(), 0, signal),
+    );
+    await Promise.all(handshakes);
+    signals.set(this, signal);
+  },
+);
+
+Then('the signal has no listeners', function (this: World) {
+  const signal = signals.get(this);
+  assert.ok(signal);
+  assert.equal(getEventListeners(signal, 'abort').length, 0);
+});
--- a/features/support/mesh_fleet.ts
+++ b/features/support/mesh_fleet.ts
@@ -237,6 +237,18 @@
     this.vms.forEach(({daemon}) => daemon.peers.applyList(all));
   }
 
+  /** Starts one more VM whose peers reach it at a given address. */
+  async launchAt(
+    id: string,
+    peers: string,
+    service: string,
+    slots: number,
+  ): Promise<void> {
+    const vm = await startVm({id, service, slots, log: this.#log(), peers});
+    vm.daemon.peers.applyList(this.vms.map(({daemon}) => daemon.self));
+    this.vms.push(vm);
+  }
+
   /** Whether each daemon has the status of all others. */
   get isConnected(): boolean {
     return this.vms.every(({daemon}) => {
@@ -294,11 +306,13 @@
   service,
   slots,
   log,
+  peers = ANY_PORT,
 }: {
   readonly id: string;
   readonly service: string;
   readonly slots: number;
   readonly log: DecisionLog;
+  readonly peers?: string;
 }): Promise<MeshVm> {
   const backend = new MeshBackend();
   const address = await backend.start();
@@ -309,7 +323,7 @@
         callers: ANY_PORT,
         readiness: ANY_PORT,
         announcements: ANY_PORT,
-        peers: ANY_PORT,
+        peers,
         metrics: ANY_PORT,
       },
       backend: {address, service},
--- a/src/mesh/mesh_daemon.ts
+++ b/src/mesh/mesh_daemon.ts
@@ -130,7 +130,7 @@
       status: () => this.#status(),
       fingerprints: () => this.#quarantine.records(),
       configuration: () => this.configurationTracker.configuration,
-      onHello: vm => this.peers.upsert(vm),
+      onHello: vm => this.peers.receiveHello(vm),
     });
     const limits = this.#limits;
     const repeats = this.#repeatBudget;
--- a/src/mesh/peers/handshake_queue.ts
+++ b/src/mesh/peers/handshake_queue.ts
@@ -14,6 +14,8 @@
  * that peers that don't respond hold up the others only briefly.
  */
 const MAX_TURN_MS = 250;
+/** More failed attempts than this don't put a peer further back. */
+const MAX_RANK = 3;
 
 /** Begins handshakes in turn; those that failed least often come first. */
 export class HandshakeQueue {
@@ -22,15 +24,19 @@
   /**
    * Runs a handshake when it is its turn. Peers with as many failed attempts
    * come in random order, so that daemons don't all begin with the same one.
-   * Rejects if the signal is aborted before.
+   * Begins nothing if the signal is aborted by then.
    */
   async run(
     handshake: () => Promise<void>,
     failedAttempts: number,
     signal: AbortSignal,
   ): Promise<void> {
-    const priority = Math.random() - failedAttempts;
-    await this.#queue.add(() => endOfTurn(handshake()), {priority, signal});
+    const priority = Math.random() - Math.min(MAX_RANK, failedAttempts);
+    // The queue would leave a listener on a signal that is passed to it.
+    const turn = async () => {
+      if (!signal.aborted) await endOfTurn(handshake());
+    };
+    await this.#queue.add(turn, {priority});
   }
 }
 
--- a/src/mesh/peers/peer_link.ts
+++ b/src/mesh/peers/peer_link.ts
@@ -114,6 +114,13 @@
   #connectedAtMs = -Infinity;
   /** Attempts to connect that failed since the last connection. */
   #failedAttempts = 0;
+  /** Handshakes that timed out since the last connection. */
+  #handshakeTimeouts = 0;
+  /** Whether the last attempt led to a connection. */
+  #wasOpened = false;
+  /** Attempts since a connection that lasted, for the delay between them. */
+  #unstableAttempts = 0;
+  #pauseController = new AbortController();
   #nextId = 1;
   /** Reservations in progress, which the peer's status may not show yet. */
   #outstanding = 0;
@@ -166,21 +173,32 @@
   /** Keeps the connection open until the link is stopped. */
   async run(): Promise<void> {
     const {signal} = this.#stopController;
-    let reconnectDelayMs = RECONNECT_MIN_MS;
     while (!signal.aborted) {
       await this.#connectOnce(signal);
-      if (performance.now() - this.#connectedAtMs < RECONNECT_MAX_MS) {
-        reconnectDelayMs = Math.min(RECONNECT_MAX_MS, reconnectDelayMs * 2);
-      } else {
-        reconnectDelayMs = RECONNECT_MIN_MS;
-      }
-      const jitterMs = reconnectDelayMs * RECONNECT_JITTER_RATIO;
-      const delayMs = reconnectDelayMs - jitterMs * Math.random();
-      // Rejects only if the link is stopped during the delay.
-      await sleep(delayMs, undefined, {signal}).catch(() => undefined);
+      const openForMs = performance.now() - this.#connectedAtMs;
+      const wasStable = this.#wasOpened && openForMs >= RECONNECT_MAX_MS;
+      this.#unstableAttempts = wasStable ? 0 : this.#unstableAttempts + 1;
+      await this.#pause(reconnectDelayMs(this.#unstableAttempts), signal);
     }
   }
 
+  /** Ends the pause before the next attempt, since the peer is there. */
+  reconnectNow(): void {
+    this.#unstableAttempts = 0;
+    this.#pauseController.abort();
+  }
+
+  async #pause(delayMs: number, signal: AbortSignal): Promise<void> {
+    this.#pauseController = new AbortController();
+    const endPause = () => this.#pauseController.abort();
+    signal.addEventListener('abort', endPause, {once: true});
+    // Rejects only if the pause is ended early.
+    await sleep(delayMs, undefined, {
+      signal: this.#pauseController.signal,
+    }).catch(() => undefined);
+    signal.removeEventListener('abort', endPause);
+  }
+
   /**
    * Closes the connection if the peer is silent, so that a new one is opened.
    * Checks are counted, not time: after a pause of this process, what the peer
@@ -350,10 +368,7 @@
       closed = connection.closed;
       return connection.settled;
     };
-    // Rejects only if the link is stopped before its turn.
-    await handshakes
-      .run(handshake, this.#failedAttempts, signal)
-      .catch(() => undefined);
+    await handshakes.run(handshake, this.#failedAttempts, signal);
     await closed;
   }
 
@@ -361,22 +376,17 @@
     const {peer, self, log} = this.#options;
     const startedAtMs = performance.now();
     let reason: string | undefined;
-    const giveUpWith = (why: string) => () => {
-      reason = why;
-      socket.terminate();
-    };
-    let timeout = new ResponseTimeout(
-      CONNECT_TIMEOUT_MS,
-      giveUpWith('connection timed out'),
-    );
+    this.#wasOpened = false;
     const onAccepted = () => {
       timeout.cancel();
+      const factor = 2 ** this.#handshakeTimeouts;
+      const timeoutMs = HANDSHAKE_TIMEOUT_MIN_MS * factor;
       timeout = new ResponseTimeout(
-        Math.min(
-          HANDSHAKE_TIMEOUT_MAX_MS,
-          HANDSHAKE_TIMEOUT_MIN_MS * 2 ** this.#failedAttempts,
-        ),
-        giveUpWith('handshake timed out'),
+        Math.min(HANDSHAKE_TIMEOUT_MAX_MS, timeoutMs),
+        () => {
+          this.#handshakeTimeouts += 1;
+          giveUp('handshake timed out');
+        },
       );
     };
     // `path` is that of the request, and would be taken for a local socket's.
@@ -390,13 +400,20 @@
       createConnection: openSocket as typeof connect,
     });
     this.#socket = socket;
+    const giveUp = (why: string) => {
+      reason = why;
+      socket.terminate();
+    };
+    let timeout = new ResponseTimeout(CONNECT_TIMEOUT_MS, () =>
+      giveUp('connection timed out'),
+    );
     socket.on('message', (bytes: Buffer) => this.#receive(bytes));
     socket.on('error', err => (reason ??= reasonOf(err)));
-    let isOpened = false;
     const opened = new Promise<void>(resolve => {
       socket.on('open', () => {
         timeout.cancel();
-        isOpened = true;
+        this.#wasOpened = true;
+        this.#handshakeTimeouts = 0;
         this.#connectedAtMs = performance.now();
         this.#recordConnect('opened', startedAtMs);
         this.#lastHeardAtMs = this.#connectedAtMs;
@@ -410,7 +427,7 @@
     const closed = new Promise<void>(resolve => {
       socket.on('close', () => {
         timeout.cancel();
-        if (isOpened)
+        if (this.#wasOpened)
           log.belief('peer-lost', {peer: peer.id, reason: reason ?? 'closed'});
         else if (!this.#stopController.signal.aborted)
           this.#recordConnect('failed', startedAtMs, reason);
@@ -512,6 +529,13 @@
   }
 }
 
+/** The delay after a number of attempts without a connection that lasted. */
+function reconnectDelayMs(unstableAttempts: number): number {
+  const factor = 2 ** Math.max(0, unstableAttempts - 1);
+  const delayMs = Math.min(RECONNECT_MAX_MS, RECONNECT_MIN_MS * factor);
+  return delayMs * (1 - RECONNECT_JITTER_RATIO * Math.random());
+}
+
 function isPowerOfTwo(count: number): boolean {
   return Number.isInteger(Math.log2(count));
 }
--- a/src/mesh/peers/peers.ts
+++ b/src/mesh/peers/peers.ts
@@ -130,6 +130,12 @@
     void link.run();
   }
 
+  /** Adds a daemon that connected; a link to it is opened without delay. */
+  receiveHello(vm: Vm): void {
+    this.upsert(vm);
+    this.#knownPeers.get(vm.id)?.link.reconnectNow();
+  }
+
   /** Applies a full list; removes daemons neither listed nor heard from. */
   applyList(vms: readonly Vm[]): void {
     this.#hasList = true;
--- a/src/timing/response_timeout.ts
+++ b/src/timing/response_timeout.ts
@@ -5,18 +5,22 @@
  * expires although the response is there.
  */
 
+/** The most that one turn of the event loop counts for. */
+const MAX_SLICE_MS = 200;
 /** The loop reads from its sockets at least this often before the timeout. */
-const SLICES = 6;
+const MIN_SLICES = 3;
 
 /** Calls back once, unless it is cancelled before. */
 export class ResponseTimeout {
   readonly #sliceMs: number;
   readonly #onExpire: () => void;
-  #slicesLeft = SLICES;
+  #slicesLeft: number;
   #timer: NodeJS.Timeout | undefined;
 
   constructor(timeoutMs: number, onExpire: () => void) {
-    this.#sliceMs = timeoutMs / SLICES;
+    const slices = Math.max(MIN_SLICES, Math.ceil(timeoutMs / MAX_SLICE_MS));
+    this.#slicesLeft = slices;
+    this.#sliceMs = timeoutMs / slices;
     this.#onExpire = onExpire;
     this.#waitForSlice();
   }
