--- a/features/steps/platform_silence_steps.ts
+++ b/features/steps/platform_silence_steps.ts
@@ -7,7 +7,7 @@
 import {ConfigurationTracker} from '../../src/mesh/configuration/configuration_tracker.js';
 import {MeshMetrics} from '../../src/mesh/mesh_metrics.js';
 import {until} from '../support/fleet.js';
-import type {PlatformStore} from '../support/platform_store.js';
+import type {PlatformStore, StoreCall} from '../support/platform_store.js';
 import {SilentRelay} from '../support/silent_relay.js';
 import {
   startStore,
@@ -25,6 +25,11 @@
 }
 
 const states = new WeakMap<object, SilenceState>();
+/** Since when the store has been slow, and by how much. */
+const slowOf = new WeakMap<
+  object,
+  {readonly sinceMs: number; readonly delayMs: number}
+>();
 /** Renewals and lists come every 3 s, each halfway between two of the other. */
 const CALL_INTERVAL_MS = 1500;
 const CALL_DUE_MS = 4000;
@@ -154,16 +159,61 @@
   },
 );
 
+When('it has renewed its lease', async function () {
+  await untilNext(() => countCalls(stateOf(this).store, 'kv-keep'));
+});
+
 When(
   'the store answers {int} ms late for {int} ms',
   async function (delayMs: number, forMs: number) {
     const {store} = stateOf(this);
+    slowOf.set(this, {sinceMs: performance.now(), delayMs});
     store.delayMs = delayMs;
     await sleep(forMs);
     store.delayMs = 0;
   },
 );
 
+Given(
+  'the store answers {int} ms late from now on',
+  function (delayMs: number) {
+    stateOf(this).store.delayMs = delayMs;
+  },
+);
+
+Then(
+  'at most {int} of at least {int} renewals and lists were sent twice',
+  function (mostTwice: number, least: number) {
+    const {calls} = stateOf(this).store;
+    const slow = slowOf.get(this);
+    assert.ok(slow);
+    const arrivals = (isOfKind: (call: StoreCall) => boolean) =>
+      calls
+        .filter(call => call.atMs >= slow.sinceMs && isOfKind(call))
+        .map(({atMs}) => atMs);
+    const all = [
+      arrivals(({operation}) => operation === 'kv-keep'),
+      arrivals(({prefix}) => prefix === VM_KEY_PREFIX),
+    ];
+    const sent = all.flatMap(atMs => withoutRepeats(atMs, slow.delayMs));
+    const repeats = all.flat().length - sent.length;
+    assert.ok(sent.length >= least, JSON.stringify(all));
+    assert.ok(repeats <= mostTwice, JSON.stringify(all));
+  },
+);
+
+/** The next call of a kind is made after the response to the one before. */
+function withoutRepeats(
+  arrivalsMs: readonly number[],
+  delayMs: number,
+): readonly number[] {
+  return arrivalsMs.reduce<readonly number[]>(
+    (sent, atMs) =>
+      atMs - (sent.at(-1) ?? -Infinity) < delayMs ? sent : [...sent, atMs],
+    [],
+  );
+}
+
 Then('the log has no silent store', function () {
   assert.ok(!stateOf(this).events.includes('store-silent'));
 });
--- a/features/support/platform_store.ts
+++ b/features/support/platform_store.ts
@@ -45,6 +45,8 @@
   readonly operation: string;
   readonly prefix: string;
   readonly isStale: boolean;
+  /** Monotonic time at which it arrived. */
+  readonly atMs: number;
 }
 
 type Handler = (
@@ -212,7 +214,8 @@
     const [, call] = url.pathname.split('/');
     const prefix = url.searchParams.get('PathPrefix') ?? '';
     const isStale = url.searchParams.has('AllowStale');
-    this.calls.push({operation: call ?? '', prefix, isStale});
+    const atMs = performance.now();
+    this.calls.push({operation: call ?? '', prefix, isStale, atMs});
     const isOneItem = call === 'kv-range' && this.#items.has(prefix);
     if (isOneItem || call === 'kv-watch') this.reads += 1;
     const handle = this.#handlers[`${req.method} /${call}`];
