--- a/features/platform_busy.feature
+++ b/features/platform_busy.feature
@@ -23,3 +23,11 @@
     When the store repeats its answers no more
     And the operators write version 2
     Then version 2 is in force within 1000 ms
+
+  # Guards against daemons that call a store that refuses them as often after
+  # many failures as after the first one.
+  Scenario: A store that is unavailable gets fewer calls with time
+    Given the platform's store with version 1
+    And a daemon that follows the store and is listed
+    When the store is unavailable, and 3000 ms have passed
+    Then the daemon calls it at most 37 times in 12000 ms
--- a/features/steps/platform_busy_steps.ts
+++ b/features/steps/platform_busy_steps.ts
@@ -18,6 +18,15 @@
   endOpenWatches(this);
 });
 
+When(
+  'the store is unavailable, and {int} ms have passed',
+  async function (forMs: number) {
+    stateOf(this).store.isUnavailable = true;
+    endOpenWatches(this);
+    await sleep(forMs);
+  },
+);
+
 When('the store repeats its answers no more', function () {
   stateOf(this).store.repeatsAnswers = false;
 });
