Let the soak's store poll for changes less often

96 open watches that each look for changes every 10 ms take processor time that the stand-in of the store needs for its answers: while the fleet starts on 8 cores its share is about as small, and reads took over 1.5 s. The soak now looks every 0.1 s; the steps of the features keep 10 ms.

--- a/features/support/platform_store.ts
+++ b/features/support/platform_store.ts
@@ -55,10 +55,15 @@
 
 /** A response without the field. */
 const NO_ERA = 'none';
-const WATCH_POLL_INTERVAL_MS = 10;
 /** The system assigns the port. */
 const ANY_PORT = '127.0.0.1:0';
 
+/** Options of {@link PlatformStore}. */
+export interface PlatformStoreOptions {
+  /** How late a watch may report a change, in milliseconds. */
+  readonly watchDelayMs?: number;
+}
+
 /** The store's HTTP server and its state. */
 export class PlatformStore {
   isUnavailable = false;
@@ -76,6 +81,7 @@
   reads = 0;
   /** Every call so far, with the range that it was about. */
   readonly calls: StoreCall[] = [];
+  readonly #watchDelayMs: number;
   #items = new Map<string, Item>();
   #leases = new Set<number>();
   #history: readonly Change[] = [];
@@ -116,6 +122,10 @@
     },
   };
 
+  constructor({watchDelayMs = 10}: PlatformStoreOptions = {}) {
+    this.#watchDelayMs = watchDelayMs;
+  }
+
   start(): Promise<string> {
     return listen(this.#server, ANY_PORT, 'store');
   }
@@ -244,7 +254,7 @@
       if (events.length > 0 || this.answersWatchesAtOnce) {
         return send(res, 200, {events, AsOf: this.#revision});
       }
-      await sleep(WATCH_POLL_INTERVAL_MS);
+      await sleep(this.#watchDelayMs);
     }
     send(res, 200, {events: [], AsOf: this.#revision});
   }
--- a/soak/mesh/worker.ts
+++ b/soak/mesh/worker.ts
@@ -52,7 +52,10 @@
 /** How long the address of an instance that is gone isn't used. */
 const ADDRESS_REUSE_MS = 2000;
 
-const store = new PlatformStore();
+/** All daemons watch; a shorter delay would take the store's processor time. */
+const WATCH_DELAY_MS = 100;
+
+const store = new PlatformStore({watchDelayMs: WATCH_DELAY_MS});
 let instanceOptions: FleetOptions | undefined;
 /** By the index of the VM. */
 const instances = new Map<number, PlatformInstance>();
