--- a/soak/mesh/callers.ts
+++ b/soak/mesh/callers.ts
@@ -38,6 +38,7 @@
   readonly #agent = new Agent({keepAlive: true});
   readonly #timers: readonly NodeJS.Timeout[];
   readonly #uploadBytes: Buffer;
+  readonly #pending = new Set<Promise<void>>();
   readonly answers: Answer[] = [];
 
   /** `uploadBytes` is what the bodies of uploads are taken from. */
@@ -47,20 +48,27 @@
     this.#uploadBytes = uploadBytes;
     const {requestsPerS, uploadsPerS} = options;
     const route = ROUTES.find(({service}) => service === vm.calledService);
-    const send = () => void this.#send(route, SMALL_BODY);
-    const sendUpload = () => void this.#send(UPLOAD_ROUTE, this.#newUpload());
+    const send = () => this.#track(this.#send(route, SMALL_BODY));
+    const sendUpload = () =>
+      this.#track(this.#send(UPLOAD_ROUTE, this.#newUpload()));
     this.#timers = [
       repeatAt(requestsPerS, send),
       repeatAt(uploadsPerS, sendUpload),
     ].flat();
   }
 
-  /** Sends nothing more; requests in flight are dropped. */
-  stop(): void {
+  /** Sends nothing more, and waits for the responses to what was sent. */
+  async stop(): Promise<void> {
     this.#timers.forEach(timer => clearInterval(timer));
+    await Promise.all(this.#pending);
     this.#agent.destroy();
   }
 
+  #track(request: Promise<void>): void {
+    this.#pending.add(request);
+    void request.then(() => this.#pending.delete(request));
+  }
+
   /** The sizes of uploads have a log-normal distribution. */
   #newUpload(): Buffer {
     const {uploadBytes, maxUploadBytes} = this.#options;
--- a/soak/mesh/mesh_soak.ts
+++ b/soak/mesh/mesh_soak.ts
@@ -49,6 +49,11 @@
   readonly firstStart: StartTimes;
   readonly lastStart: StartTimes;
   readonly servedBefore: number;
+  /**
+   * Requests that were sent after the trouble, as a part of those due: far below
+   * 1, the machine was too busy for the callers themselves.
+   */
+  readonly sentShare: number;
   readonly windows: readonly Window[];
   readonly samples: readonly MetricsSample[];
   /** All starts together, beside those that were ended before they were ready. */
@@ -133,6 +138,10 @@
       firstStart,
       lastStart: startTimesOf(daemons),
       servedBefore: round(served / before.length),
+      sentShare: round(
+        sum(windows.map(({sent}) => sent)) /
+          (options.daemons * options.requestsPerS * options.seconds),
+      ),
       windows,
       samples,
       starts: timesOf(daemons.flatMap(({starts}) => starts)),
--- a/soak/mesh/worker.ts
+++ b/soak/mesh/worker.ts
@@ -118,8 +118,8 @@
     callers = vms.map(vm => new SteadyCallers(vm, options, uploadBytes));
     return {};
   },
-  answers: () => {
-    callers.forEach(caller => caller.stop());
+  answers: async () => {
+    await Promise.all(callers.map(caller => caller.stop()));
     return {answers: callers.flatMap(({answers}) => answers)};
   },
 };
