Don't repeat a request whose response a late router hasn't read

"A late router repeats no request that has been answered" failed before (a repeat for the reason late) and passes now.

--- a/features/late_daemon.feature
+++ b/features/late_daemon.feature
@@ -30,6 +30,17 @@
     When VM 0 sends a request with 600 ms left to the gate of VM 1, which is then busy for 700 ms
     Then it hasn't run, for the reason "reservation expired"
 
+  # Guards against instances that work on for callers that have given up.
+  Scenario: A gate that was late passes on only the time that is left
+    When VM 0 sends a request with 2000 ms left to the gate of VM 1, which is then busy for 700 ms
+    Then the instance was given at most 1300 ms
+
+  # Guards against repeats of requests whose response a late router hasn't read.
+  Scenario: A late router repeats no request that has been answered
+    When a caller sends a request to "/open/" at VM 0, which is busy for 1200 ms once an instance has answered
+    Then the response has status 200
+    And no request was repeated
+
   Scenario: A reservation that isn't used is released
     When VM 0 reserves a slot at the gate of VM 1 and doesn't use it
     Then the gate of VM 1 has no request within 1000 ms
--- a/features/steps/late_daemon_steps.ts
+++ b/features/steps/late_daemon_steps.ts
@@ -311,3 +311,38 @@
   );
   assert.deepEqual(suspicions, []);
 });
+
+Then(
+  'the instance was given at most {int} ms',
+  function (this: World, maxMs: number) {
+    const {vms} = stateOf(this).fleet;
+    const deadlinesMs = vms.flatMap(({backend}) => backend.deadlinesMs);
+    assert.equal(deadlinesMs.length, 1);
+    assert.ok(Number(deadlinesMs[0]) <= maxMs, `${deadlinesMs[0]} ms`);
+  },
+);
+
+When(
+  'a caller sends a request to {string} at VM {int}, which is busy for {int} ms once an instance has answered',
+  async function (this: World, path: string, index: number, busyMs: number) {
+    const state = stateOf(this);
+    const {vms} = state.fleet;
+    const hasAnswered = () => vms.some(({backend}) => backend.seen.length > 0);
+    const blockOnceAnswered = () => {
+      if (hasAnswered()) blockFor(busyMs);
+      else setImmediate(blockOnceAnswered);
+    };
+    blockOnceAnswered();
+    const answer = await send(state.fleet.vm(index), {
+      path: `${path}1`,
+      deadlineMs: ANSWER_MS,
+    });
+    state.answers = answer ? [answer] : [];
+  },
+);
+
+Then('no request was repeated', function (this: World) {
+  const {lines} = stateOf(this).fleet;
+  const repeats = lines.filter(({event}) => event.startsWith('repeat'));
+  assert.deepEqual(repeats, []);
+});
--- a/features/support/mesh_fleet.ts
+++ b/features/support/mesh_fleet.ts
@@ -28,6 +28,8 @@
   readonly running = new Set<string>();
   /** Header fields that it adds to every response. */
   readonly notices = new Map<string, string>();
+  /** How long each request said that it may take, in milliseconds. */
+  readonly deadlinesMs: number[] = [];
   /** Monotonic times at which requests arrived. */
   readonly arrivalsAtMs: number[] = [];
   behaviour: keyof typeof BEHAVIOURS = 'responds';
@@ -49,6 +51,7 @@
     const id = String(req.headers[NAMES.requestId]);
     this.seen.push(id);
     this.arrivalsAtMs.push(performance.now());
+    this.deadlinesMs.push(Number(req.headers[NAMES.deadline]));
     this.running.add(id);
     res.on('close', () => this.running.delete(id));
     res.setHeader(NAMES.requestId, id);
--- a/src/mesh/router/dispatcher.ts
+++ b/src/mesh/router/dispatcher.ts
@@ -21,6 +21,7 @@
 import type {RepeatBudget} from '../limits/repeat_budget.js';
 import type {MeshMetrics} from '../mesh_metrics.js';
 import type {Route} from '../model.js';
+import {ResponseTimeout} from '../../timing/response_timeout.js';
 import type {StopDeadline} from '../../router/stop_deadline.js';
 import type {Gates, GateCandidate} from './gates.js';
 import type {QueryOfDeathGuard} from './query_of_death.js';
@@ -251,15 +252,17 @@
     attempts: ReadonlySet<Attempt>,
     hedgeDelayMs: number,
   ): Promise<WaitEvent> {
-    let timer: NodeJS.Timeout | undefined;
+    let timeout: ResponseTimeout | undefined;
     const outcomes = [...attempts].map(async (attempt): Promise<WaitEvent> => {
       return {kind: 'outcome', attempt, outcome: await attempt.outcome};
     });
     const late = new Promise<WaitEvent>(resolve => {
       if (hedgeDelayMs === Infinity) return;
-      timer = setTimeout(() => resolve({kind: 'late'}), hedgeDelayMs);
+      timeout = new ResponseTimeout(hedgeDelayMs, () =>
+        resolve({kind: 'late'}),
+      );
     });
-    return Promise.race([...outcomes, late]).finally(() => clearTimeout(timer));
+    return Promise.race([...outcomes, late]).finally(() => timeout?.cancel());
   }
 
   async #startRepeat(
