Pass on only the time that is left at a late gate

"A gate that was late passes on only the time that is left" failed before (2000 ms instead of at most 1300) and passes now.

--- a/src/mesh/gate/gate.ts
+++ b/src/mesh/gate/gate.ts
@@ -240,13 +240,13 @@
       run: async (work, signal) => {
         expiry.cancel();
         // The router read the time left later than this reservation was made.
-        const ageMs = performance.now() - reservedAtMs;
-        if (isExpired || ageMs >= work.leftMs) {
+        const leftMs = work.leftMs - (performance.now() - reservedAtMs);
+        if (isExpired || leftMs <= 0) {
           slot.releaseUnused();
           return notRun(instance, 'reservation expired');
         }
         isUsed = true;
-        return this.#run(request, work, {instance, slot, signal});
+        return this.#run(request, {...work, leftMs}, {instance, slot, signal});
       },
     };
   }
