--- a/src/mesh/mesh_daemon.ts
+++ b/src/mesh/mesh_daemon.ts
@@ -191,7 +191,6 @@
     this.peers.start();
     this.#limits.parts.start();
     this.#repeatBudget.start();
-    const callers = await this.#callerServer.start();
     const {listen: addresses} = settings;
     const onRetry = (retry: ListenRetry) =>
       log.belief('listen-retried', {...retry});
@@ -206,6 +205,8 @@
         onRetry,
       }),
     };
+    // Last, since requests wait only briefly for what the daemon has to learn.
+    const callers = await this.#callerServer.start();
     const {vm, backend, isFirstStart} = settings;
     log.belief('daemon-started', {...vm, ...backend, isFirstStart});
     return callers;
--- a/src/mesh/router/caller_server.ts
+++ b/src/mesh/router/caller_server.ts
@@ -118,13 +118,14 @@
     return this.#openRequests;
   }
 
-  start(): Promise<string> {
+  async start(): Promise<string> {
     const {address, log} = this.#options;
-    this.#startupDelay.begin();
-    return listen(this.#server, address, 'callers', {
+    const bound = await listen(this.#server, address, 'callers', {
       backlog: LISTEN_BACKLOG,
       onRetry: retry => log.belief('listen-retried', {...retry}),
     });
+    this.#startupDelay.begin();
+    return bound;
   }
 
   /** Applies the limits of a new configuration. */
--- a/src/mesh/router/startup_delay.ts
+++ b/src/mesh/router/startup_delay.ts
@@ -34,7 +34,7 @@
     this.#isKnown = isKnown;
   }
 
-  /** Called when the daemon starts to look for information. */
+  /** Called when callers can connect; the daemon looks for information then. */
   begin(): void {
     void this.#watch();
   }
