Don't take a daemon for the one that had its address before

The peer counted as a daemon, so that every part of a customer's rate was too small, could be chosen as the owner of a limit, and stood for a second gate of the same instance. A connection now names the daemon that is meant, and another one refuses it, after which the peer is forgotten as any other.

"A daemon isn't taken for the one that had its address before" failed before (the attempts succeeded) and passes now. Which service a request goes to was never in doubt: the gate checks it.

--- a/features/mesh_links.feature
+++ b/features/mesh_links.feature
@@ -55,3 +55,11 @@
   Scenario: A handshake leaves nothing behind on the signal of its link
     When 20 handshakes with the same signal take their turn
     Then the signal has no listeners
+
+  # Guards against a peer that counts as present, and whose instance as a second
+  # one, because another daemon has taken its address.
+  Scenario: A daemon isn't taken for the one that had its address before
+    Given a mesh fleet of 2 VMs with 2 slots each
+    When vm-0 is given a peer at the address of vm-1
+    And 2 attempts to connect to it have failed
+    Then vm-0 reaches only vm-1
--- a/features/steps/mesh_link_steps.ts
+++ b/features/steps/mesh_link_steps.ts
@@ -228,3 +228,14 @@
   assert.ok(signal);
   assert.equal(getEventListeners(signal, 'abort').length, 0);
 });
+
+When('vm-0 is given a peer at the address of vm-1', function (this: World) {
+  const {fleet} = stateOf(this);
+  const {address} = fleet.vm(1).daemon.self;
+  fleet.vm(0).daemon.peers.upsert({...UNUSED, address});
+});
+
+Then('vm-0 reaches only vm-1', function (this: World) {
+  const {peers} = stateOf(this).fleet.vm(0).daemon;
+  assert.deepEqual(peers.reachable(), ['vm-1']);
+});
--- a/src/mesh/mesh_daemon.ts
+++ b/src/mesh/mesh_daemon.ts
@@ -122,6 +122,7 @@
       isFirstStart: settings.isFirstStart,
     });
     this.#peerServer = new PeerServer({
+      vmId: settings.vm.id,
       address: settings.listen.peers,
       gate: this.gate,
       log,
--- a/src/mesh/peers/frames.ts
+++ b/src/mesh/peers/frames.ts
@@ -89,6 +89,20 @@
 const FRAME_FORMAT = 3;
 /** The URL path that peers connect to. */
 export const PEER_PATH = `/frames/${FRAME_FORMAT}`;
+const VM_PARAMETER = 'vm';
+
+/** The URL of a peer's listener. It names the peer that is meant. */
+export function peerUrl({id, address}: Vm): string {
+  const query = new URLSearchParams({[VM_PARAMETER]: id});
+  return `ws://${address}${PEER_PATH}?${query}`;
+}
+
+/** Whether a URL path names this daemon, or none. */
+export function isMeantFor(vmId: string, urlPath: string): boolean {
+  const [, query] = urlPath.split('?');
+  const named = new URLSearchParams(query).get(VM_PARAMETER);
+  return named === null || named === vmId;
+}
 
 /**
  * Field names of the frames that belong to a request, and of the objects in
--- a/src/mesh/peers/peer_link.ts
+++ b/src/mesh/peers/peer_link.ts
@@ -28,7 +28,7 @@
 import {
   decodeFrame,
   encodeFrame,
-  PEER_PATH,
+  peerUrl,
   type GateLoad,
   type RequestFrame,
   type ResponseFrame,
@@ -395,7 +395,7 @@
         'connect',
         onAccepted,
       );
-    const socket = new WebSocket(`ws://${peer.address}${PEER_PATH}`, {
+    const socket = new WebSocket(peerUrl(peer), {
       perMessageDeflate: false,
       createConnection: openSocket as typeof connect,
     });
--- a/src/mesh/peers/peer_server.ts
+++ b/src/mesh/peers/peer_server.ts
@@ -3,7 +3,7 @@
  * and limits over them. Each connection has its own session. When the
  * connection ends, everything that the peer was still waiting for is cancelled.
  */
-import type {Server} from 'node:http';
+import type {IncomingMessage, Server} from 'node:http';
 import {WebSocket, WebSocketServer} from 'ws';
 import {reasonOf} from '../../errors/failure.js';
 import {listen} from '../../http/listener.js';
@@ -23,6 +23,7 @@
   decodeFrame,
   encodeFrame,
   isEqualExceptLoad,
+  isMeantFor,
   PEER_PATH,
   type GateLoad,
   type RequestFrame,
@@ -32,6 +33,7 @@
 
 /** Options of {@link PeerServer}. */
 export interface PeerServerOptions {
+  readonly vmId: string;
   /** `IP:PORT` to listen on. */
   readonly address: string;
   readonly gate: GateClient & {readonly status: BackendStatus | undefined};
@@ -62,12 +64,7 @@
 export class PeerServer {
   readonly #options: PeerServerOptions;
   readonly #http: Server = new StrictServer();
-  readonly #server = new WebSocketServer({
-    server: this.#http,
-    path: PEER_PATH,
-    maxPayload: MAX_FRAME_BYTES,
-    perMessageDeflate: false,
-  });
+  readonly #server: WebSocketServer;
   #statusInterval: NodeJS.Timeout | undefined;
   #broadcastTimer: NodeJS.Timeout | undefined;
   /** The last status sent to all connections; unset after a new connection. */
@@ -75,6 +72,15 @@
 
   constructor(options: PeerServerOptions) {
     this.#options = options;
+    this.#server = new WebSocketServer({
+      server: this.#http,
+      path: PEER_PATH,
+      maxPayload: MAX_FRAME_BYTES,
+      perMessageDeflate: false,
+      // The address may have been that of another daemon.
+      verifyClient: ({req}: {readonly req: IncomingMessage}) =>
+        isMeantFor(options.vmId, req.url ?? ''),
+    });
   }
 
   async start(): Promise<string> {
