Keep peers over a pause that is longer than their entries last

A peer whose link is open isn't forgotten. "Peers are kept over a pause that is longer than entries last" failed before and passes now; "A peer that stays silent is connected to anew" passes on both, and shows that silent peers are still found.

--- a/features/mesh_links.feature
+++ b/features/mesh_links.feature
@@ -63,3 +63,16 @@
     When vm-0 is given a peer at the address of vm-1
     And 2 attempts to connect to it have failed
     Then vm-0 reaches only vm-1
+
+  # Guards against a daemon that drops all its peers after a long pause, when their
+  # entries have left the list as well.
+  Scenario: Peers are kept over a pause that is longer than entries last
+    Given a mesh fleet of 2 VMs with 2 slots each
+    When the process is paused for 16 s
+    And vm-0 reads a list with no other daemon
+    Then vm-0 reaches only vm-1
+
+  Scenario: A peer that stays silent is connected to anew
+    Given a mesh fleet of 2 VMs with 2 slots each
+    When vm-0 is given a peer that accepts connections and sends nothing
+    Then vm-0 opens a second connection to it within 10 s
--- a/features/steps/mesh_link_steps.ts
+++ b/features/steps/mesh_link_steps.ts
@@ -1,8 +1,9 @@
 /** Steps for the links between mesh daemons. */
 import assert from 'node:assert/strict';
-import {getEventListeners} from 'node:events';
+import {getEventListeners, once} from 'node:events';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {After, Given, Then, When} from '@cucumber/cucumber';
+import {WebSocketServer} from 'ws';
 import type {MeshDaemon} from '../../src/mesh/mesh_daemon.js';
 import type {Vm} from '../../src/mesh/model.js';
 import {HandshakeQueue} from '../../src/mesh/peers/handshake_queue.js';
@@ -239,3 +240,46 @@
   const {peers} = stateOf(this).fleet.vm(0).daemon;
   assert.deepEqual(peers.reachable(), ['vm-1']);
 });
+
+When('vm-0 reads a list with no other daemon', function (this: World) {
+  const {daemon} = stateOf(this).fleet.vm(0);
+  daemon.peers.applyList([daemon.self]);
+});
+
+/** A listener for peers that sends nothing on its connections. */
+interface SilentPeer {
+  readonly server: WebSocketServer;
+  connections: number;
+}
+
+const silentPeers = new WeakMap<World, SilentPeer>();
+
+After(function (this: World) {
+  const {server} = silentPeers.get(this) ?? {};
+  server?.clients.forEach(socket => socket.terminate());
+  server?.close();
+});
+
+When(
+  'vm-0 is given a peer that accepts connections and sends nothing',
+  async function (this: World) {
+    const address = await freeAddress();
+    const [host, port] = address.split(':');
+    const server = new WebSocketServer({host, port: Number(port)});
+    await once(server, 'listening');
+    const peer: SilentPeer = {server, connections: 0};
+    server.on('connection', () => (peer.connections += 1));
+    silentPeers.set(this, peer);
+    const {peers} = stateOf(this).fleet.vm(0).daemon;
+    peers.upsert({id: 'silent', address, failureDomain: 'test'});
+  },
+);
+
+Then(
+  'vm-0 opens a second connection to it within {int} s',
+  {timeout: START_TIMEOUT_MS},
+  async function (this: World, seconds: number) {
+    const isOpenedAnew = () => (silentPeers.get(this)?.connections ?? 0) >= 2;
+    await until('it is opened anew', isOpenedAnew, seconds * 1000);
+  },
+);
--- a/src/mesh/peers/peers.ts
+++ b/src/mesh/peers/peers.ts
@@ -144,7 +144,8 @@
     [...this.#knownPeers.entries()]
       .filter(([, {link, listedAtMs}]) => {
         const seenAtMs = Math.max(listedAtMs, link.lastHeardAtMs);
-        return nowMs - seenAtMs > FORGET_AFTER_MS;
+        // After a pause of this process an open link hasn't been read yet.
+        return !link.isReachable && nowMs - seenAtMs > FORGET_AFTER_MS;
       })
       .forEach(([id, {link}]) => {
         link.stop();
