Wake up less often for long timeouts

A watch of the store may last 27 s; its timeout would have waked the process up five times a second. Timeouts over 8 s have at most 40 slices. Found on reading the change.

--- a/src/mesh/peers/peer_link.ts
+++ b/src/mesh/peers/peer_link.ts
@@ -62,7 +62,7 @@
 /** The peer's system accepts a connection however busy the peer is. */
 const CONNECT_TIMEOUT_MS = 1000;
 /**
- * Timeout of a handshake; doubles up to a maximum with each attempt that fails,
+ * Timeout of a handshake; doubles up to a maximum with each one that timed out,
  * since a busy peer has to do the work of an attempt that was given up as well.
  */
 const HANDSHAKE_TIMEOUT_MIN_MS = 1000;
--- a/src/timing/response_timeout.ts
+++ b/src/timing/response_timeout.ts
@@ -5,10 +5,12 @@
  * expires although the response is there.
  */
 
-/** The most that one turn of the event loop counts for. */
-const MAX_SLICE_MS = 200;
+/** The most that one turn of the event loop counts for, in most timeouts. */
+const USUAL_SLICE_MS = 200;
 /** The loop reads from its sockets at least this often before the timeout. */
 const MIN_SLICES = 3;
+/** Long timeouts have longer slices, since each one wakes the process up. */
+const MAX_SLICES = 40;
 
 /** Calls back once, unless it is cancelled before. */
 export class ResponseTimeout {
@@ -18,7 +20,8 @@
   #timer: NodeJS.Timeout | undefined;
 
   constructor(timeoutMs: number, onExpire: () => void) {
-    const slices = Math.max(MIN_SLICES, Math.ceil(timeoutMs / MAX_SLICE_MS));
+    const usualSlices = Math.ceil(timeoutMs / USUAL_SLICE_MS);
+    const slices = Math.min(MAX_SLICES, Math.max(MIN_SLICES, usualSlices));
     this.#slicesLeft = slices;
     this.#sliceMs = timeoutMs / slices;
     this.#onExpire = onExpire;
