--- a/soak/mesh/callers.ts
+++ b/soak/mesh/callers.ts
@@ -1,6 +1,6 @@
 /**
  * Callers of one daemon. They send at a steady rate, keep their connections,
- * and record what they were told of each request.
+ * and record the outcome of each request.
  */
 import {randomUUID} from 'node:crypto';
 import {Agent, request} from 'node:http';
@@ -14,7 +14,7 @@
   type SoakVm,
 } from './fleet_plan.js';
 
-/** What a caller was told of a request. */
+/** The outcome of a request, as its caller saw it. */
 export interface Answer {
   /** The index of the VM whose daemon was called. */
   readonly vm: number;
--- a/soak/mesh/mesh_soak.ts
+++ b/soak/mesh/mesh_soak.ts
@@ -1,8 +1,8 @@
 /**
  * A mesh soak: as many real daemons as a deployment has VMs, with a store,
  * instances and callers in processes of their own. One trouble affects the whole
- * fleet while the callers go on. What the callers of each daemon were told
- * afterwards shows whether any of them are starved.
+ * fleet while the callers go on. The responses to the callers of each daemon
+ * afterwards show whether any of them are starved.
  */
 import {mkdirSync} from 'node:fs';
 import {loadavg} from 'node:os';
--- a/soak/mesh/processes.ts
+++ b/soak/mesh/processes.ts
@@ -48,7 +48,7 @@
   endedAfterMs: number | undefined;
 }
 
-/** A daemon that ended without being told to. */
+/** A daemon whose process ended without a signal of the soak. */
 export interface OwnEnd {
   readonly vm: string;
   readonly code: number | null;
