--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -7,6 +7,19 @@
     Then version 12 has a route that may be repeated and one that may not
     And the split route has two services with weights 90 and 10
 
+  # Guards against a document that is rejected, so that no daemon of the fleet
+  # becomes ready, because one of its routes has large responses.
+  Scenario Outline: Requests of kind "<kind>" <may> be repeated
+    When a document whose first route has kind "<kind>" is decoded
+    Then requests on its first route <may> be repeated
+
+    Examples:
+      | kind     | may     |
+      | safe     | may     |
+      | unsafe   | may not |
+      | upload   | may not |
+      | download | may     |
+
   Scenario Outline: An invalid document is rejected as a whole
     When the document is decoded with <fault>
     Then it is rejected, and the reason names "<place>"
--- a/features/steps/platform_adapter_steps.ts
+++ b/features/steps/platform_adapter_steps.ts
@@ -135,6 +135,22 @@
   );
 });
 
+When(
+  'a document whose first route has kind {string} is decoded',
+  function (kind: string) {
+    const text = documentOf('0000000c').replace('"safe"', `"${kind}"`);
+    stateOf(this).decoded = decodeConfiguration(text);
+  },
+);
+
+Then(
+  /^requests on its first route (may|may not) be repeated$/,
+  function (may: string) {
+    const [route] = stateOf(this).decoded?.routes ?? [];
+    assert.equal(route?.isIdempotent, may === 'may');
+  },
+);
+
 Then(
   'version {int} has a route that may be repeated and one that may not',
   function (version: number) {
