--- a/features/steps/explain_steps.ts
+++ b/features/steps/explain_steps.ts
@@ -7,6 +7,10 @@
   slowestOf,
   storyOf,
 } from '../../src/commands/explain.js';
+import {
+  outcomeTable,
+  type GroupingName,
+} from '../../src/commands/outcome_table.js';
 import type {World} from '../support/world.js';
 
 type Row = Readonly<Record<string, unknown>>;
@@ -16,13 +20,21 @@
   rows?: readonly Row[];
 }
 
-function textOfRow({time, status, tookMs, ...names}: Row): string {
+const NUMBERS: ReadonlySet<string> = new Set([
+  'atMs',
+  'objectiveMs',
+  'status',
+  'tookMs',
+]);
+
+function textOfRow({time, ...fields}: Row): string {
+  const values = Object.entries(fields)
+    // A line has only the fields that its event needs.
+    .filter(([, value]) => value !== '')
+    .map(([name, value]) => [name, NUMBERS.has(name) ? Number(value) : value]);
   const line = {
-    ...names,
-    time: new Date(Number(time)).toISOString(),
-    status: Number(status),
-    // Lines that end no request have no such field.
-    ...(tookMs === '' ? {} : {tookMs: Number(tookMs)}),
+    ...(Object.fromEntries(values) as Row),
+    time: new Date(Number(time ?? 0)).toISOString(),
   };
   return `out: ${JSON.stringify(line)}`;
 }
@@ -50,6 +62,23 @@
   this.rows = slowestOf(parseLog(this.logText ?? ''));
 });
 
+When(
+  'outcomes are grouped by {string}',
+  function (this: ExplainWorld, name: GroupingName) {
+    const table = outcomeTable(parseLog(this.logText ?? ''), name);
+    this.rows = table.map(row => ({...row}));
+  },
+);
+
+Then('the table is:', function (this: ExplainWorld, table: DataTable) {
+  const texts = this.rows?.map(row =>
+    Object.fromEntries(
+      Object.entries(row).map(([name, value]) => [name, String(value)]),
+    ),
+  );
+  assert.deepEqual(texts, table.hashes());
+});
+
 Then('the events are {string}', function (this: ExplainWorld, list: string) {
   assert.deepEqual(
     this.rows?.map(({event}) => event),
--- a/src/commands/explain.ts
+++ b/src/commands/explain.ts
@@ -1,10 +1,25 @@
 /**
  * `explain`: finds one request's story in the decision logs of many daemons,
- * counts why requests were not served, or how many were repeated. Lines are
- * read from files, or from standard input if none is named.
+ * counts why requests were not served, how they ended by route or customer, or
+ * how many were repeated. Lines are read from files, or from standard input if
+ * none is named.
  */
 import {readFileSync} from 'node:fs';
-import {command, flag, option, optional, restPositionals, string} from 'cmd-ts';
+import {
+  command,
+  flag,
+  oneOf,
+  option,
+  optional,
+  restPositionals,
+  string,
+  type Type,
+} from 'cmd-ts';
+import {
+  GROUPING_NAMES,
+  outcomeTable,
+  type GroupingName,
+} from './outcome_table.js';
 import {busiestRepeats} from './repeat_windows.js';
 
 /** One line of a decision log. */
@@ -42,15 +57,20 @@
       long: 'repeats',
       description: 'Count the repeats of each service in its busiest 10 s.',
     }),
+    outcomes: option({
+      long: 'outcomes',
+      type: optional(oneOf(GROUPING_NAMES) as Type<string, GroupingName>),
+      description: 'Count how requests ended, grouped by this property.',
+    }),
     json: flag({long: 'json', description: 'Print JSON.'}),
     files: restPositionals({type: string, displayName: 'log files'}),
   },
-  handler: ({id, refused, slowest, repeats, json, files}) => {
+  handler: ({json, files, ...question}) => {
     const sources = files.length > 0 ? files : [STDIN_FD];
     const lines = sources.flatMap(source =>
       parseLog(readFileSync(source, 'utf8')),
     );
-    const result = resultOf(lines, {id, refused, slowest, repeats});
+    const result = resultOf(lines, question);
     const text = json
       ? JSON.stringify(result)
       : result.map(row => textOf(row)).join('\n');
@@ -63,15 +83,17 @@
   readonly refused: boolean;
   readonly slowest: boolean;
   readonly repeats: boolean;
+  readonly outcomes: GroupingName | undefined;
 }
 
 function resultOf(
   lines: readonly LogLine[],
-  {id, refused, slowest, repeats}: Question,
+  {id, refused, slowest, repeats, outcomes}: Question,
 ): readonly Readonly<Record<string, unknown>>[] {
   if (refused) return countRefusals(lines);
   if (slowest) return slowestOf(lines);
   if (repeats) return busiestRepeats(lines).map(window => ({...window}));
+  if (outcomes) return outcomeTable(lines, outcomes).map(row => ({...row}));
   return storyOf(lines, id ?? '');
 }
 
--- a/src/mesh/router/caller_server.ts
+++ b/src/mesh/router/caller_server.ts
@@ -73,6 +73,12 @@
   readonly id: string;
   readonly startedAtMs: number;
   routeName: string;
+  /** What is known of the request so far, for its log line. */
+  known: {
+    readonly objectiveMs?: number;
+    readonly customer?: string;
+    readonly service?: string;
+  };
 }
 
 /** A request's route, customer and body. */
@@ -153,7 +159,14 @@
   ): Promise<void> {
     const id = String(req.headers[this.#options.names.requestId] ?? '');
     const startedAtMs = performance.now();
-    const context = {req, res, id, startedAtMs, routeName: 'none'};
+    const context: RequestContext = {
+      req,
+      res,
+      id,
+      startedAtMs,
+      routeName: 'none',
+      known: {},
+    };
     const callerAbort = new AbortController();
     res.on('close', () => {
       if (!res.writableFinished) callerAbort.abort(CALLER_DISCONNECTED);
@@ -185,10 +198,12 @@
     const route = table.findRoute(req.headers.host ?? '', req.url ?? '/');
     if (!route) return this.#refuse(context, {name: 'no-route'});
     context.routeName = route.name;
+    context.known = {objectiveMs: route.objectiveMs};
     const customer = this.#authenticate(req, route, table);
     if (typeof customer === 'string') {
       return this.#refuse(context, {name: customer});
     }
+    context.known = {...context.known, customer: customer?.name};
     if (context.id === '') {
       return this.#refuse(context, {name: 'request-id-missing'});
     }
@@ -217,6 +232,7 @@
     }
     if (customer && !(await this.#takeRateToken(context, customer))) return;
     const {service} = request;
+    context.known = {...context.known, service};
     await this.#startupDelay.waitUntil(
       () => hasInstances(service),
       delayLimits,
@@ -364,12 +380,21 @@
     reason: string,
     fields: Readonly<Record<string, unknown>> = {},
   ): void {
-    const {id, routeName: route, startedAtMs} = context;
+    const {id, routeName: route, startedAtMs, known} = context;
     const tookMs = Math.round(performance.now() - startedAtMs);
     const {log, metrics} = this.#options;
     const version = this.#options.routes()?.version;
     metrics.recordAnswer(route, status, reason, tookMs);
-    const line = {id, route, status, reason, tookMs, version, ...fields};
+    const line = {
+      id,
+      route,
+      status,
+      reason,
+      tookMs,
+      version,
+      ...known,
+      ...fields,
+    };
     if (status >= 200 && status < 300) log.step('answered', line);
     else log.failure('not-served', line);
   }
