Try the address of another daemon less often

A daemon refuses a handshake that names another daemon, whose address it has taken. The link repeated it every 1.5 s until the peer was forgotten, as for an address that refuses connections, though each attempt costs both daemons a whole handshake.

The delay now grows by a factor of 8 up to 10 s; a peer that is back ends it, since it connects by itself.

--- a/features/mesh_links.feature
+++ b/features/mesh_links.feature
@@ -44,6 +44,13 @@
     When vm-0 is given a peer that nothing listens for
     Then it makes 3 to 8 attempts to connect to it within 3 s
 
+  # Guards against handshakes that all daemons of a fleet repeat with a daemon that
+  # has the address of one that is gone.
+  Scenario: Attempts to connect to an address of another daemon become rare
+    Given a mesh fleet of 2 VMs with 2 slots each
+    When vm-0 is given a peer at the address of vm-1
+    Then it makes 3 to 4 attempts to connect to it within 5 s
+
   # Guards against a peer that is back and waits for the end of a long delay.
   Scenario: A peer that connects is connected to at once
     Given a mesh fleet of 2 VMs with 2 slots each
--- a/src/mesh/peers/frames.ts
+++ b/src/mesh/peers/frames.ts
@@ -97,6 +97,9 @@
   return `ws://${address}${PEER_PATH}?${query}`;
 }
 
+/** With which a daemon refuses a handshake that names another daemon. */
+export const MISDIRECTED_STATUS = 401;
+
 /** Whether a URL path names this daemon, or none. */
 export function isMeantFor(vmId: string, urlPath: string): boolean {
   const [, query] = urlPath.split('?');
--- a/src/mesh/peers/peer_link.ts
+++ b/src/mesh/peers/peer_link.ts
@@ -28,6 +28,7 @@
 import {
   decodeFrame,
   encodeFrame,
+  MISDIRECTED_STATUS,
   peerUrl,
   type GateLoad,
   type RequestFrame,
@@ -70,6 +71,14 @@
 /** Delay between attempts to connect; doubles up to a maximum. */
 const RECONNECT_MIN_MS = 100;
 const RECONNECT_MAX_MS = 1500;
+/**
+ * After a handshake that another daemon refused, the delay grows much faster:
+ * an address of a VM that is gone is often used again, and each attempt costs
+ * both daemons a whole handshake. The peer itself, once it is back, connects to
+ * this daemon, which ends the delay.
+ */
+const MISDIRECTED_MAX_MS = 10_000;
+const MISDIRECTED_GROWTH = 8;
 /** Up to this share of the delay is random, so that daemons spread out. */
 const RECONNECT_JITTER_RATIO = 0.5;
 
@@ -120,6 +129,8 @@
   #wasOpened = false;
   /** Attempts since a connection that lasted, for the delay between them. */
   #unstableAttempts = 0;
+  /** Handshakes in a row that another daemon at the address refused. */
+  #misdirectedAttempts = 0;
   #pauseController = new AbortController();
   #nextId = 1;
   /** Reservations in progress, which the peer's status may not show yet. */
@@ -178,16 +189,27 @@
       const openForMs = performance.now() - this.#connectedAtMs;
       const wasStable = this.#wasOpened && openForMs >= RECONNECT_MAX_MS;
       this.#unstableAttempts = wasStable ? 0 : this.#unstableAttempts + 1;
-      await this.#pause(reconnectDelayMs(this.#unstableAttempts), signal);
+      await this.#pause(this.#reconnectDelayMs(), signal);
     }
   }
 
   /** Ends the pause before the next attempt, since the peer is there. */
   reconnectNow(): void {
     this.#unstableAttempts = 0;
+    this.#misdirectedAttempts = 0;
     this.#pauseController.abort();
   }
 
+  #reconnectDelayMs(): number {
+    const attempts = this.#misdirectedAttempts;
+    if (attempts === 0) {
+      const bounds = {factor: 2, maxMs: RECONNECT_MAX_MS};
+      return growingDelayMs(this.#unstableAttempts, bounds);
+    }
+    const bounds = {factor: MISDIRECTED_GROWTH, maxMs: MISDIRECTED_MAX_MS};
+    return growingDelayMs(attempts, bounds);
+  }
+
   async #pause(delayMs: number, signal: AbortSignal): Promise<void> {
     this.#pauseController = new AbortController();
     const endPause = () => this.#pauseController.abort();
@@ -409,6 +431,11 @@
     );
     socket.on('message', (bytes: Buffer) => this.#receive(bytes));
     socket.on('error', err => (reason ??= reasonOf(err)));
+    let isMisdirected = false;
+    socket.on('unexpected-response', (_req, {statusCode}) => {
+      isMisdirected = statusCode === MISDIRECTED_STATUS;
+      giveUp(`handshake refused with status ${statusCode}`);
+    });
     const opened = new Promise<void>(resolve => {
       socket.on('open', () => {
         timeout.cancel();
@@ -427,6 +454,9 @@
     const closed = new Promise<void>(resolve => {
       socket.on('close', () => {
         timeout.cancel();
+        this.#misdirectedAttempts = isMisdirected
+          ? this.#misdirectedAttempts + 1
+          : 0;
         if (this.#wasOpened)
           log.belief('peer-lost', {peer: peer.id, reason: reason ?? 'closed'});
         else if (!this.#stopController.signal.aborted)
@@ -529,10 +559,13 @@
   }
 }
 
-/** The delay after a number of attempts without a connection that lasted. */
-function reconnectDelayMs(unstableAttempts: number): number {
-  const factor = 2 ** Math.max(0, unstableAttempts - 1);
-  const delayMs = Math.min(RECONNECT_MAX_MS, RECONNECT_MIN_MS * factor);
+/** A delay that grows with the number of attempts, in part random. */
+function growingDelayMs(
+  attempts: number,
+  {factor, maxMs}: {readonly factor: number; readonly maxMs: number},
+): number {
+  const growth = factor ** Math.max(0, attempts - 1);
+  const delayMs = Math.min(maxMs, RECONNECT_MIN_MS * growth);
   return delayMs * (1 - RECONNECT_JITTER_RATIO * Math.random());
 }
 
--- a/src/mesh/peers/peer_server.ts
+++ b/src/mesh/peers/peer_server.ts
@@ -24,6 +24,7 @@
   encodeFrame,
   isEqualExceptLoad,
   isMeantFor,
+  MISDIRECTED_STATUS,
   PEER_PATH,
   type GateLoad,
   type RequestFrame,
@@ -78,8 +79,10 @@
       maxPayload: MAX_FRAME_BYTES,
       perMessageDeflate: false,
       // The address may have been that of another daemon.
-      verifyClient: ({req}: {readonly req: IncomingMessage}) =>
-        isMeantFor(options.vmId, req.url ?? ''),
+      verifyClient: (
+        {req}: {readonly req: IncomingMessage},
+        verify: (isAccepted: boolean, status?: number) => void,
+      ) => verify(isMeantFor(options.vmId, req.url ?? ''), MISDIRECTED_STATUS),
     });
   }
 
