Refuse faulty fields with the problem document when the parser refuses them

On Node.js 20.20.2 the parser itself refuses a space before the colon and reports it through 'clientError'; without a listener Node.js answers with an empty 400, so the refusal lacked its body and the field's name. Earlier releases pass the field on, and StrictServer refuses it.

StrictServer now handles faults of fields that the parser reports and sends the same problem document, with the field's name if its line lies in the bytes that Node.js kept. If a request is in progress on the connection, the connection is closed instead: a 400 would be taken for the response to that request. Other parser errors (header overflow, timeouts, chunks) keep the default of Node.js.

Ruled out: collecting received bytes with a 'data' listener, which turns off the fast path of Node.js on each connection.

--- a/features/header_fields.feature
+++ b/features/header_fields.feature
@@ -37,6 +37,35 @@
       | an upgrade and a faulty name     | GET / HTTP/1.1\r\nHost: a\r\nConnection: upgrade\r\nUpgrade: websocket\r\nX-Bad : 1\r\n\r\n          | 400    | 0       |
       | an expectation and a faulty name | POST / HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 1\r\nX-Bad : 1\r\n\r\n         | 400    | 0       |
 
+  # Releases of Node.js 20 differ in whether the parser refuses such a field
+  # itself; guards against a refusal without its body where it does.
+  Scenario Outline: A refusal names the field when <case>
+    Given a strict server with a <parser> parser
+    When it gets the raw request "<bytes>"
+    Then it refuses it as malformed and names the field "<field>"
+    And its handlers got 0 requests
+
+    Examples:
+      | case                              | parser  | bytes                                                          | field  |
+      | the parser passes the field on    | lenient | GET / HTTP/1.1\r\nHost: a\r\nX-Bad: 1\u00002\r\n\r\n          | X-Bad  |
+      | the parser refuses the name       | strict  | GET / HTTP/1.1\r\nHost: a\r\nX(: 1\r\n\r\n                   | X(     |
+      | the parser refuses the value      | strict  | GET / HTTP/1.1\r\nHost: a\r\nX-Bad: 1\u00002\r\n\r\n          | X-Bad  |
+      | the parser refuses a folded value | strict  | GET / HTTP/1.1\r\nHost: a\r\nX-Bad: 1\r\n 2\r\n\r\n           | X-Bad  |
+      | the parser refuses the length     | strict  | POST / HTTP/1.1\r\nHost: a\r\nContent-Length: +1\r\n\r\n     | Content-Length |
+
+  # Node.js keeps only the bytes that it received last.
+  Scenario: A field whose line began in an earlier packet is refused without its name
+    Given a strict server
+    When it gets "GET / HTTP/1.1\r\nHost: a\r\nX-B" and then "ad(: 1\r\n\r\n"
+    Then it refuses it as malformed without a field
+
+  # Guards against a refusal that would be taken for the response to the request
+  # before, which is being handled.
+  Scenario: A faulty request behind one in progress closes the connection
+    Given a strict server that doesn't respond
+    When it gets the raw request "GET / HTTP/1.1\r\nHost: a\r\n\r\nGET / HTTP/1.1\r\nX(: 1\r\n\r\n"
+    Then it closes the connection without a response
+
   # Names and values from a fixed seed, each with one character that is not
   # allowed there.
   Scenario: A server refuses generated fields that are not valid
--- a/features/steps/fuzz_steps.ts
+++ b/features/steps/fuzz_steps.ts
@@ -89,12 +89,9 @@
 
 async function exchange(address: string, text: string): Promise<Exchange> {
   const startedAtMs = performance.now();
-  const reply = await sendRawBytes(
-    address,
-    text,
-    () => false,
-    OBSERVATION_TIMEOUT_MS,
-  );
+  const reply = await sendRawBytes(address, text, () => false, {
+    timeoutMs: OBSERVATION_TIMEOUT_MS,
+  });
   return {bytes: text, text: reply, tookMs: performance.now() - startedAtMs};
 }
 
--- a/features/steps/header_field_steps.ts
+++ b/features/steps/header_field_steps.ts
@@ -1,5 +1,6 @@
 /** Steps that send faulty header fields and chunks to HTTP servers. */
 import assert from 'node:assert/strict';
+import type {ServerOptions} from 'node:http';
 import {After, Given, Then, When} from '@cucumber/cucumber';
 import fc from 'fast-check';
 import PQueue from 'p-queue';
@@ -25,27 +26,49 @@
   listeners?: readonly string[];
 }
 
-Given('a strict server', async function (this: FieldWorld) {
+async function startStrictServer(
+  world: FieldWorld,
+  options: ServerOptions = {},
+  isSilent = false,
+): Promise<void> {
   const bodies: string[] = [];
-  this.handledCount = 0;
-  this.bodies = bodies;
-  this.strictServer = new StrictServer();
-  this.strictServer.on('upgrade', (_req, socket) => {
-    this.handledCount = (this.handledCount ?? 0) + 1;
+  world.handledCount = 0;
+  world.bodies = bodies;
+  world.strictServer = new StrictServer(options);
+  world.strictServer.on('upgrade', (_req, socket) => {
+    world.handledCount = (world.handledCount ?? 0) + 1;
     socket.destroy();
   });
-  this.strictServer.on('request', (req, res) => {
-    this.handledCount = (this.handledCount ?? 0) + 1;
+  world.strictServer.on('request', (req, res) => {
+    world.handledCount = (world.handledCount ?? 0) + 1;
     let body = '';
     req.on('data', (chunk: Buffer) => (body += chunk.toString()));
     req.on('end', () => {
       bodies.push(body);
-      res.end();
+      if (!isSilent) res.end();
     });
   });
-  this.address = await listen(this.strictServer, ANY_PORT, 'test');
+  world.address = await listen(world.strictServer, ANY_PORT, 'test');
+}
+
+Given('a strict server', async function (this: FieldWorld) {
+  await startStrictServer(this);
 });
 
+Given(
+  /^a strict server with a (lenient|strict) parser$/,
+  async function (this: FieldWorld, parser: string) {
+    await startStrictServer(this, {insecureHTTPParser: parser === 'lenient'});
+  },
+);
+
+Given(
+  "a strict server that doesn't respond",
+  async function (this: FieldWorld) {
+    await startStrictServer(this, {}, true);
+  },
+);
+
 After(async function (this: FieldWorld) {
   this.strictServer?.closeAllConnections();
   if (this.strictServer) await close(this.strictServer);
@@ -72,6 +95,18 @@
   },
 );
 
+When(
+  /^it gets "([^]*)" and then "([^]*)"$/,
+  async function (this: FieldWorld, first: string, second: string) {
+    this.rawAnswer = await sendRawBytes(
+      this.address ?? '',
+      unescapeBytes(first),
+      isCompleteHead,
+      {laterBytes: unescapeBytes(second)},
+    );
+  },
+);
+
 When(
   /^it gets a chunked body "([^]*)"$/,
   async function (this: FieldWorld, text: string) {
@@ -137,6 +172,36 @@
   },
 );
 
+function parseProblem(answer: string): Record<string, unknown> {
+  assert.match(answer, /^HTTP\/1\.1 400 /);
+  assert.match(answer, /connection: close/i);
+  const body = answer.slice(answer.indexOf('\r\n\r\n'));
+  const problem = JSON.parse(body) as Record<string, unknown>;
+  assert.equal(problem.type, 'urn:chicorycourse:refusal:bad-request');
+  assert.equal(problem.ran, 'no');
+  return problem;
+}
+
+Then(
+  'it refuses it as malformed and names the field {string}',
+  function (this: FieldWorld, field: string) {
+    const problem = parseProblem(this.rawAnswer ?? '');
+    const named = JSON.parse(String(problem.field)) as string;
+    assert.equal(named.trimEnd(), field);
+  },
+);
+
+Then('it refuses it as malformed without a field', function (this: FieldWorld) {
+  assert.equal(parseProblem(this.rawAnswer ?? '').field, undefined);
+});
+
+Then(
+  'it closes the connection without a response',
+  function (this: FieldWorld) {
+    assert.equal(this.rawAnswer, '');
+  },
+);
+
 Then('it completed no body', function (this: FieldWorld) {
   assert.deepEqual(this.bodies, []);
 });
--- a/features/support/raw_socket.ts
+++ b/features/support/raw_socket.ts
@@ -10,15 +10,25 @@
     .replaceAll('\\u0000', '\u0000');
 }
 
+/** Options of {@link sendRawBytes}. */
+export interface RawOptions {
+  readonly timeoutMs?: number;
+  /** Bytes that are sent in a packet of their own, after the others. */
+  readonly laterBytes?: string;
+}
+
+/** Time in which the server reads the first packet. */
+const PACKET_GAP_MS = 50;
+
 /**
- * Sends bytes; resolves to the text received until `isWhole` accepts it, the
+ * Sends bytes; resolves to the text received until `isComplete` accepts it, the
  * connection ends, or the time-out passes.
  */
 export function sendRawBytes(
   address: string,
   bytes: string,
   isComplete: (text: string) => boolean,
-  timeoutMs = 5000,
+  {timeoutMs = 5000, laterBytes}: RawOptions = {},
 ): Promise<string> {
   const [host, port] = address.split(':');
   return new Promise(resolve => {
@@ -37,5 +47,7 @@
     socket.on('error', end);
     socket.on('close', end);
     socket.write(bytes, 'latin1');
+    if (laterBytes === undefined) return;
+    setTimeout(() => socket.write(laterBytes, 'latin1'), PACKET_GAP_MS);
   });
 }
--- a/src/http/field_syntax.ts
+++ b/src/http/field_syntax.ts
@@ -30,7 +30,8 @@
   const names = rawHeaders.filter((_, index) => index % 2 === 0);
   const values = rawHeaders.filter((_, index) => index % 2 === 1);
   const badName = names.find(name => !TOKEN.test(name));
-  if (badName !== undefined) return {field: quote(badName), part: 'name'};
+  if (badName !== undefined)
+    return {field: quoteFieldName(badName), part: 'name'};
   const framing = names.filter(name => FRAMING_VALUES.has(name.toLowerCase()));
   const badValue =
     names.find((name, index) => !isValidValue(name, values[index] ?? '')) ??
@@ -38,7 +39,7 @@
     framing[1];
   return badValue === undefined
     ? undefined
-    : {field: quote(badValue), part: 'value'};
+    : {field: quoteFieldName(badValue), part: 'value'};
 }
 
 function isValidValue(name: string, value: string): boolean {
@@ -46,6 +47,7 @@
   return pattern.test(value);
 }
 
-function quote(name: string): string {
+/** A field name as it is shown in refusals and logs. */
+export function quoteFieldName(name: string): string {
   return JSON.stringify(name.slice(0, MAX_QUOTED_CHARS));
 }
--- a/src/http/problem.ts
+++ b/src/http/problem.ts
@@ -16,11 +16,19 @@
   kind: RefusalKind,
   members: Readonly<Record<string, unknown>>,
 ): void {
-  const {status, title, ran} = kind;
-  const type = `urn:chicorycourse:refusal:${name}`;
-  const body = JSON.stringify({type, status, title, ran, ...members});
-  res.statusCode = status;
+  const body = renderProblem(name, kind, members);
+  res.statusCode = kind.status;
   res.setHeader('content-type', 'application/problem+json');
   res.setHeader('content-length', Buffer.byteLength(body));
   res.end(body);
 }
+
+/** The problem document as text. */
+export function renderProblem(
+  name: string,
+  {status, title, ran}: RefusalKind,
+  members: Readonly<Record<string, unknown>>,
+): string {
+  const type = `urn:chicorycourse:refusal:${name}`;
+  return JSON.stringify({type, status, title, ran, ...members});
+}
--- a/src/http/strict_server.ts
+++ b/src/http/strict_server.ts
@@ -13,7 +13,12 @@
 import type {Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
 import {findFieldFault, type FieldFault} from './field_syntax.js';
-import {sendProblem, type RefusalKind} from './problem.js';
+import {
+  findRefusedField,
+  isFieldError,
+  type ParserError,
+} from './parser_fault.js';
+import {renderProblem, sendProblem, type RefusalKind} from './problem.js';
 
 /** The refusal of a request that can be understood in more than one way. */
 export const BAD_REQUEST: RefusalKind = {
@@ -22,6 +27,12 @@
   ran: 'no',
 };
 
+/**
+ * How long a connection stays open after a refusal by the parser: closing it
+ * while bytes are unread would reset it, and the caller could lose the response.
+ */
+const LINGER_MS = 500;
+
 type Refuse = (connection: unknown, fault: FieldFault) => void;
 
 const refuseRequest: Refuse = (connection, fault) => {
@@ -50,6 +61,10 @@
 /** A server whose handlers only get requests with valid header fields. */
 export class StrictServer extends Server {
   readonly #onRefused: (() => void) | undefined;
+  /** The newest response on each connection. */
+  readonly #responses = new WeakMap<Duplex, ServerResponse>();
+  /** Connections whose parser has refused a field. */
+  readonly #refusedConnections = new WeakSet<Duplex>();
 
   /** `onRefused` is called for each refused request. */
   constructor(options: ServerOptions = {}, onRefused?: () => void) {
@@ -64,15 +79,60 @@
   }
 
   override emit(event: string | symbol, ...args: unknown[]): boolean {
+    if (event === 'clientError') {
+      const [err, connection] = args as [Error & ParserError, Duplex];
+      const isRefused = this.#refuseParserError(err, connection);
+      return isRefused || super.emit(event, err, connection);
+    }
     const refuse = REFUSE_BY_EVENT.get(event);
     if (!refuse) return super.emit(event as string, ...(args as []));
     const [req, connection] = args as [IncomingMessage, unknown];
+    if (event === 'request') {
+      this.#responses.set(req.socket, connection as ServerResponse);
+    }
     const fault = findFieldFault(req.rawHeaders);
     if (!fault) return super.emit(event as string, ...(args as []));
     refuse(connection, fault);
     this.#onRefused?.();
     return true;
   }
+
+  /** False if the error is left to the default of Node.js. */
+  #refuseParserError(err: ParserError, connection: Duplex): boolean {
+    // The parser reports an error again for all bytes that follow.
+    if (this.#refusedConnections.has(connection)) return true;
+    if (!isFieldError(err)) return false;
+    const res = this.#responses.get(connection);
+    if (res && !res.writableFinished) {
+      // The faulty field is in the trailer of the request in progress.
+      if (!res.req.complete) return false;
+      // It belongs to a later request; a refusal would be taken for the
+      // response to the one in progress, which may have run.
+      connection.destroy();
+      return true;
+    }
+    this.#refusedConnections.add(connection);
+    sendFieldRefusal(connection, findRefusedField(err));
+    this.#onRefused?.();
+    return true;
+  }
+}
+
+/** Refuses a request that the parser didn't pass on. */
+function sendFieldRefusal(socket: Duplex, fault: FieldFault | undefined): void {
+  const members = fault
+    ? describe(fault)
+    : {detail: 'invalid header field in the request'};
+  const body = renderProblem('bad-request', BAD_REQUEST, members);
+  const lingerTimer = setTimeout(() => socket.destroy(), LINGER_MS);
+  socket.on('error', () => socket.destroy());
+  socket.on('close', () => clearTimeout(lingerTimer));
+  socket.resume();
+  socket.end(
+    'HTTP/1.1 400 Bad Request\r\nContent-Type: application/problem+json\r\n' +
+      `Content-Length: ${Buffer.byteLength(body)}\r\n` +
+      `Connection: close\r\n\r\n${body}`,
+  );
 }
 
 /**
