End runs on a 101 and on statuses outside 200 to 599

An instance that answered with an unsolicited 101 held its slot until the daemon restarted: for a 101 with an Upgrade field Node.js emits 'upgrade' instead of 'response', and without a listener closes the connection without any event. A 101 without that field, and 600 or 999, reached the caller; 000 and 099 were accepted and then failed in writeHead.

The gate now listens for 'upgrade', rejects statuses outside 200 to 599, and ends a run whose connection closes before any response; each is an unknown outcome. A response without a length that ends while its upload is still being written counts as incomplete by rule; so far a write that failed within 1 ms gave the same result.

Not faulty, shown by the new scenarios on the code before: resets of responses to long uploads in all variants, locally and through a peer; 100 and 103; early responses to uploads; the statuses 1000, '2 0' and 20.

Ruled out: waiting until the upload is written, which delays responses of instances that don't read on.

--- a/features/steps/mesh_path_steps.ts
+++ b/features/steps/mesh_path_steps.ts
@@ -17,6 +17,7 @@
   readonly id: string;
   readonly status: number;
   readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+  readonly body: string;
 }
 
 /** State of a mesh scenario, kept beside the world. */
@@ -119,10 +120,10 @@
       },
     });
     req.on('response', res => {
-      res.resume();
-      res.on('end', () =>
-        resolve({id, status: res.statusCode ?? 0, headers: res.headers}),
-      );
+      const {statusCode: status = 0, headers} = res;
+      let text = '';
+      res.on('data', (chunk: Buffer) => (text += chunk.toString('latin1')));
+      res.on('end', () => resolve({id, status, headers, body: text}));
     });
     req.on('error', err =>
       disconnectAfterMs === undefined ? reject(err) : resolve(undefined),
--- a/features/support/mesh_fleet.ts
+++ b/features/support/mesh_fleet.ts
@@ -18,6 +18,7 @@
 import {MeshMetrics} from '../../src/mesh/mesh_metrics.js';
 import type {FleetConfiguration, Route} from '../../src/mesh/model.js';
 import {HeldReader} from './held_reader.js';
+import {RAW_BEHAVIOURS} from './raw_responses.js';
 
 /** How a backend server handles a request. */
 export type Behaviour = (req: IncomingMessage, res: ServerResponse) => void;
@@ -69,6 +70,7 @@
 const SLOW_MS = 600;
 
 export const BEHAVIOURS = {
+  ...RAW_BEHAVIOURS,
   responds: (_, res) => res.end('done'),
   'responds slowly': (_, res) => setTimeout(() => res.end('done'), SLOW_MS),
   hangs: () => undefined,
--- a/src/http/single_use_connection.ts
+++ b/src/http/single_use_connection.ts
@@ -69,15 +69,19 @@
 /**
  * Detects whether the connection of a request is reset. Node reports a regular
  * end when the last bytes and a reset arrive together. Only a write tells the
- * two apart: it fails after a reset and has no effect after a regular end.
+ * two apart: it fails after a reset and has no effect after a regular end. An
+ * end while part of the request is still to be written counts as a reset.
  */
 export function watchForReset(req: ClientRequest): ResetCheck {
   let isReset = false;
   req.on('socket', socket => {
     socket.prependListener('end', () => {
       if (mayTrustEnd(req)) return;
+      // A reset during an upload can fail the pending write first; the read
+      // then reports a regular end.
+      if (socket.writableLength > 0) isReset = true;
       socket.write('\r\n', err => {
-        isReset = err !== undefined && err !== null;
+        isReset ||= err !== undefined && err !== null;
       });
     });
   });
--- a/src/mesh/gate/backend_client.ts
+++ b/src/mesh/gate/backend_client.ts
@@ -21,6 +21,7 @@
 import {ResponseTimeout} from '../../timing/response_timeout.js';
 import type {HeaderNames} from '../header_names.js';
 import {headerValue} from './header_value.js';
+import {isFinalStatus} from './response_status.js';
 import {readInstanceNotice, type InstanceNotice} from './instance_notice.js';
 import type {Outcome, Work} from './work.js';
 
@@ -87,6 +88,15 @@
   readonly signal: AbortSignal;
 }
 
+/** The instance sent a status that can't end a request. */
+class InvalidStatusError extends Error {
+  readonly code = 'INVALID_STATUS';
+
+  constructor(status: number | undefined) {
+    super(`answer with the invalid status ${String(status).padStart(3, '0')}`);
+  }
+}
+
 /** Client for the backend server of this VM. */
 export class BackendClient {
   readonly #host: string;
@@ -198,6 +208,15 @@
         // Surplus bytes after a complete response don't make it invalid.
         if (!response?.complete) reject(err);
       });
+      // Without a listener, Node.js closes the connection and emits no event.
+      req.on('upgrade', ({statusCode}, socket) => {
+        socket.destroy();
+        reject(new InvalidStatusError(statusCode));
+      });
+      req.on('close', () => {
+        if (response) return;
+        reject(new TruncationError('connection closed without an answer'));
+      });
       req.on('response', res => {
         response = res;
         readResponse(res, wasReset).then(rawResponse => {
@@ -214,6 +233,10 @@
     const {status, headers} = response;
     const {instance, onNotice} = target;
     const names = this.#names;
+    if (!isFinalStatus(status)) {
+      const {message: reason} = new InvalidStatusError(status);
+      return {kind: 'unknown', instance, reason};
+    }
     const fault = findFieldFault(headers);
     if (fault) {
       const reason = `invalid header field ${fault.field}`;
