Limit the time of a run at the gate

A run ended only when its router cancelled it or the connection closed. If the router lost power for good while the instance hung, the slot was held until TCP gave up.

Ruled out: a shorter keepalive on peer connections, which finds only a lost peer, not a run that a faulty router forgot.

features/mesh_run_limit.feature: without the limit's signal 1 of 3 scenarios fails (the run had not ended after 4 s), with it none.

--- a/src/mesh/gate/gate.ts
+++ b/src/mesh/gate/gate.ts
@@ -13,6 +13,7 @@
 import type {BackendClient} from './backend_client.js';
 import type {InstanceNotice} from './instance_notice.js';
 import {queueTimeoutMs} from './queue_timeout.js';
+import {RunLimit} from './run_limit.js';
 import {ResponseTimes} from './response_times.js';
 import {SlotQueue, type Slot} from './slot_queue.js';
 import {OutlierDetector, type FailureKind} from './outlier_detector.js';
@@ -282,11 +283,14 @@
     });
     const inFlightRequest = this.inFlight.start(work.isRepeat);
     const sentTo = this.#identity.known;
+    const limit = new RunLimit(work.leftMs, signal);
     const outcome = await this.#options.client.run(work, {
       instance,
-      signal,
+      signal: limit.signal,
       onNotice: notice => this.#applyNotice(notice, sentTo),
     });
+    limit.cancel();
+    if (limit.isExceeded) this.#recordExceededLimit(work, route, instance);
     this.inFlight.end(inFlightRequest);
     lateTimeout.cancel();
     slot.release();
@@ -294,6 +298,14 @@
     return outcome;
   }
 
+  /** Tells that the router did not cancel a run at its deadline. */
+  #recordExceededLimit(work: Work, route: string, instance: string): void {
+    const {requestId: id, leftMs} = work;
+    this.#options.metrics.recordRunLimit(route);
+    const fields = {id, route, instance, leftMs: Math.round(leftMs)};
+    this.#options.log.failure('run-limit-exceeded', fields);
+  }
+
   #recordOutcome(
     request: SlotRequest,
     outcome: Outcome,
--- a/src/mesh/mesh_metrics.ts
+++ b/src/mesh/mesh_metrics.ts
@@ -42,6 +42,12 @@
     buckets: LATENCY_BUCKETS_S,
     registers: [this.#registry],
   });
+  readonly #runLimits = new Counter({
+    name: 'chicorycourse_run_limits_exceeded_total',
+    help: 'Runs that the gate ended because no router did at the deadline',
+    labelNames: ['route'],
+    registers: [this.#registry],
+  });
   readonly #repeats = new Counter({
     name: 'chicorycourse_repeats_total',
     help: 'Requests that were sent to a further instance, by reason',
@@ -150,6 +156,10 @@
     this.#instance.observe({route, outcome}, tookMs / 1000);
   }
 
+  recordRunLimit(route: string): void {
+    this.#runLimits.inc({route});
+  }
+
   recordRepeat(route: string, reason: string): void {
     this.#repeats.inc({route, reason});
   }
