Refuse late in a planned stop what may run once and outlast it

A request that came 4.6 s after SIGTERM with stopTimeoutS 6 was passed on, because its route usually takes 220 ms, and was cut off with 504 after 1.0 s of 1.3 s of work. For a request that may run only once the bound is now its own deadline, not the usual time of its route; it is refused as stopping (503, not run) before its body is read, before each search for a slot, and during the search. A gate whose daemon stops refuses the run of a reservation that was made before, so that it goes to another gate.

Cost: with stopTimeoutS 6, such requests with deadlines of 8 s are refused from the beginning of the stop, in the 2 s in which callers leave. Ruled out: a bound from the longest time seen, which still loses longer runs.

--- a/features/mesh_stop.feature
+++ b/features/mesh_stop.feature
@@ -42,3 +42,29 @@
     And the stops have ended and all requests with them
     Then 2 were answered with 503, of which 0 ran
     And 2 were answered with 504, of which 2 ran
+
+  # Guards against requests that may run only once, are passed on late in a stop
+  # because their route is usually fast, and are cut off while they run.
+  Scenario: A request that may run once and may last longer than the stop isn't passed on
+    Given callers send 20 requests to "/once/", spread over all VMs
+    And every backend server responds slowly
+    And a caller has opened a connection to VM 0
+    When the daemon of VM 0 begins a planned stop
+    And 2100 ms pass
+    And the caller sends a request to "/once/" on its connection
+    Then it is answered with 503 and has run 0 times
+
+  Scenario: A request that may run once is served if its deadline is before the end of the stop
+    Given callers send 20 requests to "/once/", spread over all VMs
+    And a caller has opened a connection to VM 0
+    When the daemon of VM 0 begins a planned stop
+    And 200 ms pass
+    And the caller sends a request to "/once/" on its connection
+    Then it is answered with 200 and has run 1 times
+
+  # Guards against a slot that was reserved before the stop and starts a run
+  # that nobody awaits.
+  Scenario: A reservation made before the stop runs nothing after it began
+    Given a gate whose instance with 1 slot hangs
+    When a router reserves a slot, the gate stops admitting, and the router runs a request
+    Then the request was not run
--- a/features/steps/mesh_run_limit_steps.ts
+++ b/features/steps/mesh_run_limit_steps.ts
@@ -5,7 +5,7 @@
 import fc from 'fast-check';
 import {Gate} from '../../src/mesh/gate/gate.js';
 import {isFinalStatus} from '../../src/mesh/gate/response_status.js';
-import type {Outcome} from '../../src/mesh/gate/work.js';
+import type {Outcome, Reservation, Work} from '../../src/mesh/gate/work.js';
 import {MeshMetrics} from '../../src/mesh/mesh_metrics.js';
 import {SILENT_LOG} from '../support/silent_log.js';
 import type {World} from '../support/world.js';
@@ -53,15 +53,15 @@
   },
 );
 
-async function run(
+const REQUEST_ID = 'request-1';
+
+async function reserve(
   world: RunWorld,
-  leftMs: number,
   signal: AbortSignal,
-): Promise<void> {
-  const requestId = 'request-1';
+): Promise<Reservation> {
   const reservation = await world.gate?.reserve(
     {
-      requestId,
+      requestId: REQUEST_ID,
       service: 'pay',
       route: 'once',
       priority: 1,
@@ -72,8 +72,12 @@
     signal,
   );
   assert.ok(reservation?.kind === 'reserved');
-  const work = {
-    requestId,
+  return reservation;
+}
+
+function workWith(leftMs: number): Work {
+  return {
+    requestId: REQUEST_ID,
     method: 'POST',
     path: '/',
     headers: [],
@@ -81,11 +85,19 @@
     leftMs,
     isRepeat: false,
   };
+}
+
+async function run(
+  world: RunWorld,
+  leftMs: number,
+  signal: AbortSignal,
+): Promise<void> {
+  const reservation = await reserve(world, signal);
   const startedAtMs = performance.now();
   const end = new AbortController();
   const giveUp = sleep(GIVE_UP_MS, undefined, {signal: end.signal});
   world.outcome = await Promise.race([
-    reservation.run(work, signal),
+    reservation.run(workWith(leftMs), signal),
     giveUp.catch(() => undefined),
   ]);
   world.tookMs = performance.now() - startedAtMs;
@@ -106,6 +118,24 @@
   },
 );
 
+When(
+  'a router reserves a slot, the gate stops admitting, and the router runs a request',
+  async function (this: RunWorld) {
+    const {signal} = new AbortController();
+    const reservation = await reserve(this, signal);
+    this.gate?.stopAdmitting();
+    this.outcome = await Promise.race([
+      reservation.run(workWith(1000), signal),
+      sleep(100, undefined),
+    ]);
+  },
+);
+
+Then('the request was not run', function (this: RunWorld) {
+  assert.equal(this.outcome?.kind, 'not-run');
+  assert.equal(this.gate?.status?.running, 0);
+});
+
 Then(
   'the run ends between {int} and {int} ms later with an unknown outcome',
   function (this: RunWorld, minMs: number, maxMs: number) {
--- a/src/mesh/gate/gate.ts
+++ b/src/mesh/gate/gate.ts
@@ -246,6 +246,10 @@
           slot.releaseUnused();
           return notRun(instance, 'reservation expired');
         }
+        if (this.#isStopping) {
+          slot.releaseUnused();
+          return notRun(instance, 'stopping');
+        }
         isUsed = true;
         return this.#run(request, {...work, leftMs}, {instance, slot, signal});
       },
--- a/src/mesh/router/caller_server.ts
+++ b/src/mesh/router/caller_server.ts
@@ -192,7 +192,9 @@
     if (context.id === '') {
       return this.#refuse(context, {name: 'request-id-missing'});
     }
-    if (!this.#options.dispatcher.canFinish(route)) {
+    const deadlineAtMs =
+      startedAtMs + Math.min(callerTimeoutMs, route.timeoutMs);
+    if (!this.#options.dispatcher.canFinish(route, deadlineAtMs)) {
       return this.#refuseStopping(context);
     }
     const body = await readBody(req, this.#maxBodyBytes);
@@ -206,7 +208,6 @@
       table,
       body: body.bytes,
     });
-    const {deadlineAtMs} = request;
     const delayLimits = {callerSignal, deadlineAtMs};
     await this.#startupDelay.waitUntil(isFleetKnown, delayLimits);
     const verdict = this.#options.quarantine.check(request.fingerprint);
--- a/src/mesh/router/dispatcher.ts
+++ b/src/mesh/router/dispatcher.ts
@@ -96,8 +96,9 @@
   }
 
   /** Whether a request on a route can end before a planned stop does. */
-  canFinish(route: Route): boolean {
-    return this.#options.stop.allows(this.#usualTimes.usualMs(route));
+  canFinish(route: Route, deadlineAtMs: number): boolean {
+    const {stop} = this.#options;
+    return stop.allows(this.#usualTimes.boundMs(route, deadlineAtMs));
   }
 
   /** Dispatches a request until it succeeds, fails, or is aborted. */
@@ -142,8 +143,17 @@
     this.#msByRoute.set(name, usualMs);
   }
 
+  /**
+   * How long a request may take from now on. If it may run only once, it must
+   * not be cut off by a planned stop, so only its own deadline is a bound.
+   */
+  boundMs(route: Route, deadlineAtMs: number): number {
+    if (route.isIdempotent) return this.#usualMs(route);
+    return Math.max(0, deadlineAtMs - performance.now());
+  }
+
   /** The objective until a gate has reported. */
-  usualMs({name, objectiveMs}: Route): number {
+  #usualMs({name, objectiveMs}: Route): number {
     return this.#msByRoute.get(name) ?? objectiveMs;
   }
 }
@@ -294,19 +304,20 @@
   /** Searches for a slot, as long as the request could still be executed. */
   async #findSlot(mayWait: boolean): Promise<FoundSlot | Declined> {
     const {stop, usualTimes} = this.#options;
-    const {route} = this.#request;
+    const {route, deadlineAtMs} = this.#request;
+    const boundMs = () => usualTimes.boundMs(route, deadlineAtMs);
+    const tooLate = declined('daemon-stopping', STOPPING_WAIT_MS);
+    if (!stop.allows(boundMs())) return tooLate;
     const search = new AbortController();
     const onAbort = () => search.abort(this.#signal.reason);
     this.#signal.addEventListener('abort', onAbort, {once: true});
     if (this.#signal.aborted) onAbort();
-    const unwatch = stop.watch(usualTimes.usualMs(route), () =>
-      search.abort(TOO_LATE_TO_START),
-    );
+    const unwatch = stop.watch(boundMs, () => search.abort(TOO_LATE_TO_START));
     try {
       const found = await this.#searchSlot(mayWait, search.signal);
       if (search.signal.reason === TOO_LATE_TO_START) {
         if (found.kind === 'found') found.reservation.release();
-        return declined('daemon-stopping', STOPPING_WAIT_MS);
+        return tooLate;
       }
       if (found.kind === 'declined') return found;
       usualTimes.record(route, found.reservation.lateAfterMs);
--- a/src/router/stop_deadline.ts
+++ b/src/router/stop_deadline.ts
@@ -7,7 +7,7 @@
 
 /** A request that has not been sent, and what to do if it never can be. */
 interface Waiter {
-  readonly expectedMs: number;
+  readonly expectedMs: () => number;
   readonly onTooLate: () => void;
   timer?: NodeJS.Timeout;
 }
@@ -44,10 +44,10 @@
   }
 
   /**
-   * Calls `onTooLate` when a request that takes `expectedMs` can't end in time
-   * any more. Returns a function that ends the watch.
+   * Calls `onTooLate` when a request that takes `expectedMs` from then on can't
+   * end in time any more. Returns a function that ends the watch.
    */
-  watch(expectedMs: number, onTooLate: () => void): () => void {
+  watch(expectedMs: () => number, onTooLate: () => void): () => void {
     const waiter: Waiter = {expectedMs, onTooLate};
     this.#waiters.add(waiter);
     if (this.#endsAtMs !== Infinity) this.#schedule(waiter);
@@ -58,7 +58,7 @@
   }
 
   #schedule(waiter: Waiter): void {
-    const latestAtMs = this.#endsAtMs - waiter.expectedMs;
+    const latestAtMs = this.#endsAtMs - waiter.expectedMs();
     const waitMs = Math.max(0, latestAtMs - this.#now());
     waiter.timer = setTimeout(waiter.onTooLate, waitMs);
   }
