--- a/features/mesh_stop.feature
+++ b/features/mesh_stop.feature
@@ -68,3 +68,16 @@
     Given a gate whose instance with 1 slot hangs
     When a router reserves a slot, the gate stops admitting, and the router runs a request
     Then the request was not run
+
+  # As above, after the listener has closed, while a request in flight keeps the
+  # daemon running.
+  Scenario: A request on an open connection isn't passed on at the end of a stop
+    Given one backend server hangs
+    And a caller has opened a connection to VM 1
+    When a caller has sent 1 request to "/long/" at VM 1 with a deadline of 8000 ms
+    And callers send 20 requests to "/once/", spread over all VMs
+    And every backend server responds slowly
+    And the daemon of VM 1 begins a planned stop
+    And 2400 ms pass
+    And the caller sends a request to "/once/" on its connection
+    Then it is answered with 503 and has run 0 times
