Pace cold instances at the gate, and evacuate failure domains

A cold instance got 23 and 24 requests in a second with 22.7 allowed, since only routers knew that it was cold. The gate, which every request passes, now paces at ColdPerS, and holds a request at the moment of sending if too many were sent within the last second. It assumes that the instance is cold until a heartbeat or a probe has told otherwise.

Routers leave out the gates of an evacuated domain, which decline reservations and report themselves as draining, so that daemons without evacuation avoid them as well.

Ruled out: turns alone, since requests that have their turn and wait for a slot are sent together when slots become free.

--- a/src/mesh/configuration/configuration_tracker.ts
+++ b/src/mesh/configuration/configuration_tracker.ts
@@ -15,6 +15,8 @@
   readonly log: DecisionLog;
   readonly metrics: MeshMetrics;
   readonly onChange: (configuration: FleetConfiguration) => void;
+  /** Called with the evacuated domains that a peer sent, not validated. */
+  readonly onPeerEvacuations?: (domains: unknown, peer: string) => void;
 }
 
 /**
@@ -48,9 +50,15 @@
     return this.#configuration?.version ?? 0;
   }
 
-  /** Puts a configuration in force if it is newer than the current one. */
+  /**
+   * Puts a configuration in force if it is newer than the current one, or if it
+   * is the same one with the fields that an older daemon left out.
+   */
   applyIfNewer(configuration: FleetConfiguration, source: string): void {
-    if (configuration.version <= this.version) return;
+    const isSame = configuration.version === this.version;
+    const isCompletion =
+      isSame && isComplete(configuration) && !isComplete(this.#configuration);
+    if (configuration.version <= this.version && !isCompletion) return;
     const {version, routes, customers, services} = configuration;
     const previousVersion = this.version;
     this.#configuration = configuration;
@@ -86,11 +94,24 @@
     await sleep(PEER_FETCH_DELAY_MS);
     if (!this.#isBehind(link)) return true;
     const newer = await link.fetchConfiguration();
-    if (newer) this.applyIfNewer(newer, link.vm.id);
-    return newer !== undefined;
+    if (!newer) return false;
+    this.#options.onPeerEvacuations?.(newer.evacuated, link.vm.id);
+    this.applyIfNewer(newer.configuration, link.vm.id);
+    return true;
   }
 
   #isBehind(link: PeerLink): boolean {
     return (link.status?.configurationVersion ?? 0) > this.version;
   }
 }
+
+/**
+ * Whether a configuration has the fields that daemons without cold pacing don't
+ * pass on.
+ */
+function isComplete(configuration: FleetConfiguration | undefined): boolean {
+  const services = configuration?.services ?? [];
+  return services.every(
+    ({warmupMs, coldPerS}) => warmupMs !== undefined && coldPerS !== undefined,
+  );
+}
--- a/src/mesh/gate/backend_client.ts
+++ b/src/mesh/gate/backend_client.ts
@@ -21,7 +21,12 @@
 import {ResponseTimeout} from '../../timing/response_timeout.js';
 import type {HeaderNames} from '../header_names.js';
 import {headerValue} from './header_value.js';
-import {readInstanceNotice, type InstanceNotice} from './instance_notice.js';
+import {
+  readInstanceNotice,
+  readWarmup,
+  type InstanceNotice,
+  type WarmupNotice,
+} from './instance_notice.js';
 import type {Outcome, Work} from './work.js';
 
 /** The instance that is to run the work, and the signal to cancel it. */
@@ -33,7 +38,7 @@
 }
 
 /** The result of a probe of the health path. */
-export interface ProbeResult {
+export interface ProbeResult extends WarmupNotice {
   readonly instance: string;
   readonly slots: number | undefined;
 }
@@ -134,7 +139,11 @@
     const instance = headerValue(headers, this.#names.instance);
     if (status !== 200 || instance === undefined) return undefined;
     const slots = Number(headerValue(headers, this.#names.load)?.split(',')[2]);
-    return {instance, slots: Number.isInteger(slots) ? slots : undefined};
+    return {
+      instance,
+      slots: Number.isInteger(slots) ? slots : undefined,
+      ...readWarmup(headers, this.#names),
+    };
   }
 
   /** Whether nothing listens at the address, since the server has ended. */
--- a/src/mesh/gate/gate.ts
+++ b/src/mesh/gate/gate.ts
@@ -11,8 +11,11 @@
 import {InFlightRequests} from './in_flight_requests.js';
 import {BackendIdentity, type Identity} from './backend_identity.js';
 import type {BackendClient} from './backend_client.js';
+import {ColdPacing, type TurnLimit} from './cold_pacing.js';
 import type {InstanceNotice} from './instance_notice.js';
+import type {DomainState} from '../evacuation/evacuated_domains.js';
 import {queueTimeoutMs} from './queue_timeout.js';
+import {QueuedWaits} from './queued_waits.js';
 import {ResponseTimes} from './response_times.js';
 import {SlotQueue, type Slot} from './slot_queue.js';
 import {OutlierDetector, type FailureKind} from './outlier_detector.js';
@@ -50,12 +53,24 @@
   readonly #options: GateOptions;
   readonly #identity = new BackendIdentity();
   readonly #slots = new SlotQueue();
+  /** Paces the requests while the instance is cold. */
+  readonly cold: ColdPacing;
   #outliers = new OutlierDetector();
   readonly #responseTimes = new ResponseTimes();
   #isStopping = false;
+  #domainState: DomainState = 'in-service';
+  readonly #queuedWaits = new QueuedWaits();
 
   constructor(options: GateOptions) {
     this.#options = options;
+    const {log, metrics, onChange} = options;
+    let isStarted = false;
+    const onLimit = (limit: TurnLimit | undefined) => {
+      this.#slots.setColdLimit(limit);
+      if (isStarted) onChange();
+    };
+    this.cold = new ColdPacing({log, metrics, onLimit});
+    isStarted = true;
   }
 
   /** The status for routers; undefined before the first heartbeat. */
@@ -66,7 +81,8 @@
     return {
       instance: known.instance,
       service: known.service,
-      state: this.#isStopping ? 'draining' : known.state,
+      // Daemons that know nothing of evacuations avoid a gate that is draining.
+      state: this.#isAdmitting ? known.state : 'draining',
       slots: known.slots,
       isCold: nowMs < known.coldUntilMs,
       trust: this.#outliers.trust(nowMs),
@@ -86,11 +102,15 @@
     if (heartbeat.service !== this.#options.service) return;
     const before = this.#identity.known;
     if (!this.#identity.applyHeartbeat(heartbeat, performance.now())) return;
+    this.cold.report(heartbeat.coldForMs);
     this.#applyIdentity(before);
   }
 
   /** Adopts the result of a probe of the health path. */
-  adoptProbe(instance: string, slots: number): void {
+  adoptProbe(instance: string, slots: number, coldForMs?: number): void {
+    if (!this.#identity.known && coldForMs !== undefined) {
+      this.cold.report(coldForMs);
+    }
     const before = this.#identity.known;
     const {service} = this.#options;
     const state = 'ready';
@@ -99,7 +119,7 @@
       service,
       slots,
       state,
-      coldUntilMs: 0,
+      coldUntilMs: performance.now() + (coldForMs ?? 0),
     });
     this.#applyIdentity(before);
   }
@@ -120,9 +140,45 @@
     this.#options.onChange();
   }
 
+  /** Applies what is known of an evacuation of this VM's failure domain. */
+  setDomainState(state: DomainState): void {
+    const before = this.#domainState;
+    if (state === before) return;
+    this.#domainState = state;
+    if (state === 'evacuated') this.#queuedWaits.endAll();
+    // An instance may become cold while it gets no requests.
+    if (before === 'evacuated') this.cold.assumeCold();
+    this.#options.log.belief('gate-domain', {state, before});
+    this.#options.onChange();
+  }
+
+  get #isAdmitting(): boolean {
+    return !this.#isStopping && this.#domainState === 'in-service';
+  }
+
   async reserve(
     request: SlotRequest,
     signal: AbortSignal,
+  ): Promise<Reservation | Declined> {
+    const wait = this.#queuedWaits.begin(signal);
+    const result = await this.#reserve(request, wait.signal);
+    wait.end();
+    const isEnded =
+      result.kind === 'declined' &&
+      result.reason === 'withdrawn' &&
+      !signal.aborted;
+    return isEnded ? this.#declineEvacuated(request.requestId) : result;
+  }
+
+  #declineEvacuated(id: string): Declined {
+    this.#options.metrics.recordEvacuatedDecline('reservation');
+    this.#options.log.step('evacuated', {id, declined: 'reservation'});
+    return declined('evacuated');
+  }
+
+  async #reserve(
+    request: SlotRequest,
+    signal: AbortSignal,
   ): Promise<Reservation | Declined> {
     const decline = this.#checkAdmission(request, this.#slots.running);
     if (decline) return decline;
@@ -153,6 +209,9 @@
     const {service, assurance} = request;
     const known = this.#identity.known;
     if (this.#isStopping) return declined('stopping');
+    if (this.#domainState === 'evacuated')
+      return this.#declineEvacuated(request.requestId);
+    if (this.#domainState === 'unknown') return declined('no-instance');
     if (!known || known.service !== service) return declined('no-instance');
     if (known.state === 'draining') return declined('leaving');
     if (known.state === 'down') return declined('no-instance');
@@ -262,9 +321,13 @@
   ): Promise<Outcome> {
     const {instance, slot, signal} = held;
     const {route, objectiveMs} = request;
-    if (signal.aborted || this.#identity.known?.instance !== instance) {
+    const admittedAtMs = performance.now();
+    const {requestId: id, leftMs} = work;
+    const isInTime = await this.cold.waitToSend({id, leftMs, signal});
+    const refusal = this.#checkSending(id, held, isInTime);
+    if (refusal !== undefined) {
       slot.releaseUnused();
-      return notRun(instance, signal.aborted ? 'cancelled' : 'replaced');
+      return notRun(instance, refusal);
     }
     const sentAtMs = performance.now();
     const lateAfterMs = this.#responseTimes.lateAfterMs(route, objectiveMs);
@@ -282,7 +345,8 @@
     });
     const inFlightRequest = this.inFlight.start(work.isRepeat);
     const sentTo = this.#identity.known;
-    const outcome = await this.#options.client.run(work, {
+    const timely = {...work, leftMs: leftMs - (sentAtMs - admittedAtMs)};
+    const outcome = await this.#options.client.run(timely, {
       instance,
       signal,
       onNotice: notice => this.#applyNotice(notice, sentTo),
@@ -294,6 +358,25 @@
     return outcome;
   }
 
+  /** Why a reserved request is not sent after all. */
+  #checkSending(
+    id: string,
+    {
+      instance,
+      signal,
+    }: {readonly instance: string; readonly signal: AbortSignal},
+    isInTime: boolean,
+  ): string | undefined {
+    if (signal.aborted) return 'cancelled';
+    if (this.#domainState === 'evacuated') {
+      this.#options.metrics.recordEvacuatedDecline('use');
+      this.#options.log.step('evacuated', {id, declined: 'use'});
+      return 'evacuated';
+    }
+    if (this.#identity.known?.instance !== instance) return 'replaced';
+    return isInTime ? undefined : 'cold';
+  }
+
   #recordOutcome(
     request: SlotRequest,
     outcome: Outcome,
@@ -321,6 +404,8 @@
       if (isGood) this.#outliers.recordSuccess(sentAtMs, nowMs);
       if (failureKind) this.#outliers.recordFailure(failureKind, nowMs);
     });
+    const hasEnded = outcome.kind === 'unknown' && outcome.hasInstanceEnded;
+    if (hasEnded) this.cold.assumeCold();
     const isDown = outcome.kind === 'not-run' && !outcome.hasArrived;
     if (!isDown) return;
     this.#identity.markDown();
--- a/src/mesh/gate/instance_notice.ts
+++ b/src/mesh/gate/instance_notice.ts
@@ -28,3 +28,22 @@
   if (DECIMAL.test(limit)) return {limitPerS: Number(limit), isLeaving};
   return {limitPerS: undefined, invalidLimit: limit, isLeaving};
 }
+
+/** How long an instance stays cold, as its health path tells it. */
+export interface WarmupNotice {
+  /** Undefined if it names no valid time. */
+  readonly coldForMs: number | undefined;
+  /** The text of a time that is not a number of milliseconds. */
+  readonly invalidWarmup?: string;
+}
+
+/** Reads the remaining warm-up in the headers of a health response. */
+export function readWarmup(
+  headers: readonly string[],
+  names: HeaderNames,
+): WarmupNotice {
+  const warmup = headerValue(headers, names.warmupLeft)?.trim();
+  if (warmup === undefined) return {coldForMs: undefined};
+  if (DECIMAL.test(warmup)) return {coldForMs: Number(warmup)};
+  return {coldForMs: undefined, invalidWarmup: warmup};
+}
--- a/src/mesh/gate/rate_pacer.ts
+++ b/src/mesh/gate/rate_pacer.ts
@@ -1,6 +1,6 @@
 /**
- * Paces the requests to an instance that names a rate limit in its responses.
- * Without a limit a request passes at once. With one, requests pass one after
+ * Paces the requests to an instance that names a rate limit in its responses,
+ * or that is cold. Without a limit a request passes at once. With one, requests pass one after
  * the other, the most urgent first, spaced so that any period stays within the
  * limit.
  *
@@ -28,20 +28,26 @@
   readonly isAbandoned: () => boolean;
 }
 
+/** The least wait for a turn, in milliseconds, whatever the limit is. */
+export type MinWait = () => number;
+const NO_WAIT: MinWait = () => 0;
+
 /** The pacer of one instance. */
 export class RatePacer {
   readonly #turns = new PQueue({concurrency: 1});
   #limitPerS: number | undefined;
   #bucket: TokenBucket | undefined;
+  #minWaitMs: MinWait = NO_WAIT;
 
   /** The limit in force, in requests per second; undefined without one. */
   get limitPerS(): number | undefined {
     return this.#limitPerS;
   }
 
-  /** Sets the limit that the instance named last; undefined removes it. */
-  setLimit(limitPerS: number | undefined): void {
+  /** Sets the limit; undefined removes it. */
+  setLimit(limitPerS: number | undefined, minWaitMs = NO_WAIT): void {
     this.#limitPerS = limitPerS;
+    this.#minWaitMs = minWaitMs;
     if (limitPerS === undefined) {
       this.#bucket = undefined;
       return;
@@ -60,7 +66,9 @@
   expectedWaitMs(ahead: number): number {
     if (this.#limitPerS === undefined || !this.#bucket) return 0;
     const ratePerS = Math.max(MIN_RATE_PER_S, this.#limitPerS);
-    return this.#bucket.waitMs(performance.now()) + (ahead / ratePerS) * 1000;
+    const tokenWaitMs = this.#bucket.waitMs(performance.now());
+    const firstWaitMs = Math.max(tokenWaitMs, this.#minWaitMs());
+    return firstWaitMs + (ahead / ratePerS) * 1000;
   }
 
   /** Calls `pass` at the request's turn, unless it was abandoned before. */
@@ -81,7 +89,8 @@
 
   async #waitForToken(isAbandoned: () => boolean): Promise<boolean> {
     while (!isAbandoned()) {
-      const waitMs = this.#bucket?.take(performance.now()) ?? 0;
+      const waitMs =
+        this.#minWaitMs() || (this.#bucket?.take(performance.now()) ?? 0);
       if (waitMs === 0) return true;
       await sleep(Math.min(MAX_SLEEP_MS, waitMs));
     }
--- a/src/mesh/gate/slot_queue.ts
+++ b/src/mesh/gate/slot_queue.ts
@@ -2,10 +2,11 @@
  * The slots of one instance and the queue of requests that wait for one. The
  * most urgent request goes first, then the oldest. A request that is not
  * expected to get a slot within its queue timeout is declined on arrival, not
- * after waiting. While the instance names a rate limit, a request needs its
- * turn within that limit as well as a slot.
+ * after waiting. While the instance names a rate limit or is cold, a request
+ * needs its turn within the lower limit as well as a slot.
  */
 import PQueue from 'p-queue';
+import type {TurnLimit} from './cold_pacing.js';
 import {RatePacer} from './rate_pacer.js';
 import {declined, type Declined} from './work.js';
 
@@ -34,6 +35,8 @@
 /** Slots and queue of one instance. */
 export class SlotQueue {
   readonly #pacer = new RatePacer();
+  #namedPerS: number | undefined;
+  #coldLimit: TurnLimit | undefined;
   readonly #queue = new PQueue({concurrency: 1});
   #slots = 1;
   /** Queue length by priority, without requests that left it early. */
@@ -57,14 +60,29 @@
     this.#queue.concurrency = slots;
   }
 
-  /** The rate limit in force, in requests per second. */
+  /** The rate limit that the instance named last, in requests per second. */
   get limitPerS(): number | undefined {
-    return this.#pacer.limitPerS;
+    return this.#namedPerS;
   }
 
   /** Sets the rate limit that the instance named last; undefined removes it. */
   setLimit(limitPerS: number | undefined): void {
-    this.#pacer.setLimit(limitPerS);
+    this.#namedPerS = limitPerS;
+    this.#applyLimits();
+  }
+
+  /** Sets the limit of an instance that is cold; undefined removes it. */
+  setColdLimit(limit: TurnLimit | undefined): void {
+    this.#coldLimit = limit;
+    this.#applyLimits();
+  }
+
+  #applyLimits(): void {
+    const limits = [this.#namedPerS, this.#coldLimit?.perS].filter(
+      limit => limit !== undefined,
+    );
+    const lowestPerS = limits.length > 0 ? Math.min(...limits) : undefined;
+    this.#pacer.setLimit(lowestPerS, this.#coldLimit?.waitMs);
   }
 
   /**
@@ -72,7 +90,7 @@
    * undefined without a limit.
    */
   get turnWaitMs(): number | undefined {
-    if (this.limitPerS === undefined) return undefined;
+    if (this.#pacer.limitPerS === undefined) return undefined;
     return this.#pacer.expectedWaitMs(this.waiting);
   }
 
@@ -122,7 +140,7 @@
   }
 
   get #declineReason(): 'busy' | 'limited' {
-    return this.limitPerS === undefined ? 'busy' : 'limited';
+    return this.#pacer.limitPerS === undefined ? 'busy' : 'limited';
   }
 
   /** Number of queued requests that are at least as urgent. */
--- a/src/mesh/gate/work.ts
+++ b/src/mesh/gate/work.ts
@@ -28,6 +28,7 @@
   | 'busy'
   | 'daemon-stopping'
   | 'doubtful'
+  | 'evacuated'
   | 'leaving'
   | 'limited'
   | 'no-instance'
--- a/src/mesh/header_names.ts
+++ b/src/mesh/header_names.ts
@@ -30,6 +30,8 @@
   readonly rateLimit: string;
   /** `1` in the responses of an instance that is leaving. */
   readonly leaving: string;
+  /** In responses of the health path: how long the instance stays cold (ms). */
+  readonly warmupLeft: string;
 }
 
 /** Names that apply unless a deployment sets others. */
@@ -46,4 +48,5 @@
   load: 'x-load',
   rateLimit: 'x-rate-limit',
   leaving: 'x-leaving',
+  warmupLeft: 'x-warmup-left-ms',
 };
--- a/src/mesh/mesh_daemon.ts
+++ b/src/mesh/mesh_daemon.ts
@@ -12,7 +12,8 @@
 import {StrictServer} from '../http/strict_server.js';
 import type {DecisionLog} from '../log/decision_log.js';
 import {ConfigurationTracker} from './configuration/configuration_tracker.js';
-import {BackendClient} from './gate/backend_client.js';
+import {EvacuatedDomains} from './evacuation/evacuated_domains.js';
+import {BackendClient, type ProbeResult} from './gate/backend_client.js';
 import {Gate} from './gate/gate.js';
 import type {HeaderNames} from './header_names.js';
 import {buildCustomerLimits} from './limits/customer_limits.js';
@@ -20,7 +21,7 @@
 import {RepeatCalls} from './limits/repeat_calls.js';
 import {SharedLimits, type Limit} from './limits/shared_limits.js';
 import {MeshMetrics} from './mesh_metrics.js';
-import type {FleetConfiguration, Vm, VmStatus} from './model.js';
+import type {FleetConfiguration, ServiceRecord, Vm, VmStatus} from './model.js';
 import {Peers} from './peers/peers.js';
 import {PeerServer} from './peers/peer_server.js';
 import {CallerServer} from './router/caller_server.js';
@@ -28,6 +29,7 @@
 import {Dispatcher} from './router/dispatcher.js';
 import {Gates} from './router/gates.js';
 import {QueryOfDeathGuard} from './router/query_of_death.js';
+import type {RouteTable} from './router/route_table.js';
 import type {MeshSettings} from './settings.js';
 
 export interface MeshDaemonOptions {
@@ -61,6 +63,7 @@
 export class MeshDaemon {
   readonly gate: Gate;
   readonly configurationTracker: ConfigurationTracker;
+  readonly evacuatedDomains: EvacuatedDomains;
   readonly peers: Peers;
   readonly #options: MeshDaemonOptions;
   readonly #exchange: BackendClient;
@@ -96,6 +99,14 @@
       log,
       metrics,
       onChange: configuration => this.#applyConfiguration(configuration),
+      onPeerEvacuations: (domains, peer) =>
+        this.evacuatedDomains.adoptFromPeer(domains, peer),
+    });
+    this.evacuatedDomains = new EvacuatedDomains({
+      isEnabled: settings.evacuation !== undefined,
+      log,
+      metrics,
+      onChange: () => this.#applyDomainState(),
     });
     this.#quarantine = new QueryOfDeathGuard({
       isEnabled: settings.quarantinesRequests,
@@ -131,11 +142,17 @@
       status: () => this.#status(),
       fingerprints: () => this.#quarantine.records(),
       configuration: () => this.configurationTracker.configuration,
+      evacuated: () => this.evacuatedDomains.known,
       onHello: vm => this.peers.receiveHello(vm),
     });
     const limits = this.#limits;
     const repeats = this.#repeatBudget;
-    const gates = new Gates(this.self, this.gate, this.peers);
+    const gates = new Gates(
+      this.self,
+      this.gate,
+      this.peers,
+      this.evacuatedDomains,
+    );
     this.#callerServer = new CallerServer({
       address: settings.listen.callers,
       names,
@@ -157,14 +174,13 @@
       }),
       log,
       metrics,
-      routes: () => this.configurationTracker.routeTable,
+      routes: () => this.#routeTable,
       isFleetKnown: () => this.peers.count() > 0,
       hasInstances: service => gates.forService(service).length > 0,
     });
     this.#readinessServer = new StrictServer();
     this.#readinessServer.on('request', (_, res) => {
-      const isReady =
-        this.configurationTracker.routeTable !== undefined && !this.#isStopping;
+      const isReady = this.#routeTable !== undefined && !this.#isStopping;
       res.writeHead(isReady ? 200 : 503).end();
     });
     const metricsApp = polka().get('/metrics', async (_, res) => {
@@ -172,6 +188,7 @@
     });
     this.#metricsServer = new StrictServer();
     this.#metricsServer.on('request', metricsApp.handler);
+    this.#applyDomainState();
   }
 
   /** This VM, with the address at which peers reach the daemon. */
@@ -260,27 +277,53 @@
     };
   }
 
+  /** The routes, once the evacuated domains are known as well. */
+  get #routeTable(): RouteTable | undefined {
+    if (!this.evacuatedDomains.isKnown) return undefined;
+    return this.configurationTracker.routeTable;
+  }
+
+  #applyDomainState(): void {
+    const {failureDomain} = this.#options.settings.vm;
+    this.gate.setDomainState(this.evacuatedDomains.stateOf(failureDomain));
+  }
+
   #applyConfiguration(configuration: FleetConfiguration): void {
     this.#limitsByName = buildCustomerLimits(configuration);
     this.#callerServer.applyLimits(configuration.limits);
     this.#peerServer.scheduleBroadcast();
+    this.gate.cold.configure(this.#serviceRecord(configuration));
     if (!this.gate.status) void this.#probeInstance(configuration);
   }
 
+  /** The record of the service of this VM. */
+  #serviceRecord({services}: FleetConfiguration): ServiceRecord | undefined {
+    const {service} = this.#options.settings.backend;
+    return services.find(({name}) => name === service);
+  }
+
+  #adoptProbe(found: ProbeResult): void {
+    const {instance, slots = 1, coldForMs, invalidWarmup} = found;
+    if (invalidWarmup !== undefined) {
+      const fields = {instance, invalidWarmup};
+      this.#options.log.belief('backend-warmup-invalid', fields);
+    }
+    this.gate.adoptProbe(instance, slots, coldForMs);
+  }
+
   /**
    * Probes the instance after a restart of the daemon, since its next heartbeat
    * may be more than a second away.
    */
   async #probeInstance(configuration: FleetConfiguration): Promise<void> {
     const {service} = this.#options.settings.backend;
-    const record = configuration.services.find(({name}) => name === service);
+    const record = this.#serviceRecord(configuration);
     if (!record || this.#options.settings.isFirstStart) return;
     for (let probe = 0; probe < MAX_STARTUP_PROBES; probe += 1) {
       if (this.gate.status) return;
       try {
         const found = await this.#exchange.probe(record.healthPath);
-        const slots = found?.slots ?? 1;
-        if (found) return this.gate.adoptProbe(found.instance, slots);
+        if (found) return this.#adoptProbe(found);
       } catch (err) {
         const reason = reasonOf(err);
         this.#options.log.belief('backend-probe-failed', {service, reason});
--- a/src/mesh/mesh_metrics.ts
+++ b/src/mesh/mesh_metrics.ts
@@ -91,6 +91,28 @@
     help: 'Rate limit that the instance of this VM named last, if any',
     registers: [this.#registry],
   });
+  readonly #coldLimit = new Gauge({
+    name: 'chicorycourse_backend_cold_limit_per_second',
+    help: 'Rate at which the instance of this VM is paced as cold, if it is',
+    registers: [this.#registry],
+  });
+  readonly #coldHolds = new Counter({
+    name: 'chicorycourse_cold_holds_total',
+    help: 'Requests held before a cold instance, by what became of them',
+    labelNames: ['outcome'],
+    registers: [this.#registry],
+  });
+  readonly #evacuatedDomains = new Gauge({
+    name: 'chicorycourse_evacuated_domains',
+    help: 'Failure domains that are evacuated, as this daemon knows',
+    registers: [this.#registry],
+  });
+  readonly #evacuatedDeclines = new Counter({
+    name: 'chicorycourse_evacuated_declines_total',
+    help: 'Reservations that an evacuated gate declined, when made or used',
+    labelNames: ['at'],
+    registers: [this.#registry],
+  });
   readonly #version = new Gauge({
     name: 'chicorycourse_configuration_version',
     help: 'Version of the configuration in force',
@@ -105,6 +127,7 @@
   constructor() {
     // A gauge without labels starts at 0, which would be a limit.
     this.#backendLimit.remove();
+    this.#coldLimit.remove();
     new Gauge({
       name: 'chicorycourse_resident_memory_bytes',
       help: 'Resident memory of the process',
@@ -168,6 +191,24 @@
     else this.#backendLimit.set(limitPerS);
   }
 
+  /** Exports the limit of a cold instance; undefined: it isn't paced. */
+  setColdLimit(limitPerS: number | undefined): void {
+    if (limitPerS === undefined) this.#coldLimit.remove();
+    else this.#coldLimit.set(limitPerS);
+  }
+
+  recordColdHold(outcome: string): void {
+    this.#coldHolds.inc({outcome});
+  }
+
+  setEvacuatedDomains(count: number): void {
+    this.#evacuatedDomains.set(count);
+  }
+
+  recordEvacuatedDecline(at: 'reservation' | 'use'): void {
+    this.#evacuatedDeclines.inc({at});
+  }
+
   /** Exports how many links to peers are in each state. */
   exportPeerLinks(countByState: () => Readonly<Record<string, number>>): void {
     new Gauge({
--- a/src/mesh/model.ts
+++ b/src/mesh/model.ts
@@ -47,6 +47,13 @@
 export interface ServiceRecord {
   readonly name: string;
   readonly healthPath: string;
+  /**
+   * How long an instance is cold after its start; 0: no limit applies. Both are
+   * missing in a configuration that a daemon without cold pacing passed on.
+   */
+  readonly warmupMs?: number;
+  /** Requests per second that a cold instance tolerates; 0: any number. */
+  readonly coldPerS?: number;
 }
 
 /** Limits for callers: body size, header timeout and idle timeout. */
--- a/src/mesh/peers/frames.ts
+++ b/src/mesh/peers/frames.ts
@@ -83,6 +83,11 @@
       readonly kind: 'configuration';
       readonly id: number;
       readonly configuration: FleetConfiguration | undefined;
+      /**
+       * Evacuated failure domains, if the peer knows them; missing from a
+       * daemon that knows nothing of evacuations.
+       */
+      readonly evacuated?: readonly string[];
     };
 
 /** Part of the URL path; daemons with another format can't connect. */
--- a/src/mesh/peers/peer_link.ts
+++ b/src/mesh/peers/peer_link.ts
@@ -97,6 +97,13 @@
 /** Gets undefined if the connection is lost. */
 type ReplyHandler = (reply: Reply | undefined) => void;
 
+/** What a peer passes on of what it read from the store. */
+export interface PeerConfiguration {
+  readonly configuration: FleetConfiguration;
+  /** Not validated; missing if the peer doesn't know it. */
+  readonly evacuated: unknown;
+}
+
 /** The link to one peer. */
 export class PeerLink implements GateClient {
   readonly #options: PeerLinkOptions;
@@ -280,14 +287,17 @@
     this.#send({kind: 'part', payment});
   }
 
-  /** Fetches the configuration that is in force at the peer. */
-  async fetchConfiguration(): Promise<FleetConfiguration | undefined> {
+  /** Fetches the configuration and evacuations in force at the peer. */
+  async fetchConfiguration(): Promise<PeerConfiguration | undefined> {
     const reply = await this.#call(
       id => ({kind: 'configuration', id}),
       CONFIGURATION_TIMEOUT_MS,
       'configuration not answered',
     );
-    return reply?.kind === 'configuration' ? reply.configuration : undefined;
+    if (reply?.kind !== 'configuration' || !reply.configuration)
+      return undefined;
+    const {configuration, evacuated} = reply;
+    return {configuration, evacuated};
   }
 
   #call(
--- a/src/mesh/peers/peer_server.ts
+++ b/src/mesh/peers/peer_server.ts
@@ -44,6 +44,8 @@
   /** What a daemon that connects should know about fingerprints. */
   readonly fingerprints: () => readonly FingerprintRecord[];
   readonly configuration: () => FleetConfiguration | undefined;
+  /** The evacuated failure domains, if they are known. */
+  readonly evacuated: () => readonly string[] | undefined;
   readonly onHello: (vm: Vm) => void;
 }
 
@@ -193,7 +195,9 @@
     payment: ({payment}) => this.#options.repeats.receivePayment(payment),
     configuration: ({id}) => {
       const configuration = this.#options.configuration();
-      this.#send({kind: 'configuration', id, configuration});
+      const evacuated = this.#options.evacuated();
+      const reply = {kind: 'configuration', id, configuration} as const;
+      this.#send(evacuated ? {...reply, evacuated} : reply);
     },
   };
 
--- a/src/mesh/router/caller_server.ts
+++ b/src/mesh/router/caller_server.ts
@@ -395,10 +395,12 @@
 const NOT_RUN_REFUSALS: Readonly<Partial<Record<string, RefusalName>>> = {
   busy: 'busy',
   limited: 'busy',
+  cold: 'busy',
   doubtful: 'not-answering',
   deadline: 'deadline',
   'no-instance': 'no-instance',
   leaving: 'no-instance',
+  evacuated: 'no-instance',
   stopping: 'no-instance',
   'daemon-stopping': 'stopping',
   silent: 'no-instance',
--- a/src/mesh/router/gates.ts
+++ b/src/mesh/router/gates.ts
@@ -3,6 +3,7 @@
  * peers, with the last status that it received from each. A gate controls the
  * access to the backend server of its VM.
  */
+import type {EvacuatedDomains} from '../evacuation/evacuated_domains.js';
 import type {Gate} from '../gate/gate.js';
 import type {GateClient} from '../gate/work.js';
 import type {Vm} from '../model.js';
@@ -23,14 +24,24 @@
   readonly #self: Vm;
   readonly #local: Gate;
   readonly #peers: Peers;
+  readonly #evacuated: Pick<EvacuatedDomains, 'has'>;
 
-  constructor(self: Vm, local: Gate, peers: Peers) {
+  constructor(
+    self: Vm,
+    local: Gate,
+    peers: Peers,
+    evacuated: Pick<EvacuatedDomains, 'has'>,
+  ) {
     this.#self = self;
     this.#local = local;
     this.#peers = peers;
+    this.#evacuated = evacuated;
   }
 
-  /** Returns the gates whose backend server belongs to the service. */
+  /**
+   * Returns the gates whose backend server belongs to the service, without those
+   * in evacuated failure domains.
+   */
   forService(service: string): readonly GateCandidate[] {
     return [...this.#localGate(), ...this.#peerGates()].filter(
       ({backend}) => backend.service === service,
@@ -44,7 +55,7 @@
 
   #localGate(): readonly GateCandidate[] {
     const backend = this.#local.status;
-    if (!backend) return [];
+    if (!backend || this.#evacuated.has(this.#self.failureDomain)) return [];
     return [
       {
         vm: this.#self.id,
@@ -64,6 +75,7 @@
       const backend = link.isReachable ? link.status?.backend : undefined;
       if (!backend || link.status?.isStopping) return [];
       const {id, failureDomain} = link.vm;
+      if (this.#evacuated.has(failureDomain)) return [];
       return [
         {
           vm: id,
--- a/src/mesh/router/slot_search.ts
+++ b/src/mesh/router/slot_search.ts
@@ -46,13 +46,36 @@
 /** Maximum number of gates that a request queues at concurrently. */
 const MAX_QUEUES = 3;
 
+/**
+ * A gate may know of an evacuation before this router does; the gate's status,
+ * which excludes it, arrives within milliseconds.
+ */
+const MAX_SEARCHES_AGAIN = 2;
+
 /** Abort reason for the queues at the other gates. */
 const SLOT_FOUND_ELSEWHERE = new Error('a slot was reserved at another gate');
 
-/** Searches for a slot and reserves it. */
+/**
+ * Searches for a slot and reserves it. If the gates that it queued at were
+ * evacuated meanwhile, it searches again at the others.
+ */
 export async function findSlot(
   gates: Pick<Gates, 'forService'>,
   search: SlotSearch,
+): Promise<FoundSlot | Declined> {
+  let result = await searchOnce(gates, search);
+  for (let again = 0; again < MAX_SEARCHES_AGAIN; again += 1) {
+    const isEvacuated =
+      result.kind === 'declined' && result.reason === 'evacuated';
+    if (!isEvacuated || search.signal.aborted) break;
+    result = await searchOnce(gates, search);
+  }
+  return result;
+}
+
+async function searchOnce(
+  gates: Pick<Gates, 'forService'>,
+  search: SlotSearch,
 ): Promise<FoundSlot | Declined> {
   const ranked = rankGates(gates, search);
   if (ranked.length === 0) return declined('no-instance');
--- a/src/mesh/settings.ts
+++ b/src/mesh/settings.ts
@@ -23,6 +23,13 @@
   store: z.object({address}),
   /** True if the whole fleet is started for the first time. */
   isFirstStart: z.boolean(),
+  /** Whether operators can evacuate failure domains; absent: they can't. */
+  evacuation: z
+    .object({
+      /** Time from the request to the last request to an instance there. */
+      applyMs: z.number().positive(),
+    })
+    .optional(),
   /** How long a stopping process has before it is killed. */
   stopTimeoutS: nonNegative,
   /** Whether requests that end the instances that run them are refused. */
