--- a/src/mesh/gate/cold_pacing.ts
+++ b/src/mesh/gate/cold_pacing.ts
@@ -15,8 +15,9 @@
 /** The limit that applies to the turns of a cold instance. */
 export interface TurnLimit {
   readonly perS: number;
+  readonly burst: number;
   /** Least wait for a turn, whatever the rate is. */
-  readonly waitMs: () => number;
+  readonly minWaitMs: () => number;
 }
 
 /** Options of {@link ColdPacing}. */
@@ -34,6 +35,14 @@
   readonly signal: AbortSignal;
 }
 
+/** The monotonic clock starts with the process; no earlier one sent since. */
+const PROCESS_START_MS = 0;
+/**
+ * Turns that may follow each other without a pause. With 1, the turns that
+ * nobody wants for a moment are lost: a fleet of cold instances refused 13 and
+ * 21% of a load of four fifths of its rate.
+ */
+const BURST = 3;
 /** Longest time that a request with a turn is held; then it goes elsewhere. */
 const MAX_HOLD_MS = 500;
 /** A held request notices that its caller has gone within this time. */
@@ -45,7 +54,7 @@
 export class ColdPacing {
   readonly #options: ColdPacingOptions;
   readonly #state = new ColdState(performance.now());
-  readonly #window = new SendWindow(performance.now());
+  readonly #window = new SendWindow(PROCESS_START_MS);
   #pace: ColdPace | undefined;
   #timer: NodeJS.Timeout | undefined;
   #hasLoggedInvalid = false;
@@ -117,8 +126,9 @@
     if (isSame) return;
     this.#options.metrics.setColdLimit(pace?.perS);
     if (isKnown(pace) || isKnown(before)) this.#logChange(pace, before);
-    const waitMs = () => this.#sendWaitMs();
-    this.#options.onLimit(pace && {perS: pace.perS, waitMs});
+    const minWaitMs = () => this.#sendWaitMs();
+    const burst = BURST;
+    this.#options.onLimit(pace && {perS: pace.perS, burst, minWaitMs});
   }
 
   #logChange(pace: ColdPace | undefined, before: ColdPace | undefined): void {
--- a/src/mesh/gate/rate_pacer.ts
+++ b/src/mesh/gate/rate_pacer.ts
@@ -28,16 +28,22 @@
   readonly isAbandoned: () => boolean;
 }
 
-/** The least wait for a turn, in milliseconds, whatever the limit is. */
-export type MinWait = () => number;
-const NO_WAIT: MinWait = () => 0;
+/** What applies beside a limit. */
+export interface PacerOptions {
+  /** Requests that may follow each other without a pause. */
+  readonly burst: number;
+  /** The least wait for a turn, in milliseconds, whatever the limit is. */
+  readonly minWaitMs: () => number;
+}
+
+const DEFAULT_OPTIONS: PacerOptions = {burst: BURST, minWaitMs: () => 0};
 
 /** The pacer of one instance. */
 export class RatePacer {
   readonly #turns = new PQueue({concurrency: 1});
   #limitPerS: number | undefined;
   #bucket: TokenBucket | undefined;
-  #minWaitMs: MinWait = NO_WAIT;
+  #minWaitMs = DEFAULT_OPTIONS.minWaitMs;
 
   /** The limit in force, in requests per second; undefined without one. */
   get limitPerS(): number | undefined {
@@ -45,9 +51,9 @@
   }
 
   /** Sets the limit; undefined removes it. */
-  setLimit(limitPerS: number | undefined, minWaitMs = NO_WAIT): void {
+  setLimit(limitPerS: number | undefined, options = DEFAULT_OPTIONS): void {
     this.#limitPerS = limitPerS;
-    this.#minWaitMs = minWaitMs;
+    this.#minWaitMs = options.minWaitMs;
     if (limitPerS === undefined) {
       this.#bucket = undefined;
       return;
@@ -55,7 +61,7 @@
     const nowMs = performance.now();
     const params = {
       tokensPerS: Math.max(MIN_RATE_PER_S, limitPerS),
-      capacity: BURST,
+      capacity: options.burst,
     };
     // The request whose response named the limit has just been taken.
     this.#bucket ??= new TokenBucket(params, 0, nowMs);
--- a/src/mesh/gate/send_window.ts
+++ b/src/mesh/gate/send_window.ts
@@ -17,11 +17,11 @@
   #sentAtMs: number[] = [];
 
   /**
-   * A process that ran here before may have used up the current second, so a
-   * new window is full until that second has passed.
+   * A process that ran here before may have used up the second in which this
+   * one started, so a new window is full until that second has passed.
    */
-  constructor(nowMs: number) {
-    this.#blockedUntilMs = nowMs + COUNTED_FOR_MS;
+  constructor(startedAtMs: number) {
+    this.#blockedUntilMs = startedAtMs + COUNTED_FOR_MS;
   }
 
   /** Records that a request is sent now. */
--- a/src/mesh/gate/slot_queue.ts
+++ b/src/mesh/gate/slot_queue.ts
@@ -78,11 +78,13 @@
   }
 
   #applyLimits(): void {
-    const limits = [this.#namedPerS, this.#coldLimit?.perS].filter(
-      limit => limit !== undefined,
-    );
-    const lowestPerS = limits.length > 0 ? Math.min(...limits) : undefined;
-    this.#pacer.setLimit(lowestPerS, this.#coldLimit?.waitMs);
+    const {perS: coldPerS = Infinity} = this.#coldLimit ?? {};
+    const namedPerS = this.#namedPerS ?? Infinity;
+    const lowestPerS = Math.min(namedPerS, coldPerS);
+    if (lowestPerS === Infinity) return this.#pacer.setLimit(undefined);
+    const {minWaitMs = () => 0, burst = 1} = this.#coldLimit ?? {};
+    const isCold = coldPerS <= namedPerS;
+    this.#pacer.setLimit(lowestPerS, {burst: isCold ? burst : 1, minWaitMs});
   }
 
   /**
