Test evacuations, and tell nothing of a gate before they are known

A gate that doesn't know the evacuations yet reported itself as draining, so that routers counted it as there and refused requests at once instead of waiting for the first gate after a mass restart. It now has no status until they are known.

Without searching again, requests that wait only at gates of the evacuated domain are refused with 503; the new scenario fails then.

--- a/features/support/mesh_fleet.ts
+++ b/features/support/mesh_fleet.ts
@@ -220,6 +220,10 @@
 export class MeshFleet {
   readonly vms: MeshVm[] = [];
   readonly lines: LogLine[] = [];
+  /** Failure domains of the VMs, in order; if empty, all are in `test`. */
+  domains: readonly string[] = [];
+  /** Whether failure domains can be evacuated. */
+  canEvacuate = false;
   #heldReader: HeldReader | undefined;
 
   /** Starts a fleet, and waits until all daemons are connected. */
@@ -234,7 +238,10 @@
   async launch(services: readonly string[], slots: number): Promise<void> {
     for (const [index, service] of services.entries()) {
       const log = this.#log();
-      this.vms.push(await startVm({id: `vm-${index}`, service, slots, log}));
+      const domain = this.domains[index] ?? 'test';
+      const {canEvacuate} = this;
+      const plan = {id: `vm-${index}`, service, slots, domain, canEvacuate};
+      this.vms.push(await startVm({...plan, log}));
     }
     const all = this.vms.map(({daemon}) => daemon.self);
     this.vms.forEach(({daemon}) => daemon.peers.applyList(all));
@@ -256,7 +263,10 @@
   get isConnected(): boolean {
     return this.vms.every(({daemon}) => {
       const links = daemon.peers.links;
-      const heard = links.filter(link => link.status?.backend);
+      // Gates tell nothing before they know of evacuations.
+      const heard = links.filter(({status}) =>
+        this.canEvacuate ? status : status?.backend,
+      );
       return heard.length === this.vms.length - 1;
     });
   }
@@ -310,18 +320,23 @@
   slots,
   log,
   peers = ANY_PORT,
+  domain = 'test',
+  canEvacuate = false,
 }: {
   readonly id: string;
   readonly service: string;
   readonly slots: number;
   readonly log: DecisionLog;
   readonly peers?: string;
+  readonly domain?: string;
+  readonly canEvacuate?: boolean;
 }): Promise<MeshVm> {
   const backend = new MeshBackend();
   const address = await backend.start();
   const daemon = new MeshDaemon({
     settings: {
-      vm: {id, failureDomain: 'test'},
+      vm: {id, failureDomain: domain},
+      ...(canEvacuate ? {evacuation: {applyMs: 5000}} : {}),
       listen: {
         callers: ANY_PORT,
         readiness: ANY_PORT,
--- a/features/support/platform_store.ts
+++ b/features/support/platform_store.ts
@@ -79,6 +79,10 @@
   answersWatchesAtOnce = false;
   /** Every watch reports the last change again, and every page says more. */
   repeatsAnswers = false;
+  /** Most items in one page of a range. */
+  pageSize = Infinity;
+  /** Called after each page of a range. */
+  onPage: (() => void) | undefined;
   /** Number of reads of one item and of watches. */
   reads = 0;
   /** Every call so far, with the range that it was about. */
@@ -98,9 +102,15 @@
 
   readonly #handlers: Readonly<Record<string, Handler>> = {
     'GET /kv-range': (url, _, res) => {
-      const items = this.#itemsUnder(url.searchParams.get('PathPrefix') ?? '');
-      const HasMore = this.repeatsAnswers;
+      const prefix = url.searchParams.get('PathPrefix') ?? '';
+      const after = this.repeatsAnswers ? null : url.searchParams.get('after');
+      const rest = this.#itemsUnder(prefix)
+        .filter(({Key}) => after === null || Key > after)
+        .toSorted((a, b) => (a.Key < b.Key ? -1 : 1));
+      const items = rest.slice(0, this.pageSize);
+      const HasMore = this.repeatsAnswers || rest.length > items.length;
       send(res, 200, {items, HasMore, AsOf: this.#revision});
+      this.onPage?.();
     },
     'GET /kv-watch': (url, _, res) => this.#watch(url, res),
     'POST /kv-txn': (_, body, res) => {
@@ -145,6 +155,11 @@
     this.#history = [...this.#history, item];
   }
 
+  /** Removes an item as the operators would. */
+  remove(key: string): void {
+    this.#remove(key);
+  }
+
   /** Writes a configuration document as the operators do. */
   writeConfiguration(document: string): void {
     const Value = Buffer.from(document).toString('base64');
--- a/src/mesh/gate/gate.ts
+++ b/src/mesh/gate/gate.ts
@@ -73,10 +73,13 @@
     isStarted = true;
   }
 
-  /** The status for routers; undefined before the first heartbeat. */
+  /**
+   * The status for routers; undefined before the first heartbeat, and before it
+   * is known whether this VM's failure domain is evacuated.
+   */
   get status(): BackendStatus | undefined {
     const known = this.#identity.known;
-    if (!known) return undefined;
+    if (!known || this.#domainState === 'unknown') return undefined;
     const nowMs = performance.now();
     return {
       instance: known.instance,
