--- a/spec/specifications.feature
+++ b/spec/specifications.feature
@@ -128,3 +128,18 @@
       | askRecovered        |
       | waitForOpenCalls    |
       | vouchByMajority     |
+
+  Scenario: Evacuations are safe
+    When "evacuation" is explored
+    Then no state is unsafe
+
+  Scenario Outline: Evacuations need each of their rules
+    When "evacuation" is explored without the rule "<rule>"
+    Then an unsafe state is found
+
+    Examples:
+      | rule          |
+      | readFirst     |
+      | checkUse      |
+      | replaceByRead |
+      | readAfterLoss |
--- a/spec/steps/specification_steps.ts
+++ b/spec/steps/specification_steps.ts
@@ -6,6 +6,7 @@
 import {configurationOrder} from '../configuration_order.js';
 import {escrow, ESCROW_RULES} from '../escrow.js';
 import {ejectionFloor} from '../ejection_floor.js';
+import {evacuation, EVACUATION_RULES} from '../evacuation.js';
 import {explore, rulesWithout, type Exploration} from '../explore.js';
 import {quarantine, QUARANTINE_RULES} from '../quarantine.js';
 import {repeatTokens, REPEAT_TOKENS_RULES} from '../repeat_tokens.js';
@@ -48,6 +49,8 @@
     explore(configurationOrder(rulesWithout(ORDER_RULES, without))),
   quarantine: without =>
     explore(quarantine(rulesWithout(QUARANTINE_RULES, without))),
+  evacuation: without =>
+    explore(evacuation(rulesWithout(EVACUATION_RULES, without))),
   'repeat tokens': without =>
     explore(repeatTokens(rulesWithout(REPEAT_TOKENS_RULES, without))),
   'ejection floor': without =>
