--- a/features/platform_evacuation.feature
+++ b/features/platform_evacuation.feature
@@ -95,3 +95,27 @@
       | op/evacuate   |
       | op/evacuated/a |
       | op/other      |
+
+  # Guards against a daemon that sends requests to its own instance although the
+  # domain was evacuated before the daemon was started.
+  Scenario Outline: A daemon that starts in an evacuated domain <does>
+    Given the operators evacuate "a"
+    And the settings have evacuation <setting>
+    And the process of a mesh daemon whose instance takes 1 ms
+    When a caller sends one request
+    Then the caller gets status <status>, and the instance got <seen> requests
+
+    Examples:
+      | does                                    | setting          | status | seen |
+      | sends its instance nothing              | {"applyMs":5000} | 503    | 0    |
+      | sends its instance requests, if not set | null             | 200    | 1    |
+
+  Scenario Outline: Settings with evacuation <value> are rejected
+    When settings with evacuation <value> are checked
+    Then they are rejected, and the reason names "<path>"
+
+    Examples:
+      | value           | path               |
+      | {"applyMs":0}   | evacuation.applyMs |
+      | {"applyMs":"5"} | evacuation.applyMs |
+      | {}              | evacuation.applyMs |
--- a/features/steps/platform_evacuation_steps.ts
+++ b/features/steps/platform_evacuation_steps.ts
@@ -1,13 +1,19 @@
 /** Steps for evacuations in the stand-in for the platform's store. */
 import assert from 'node:assert/strict';
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {Given, Then, When} from '@cucumber/cucumber';
 import {StoreFollower} from '../../platform/store_follower.js';
+import {reasonOf} from '../../src/errors/failure.js';
 import {EvacuatedDomains} from '../../src/mesh/evacuation/evacuated_domains.js';
 import {MeshMetrics} from '../../src/mesh/mesh_metrics.js';
+import {loadMeshSettings} from '../../src/mesh/settings.js';
 import {until} from '../support/fleet.js';
 import type {PlatformStore} from '../support/platform_store.js';
 import {stateOf} from './platform_adapter_steps.js';
+import {configureProcess, daemonOf, post} from './platform_process_steps.js';
 
 /** One daemon that follows evacuations. */
 interface Follower {
@@ -166,3 +172,41 @@
     assert.deepEqual(operationsOn(other), []);
   },
 );
+
+Given(/^the settings have evacuation (.+)$/, function (value: string) {
+  const evacuation: unknown = JSON.parse(value);
+  configureProcess(this, {settings: evacuation ? {evacuation} : {}});
+});
+
+When('a caller sends one request', async function () {
+  const daemon = daemonOf(this);
+  daemon.status = await post(daemon.callers);
+});
+
+Then(
+  'the caller gets status {int}, and the instance got {int} requests',
+  function (status: number, seen: number) {
+    const daemon = daemonOf(this);
+    assert.deepEqual([daemon.status, daemon.seen.length], [status, seen]);
+  },
+);
+
+When(/^settings with evacuation (.+) are checked$/, function (value: string) {
+  const folder = mkdtempSync(path.join(tmpdir(), 'mesh-settings-'));
+  const file = path.join(folder, 'settings.json');
+  writeFileSync(file, JSON.stringify({evacuation: JSON.parse(value)}));
+  try {
+    loadMeshSettings(file);
+  } catch (err) {
+    stateOf(this).rejectionReason = reasonOf(err);
+  } finally {
+    rmSync(folder, {recursive: true});
+  }
+});
+
+Then(
+  'they are rejected, and the reason names {string}',
+  function (name: string) {
+    assert.match(stateOf(this).rejectionReason, new RegExp(name));
+  },
+);
--- a/features/steps/platform_process_steps.ts
+++ b/features/steps/platform_process_steps.ts
@@ -5,6 +5,7 @@
   createServer,
   request,
   type RequestListener,
+  type ServerResponse,
   type Server,
 } from 'node:http';
 import {tmpdir} from 'node:os';
@@ -84,6 +85,34 @@
   },
 );
 
+/** What differs from the usual in the daemon process of a scenario. */
+export interface ProcessOptions {
+  /** Settings beside the usual ones. */
+  readonly settings?: Readonly<Record<string, unknown>>;
+  /** The remaining warm-up that the health path names. */
+  readonly warmupRemaining?: string;
+}
+
+const processOptions = new WeakMap<object, ProcessOptions>();
+
+function processOptionsOf(world: object): ProcessOptions {
+  return processOptions.get(world) ?? {};
+}
+
+/** Changes what differs; called before the process is started. */
+export function configureProcess(world: object, options: ProcessOptions): void {
+  processOptions.set(world, {...processOptionsOf(world), ...options});
+}
+
+function answerHealth(
+  res: ServerResponse,
+  {warmupRemaining}: ProcessOptions,
+): void {
+  if (warmupRemaining !== undefined)
+    res.setHeader(NAMES.warmupLeft, warmupRemaining);
+  res.end();
+}
+
 /** The backend server of a daemon, and the daemon's settings. */
 async function prepareDaemon(
   world: object,
@@ -92,7 +121,8 @@
   const seen: string[] = [];
   const backend = createServer((req, res) => {
     res.setHeader(NAMES.instance, INSTANCE);
-    if (req.url === '/health') return res.end();
+    if (req.url === '/health')
+      return answerHealth(res, processOptionsOf(world));
     const id = String(req.headers[NAMES.requestId]);
     seen.push(id);
     res.setHeader(NAMES.requestId, id);
@@ -116,6 +146,7 @@
     isFirstStart: false,
     stopTimeoutS: 6,
     repeats: {ratio: 0.2, windowS: 10, slack: 60},
+    ...processOptionsOf(world).settings,
   };
   writeFileSync(path.join(folder, SETTINGS_FILE), JSON.stringify(settings));
   return {backend, folder, listens, callers: listens.callers, seen};
