--- a/features/steps/mesh_path_steps.ts
+++ b/features/steps/mesh_path_steps.ts
@@ -78,7 +78,9 @@
       {name: 'big', keys: ['key-big'], ratePerS: 0, burst: 0},
       {name: 'small', keys: ['key-small'], ratePerS: 1, burst: 6},
     ],
-    services: [{name: SERVICE, healthPath: '/health'}],
+    services: [
+      {name: SERVICE, healthPath: '/health', warmupMs: 0, coldPerS: 0},
+    ],
     limits: {
       maxBodyBytes: 1_000_000,
       headerTimeoutMs: 5000,
--- a/src/mesh/mesh_daemon.ts
+++ b/src/mesh/mesh_daemon.ts
@@ -302,8 +302,9 @@
     return services.find(({name}) => name === service);
   }
 
-  #adoptProbe(found: ProbeResult): void {
-    const {instance, slots = 1, coldForMs, invalidWarmup} = found;
+  #adoptProbe(found: ProbeResult, {coldPerS}: ServiceRecord): void {
+    const {instance, slots = 1, invalidWarmup} = found;
+    const coldForMs = coldPerS === 0 ? undefined : found.coldForMs;
     if (invalidWarmup !== undefined) {
       const fields = {instance, invalidWarmup};
       this.#options.log.belief('backend-warmup-invalid', fields);
@@ -323,7 +324,7 @@
       if (this.gate.status) return;
       try {
         const found = await this.#exchange.probe(record.healthPath);
-        if (found) return this.#adoptProbe(found);
+        if (found) return this.#adoptProbe(found, record);
       } catch (err) {
         const reason = reasonOf(err);
         this.#options.log.belief('backend-probe-failed', {service, reason});
