Share the slots of an instance among customers

Cause: the queue of a gate is ordered by priority and age, so while capacity is short a customer at seven times its load delays all others as much as itself. One mean hold time for all routes decides the expected wait, though lookups of 171 ms share instances with reads of 2,250 ms.

Change: with `scheduling.customerShares: equal`, the customers of one priority are served by start-time fair queueing, and the requests of one customer by the time that they can still wait, at most 2 s of it. With `none`, the default, the order is as before. A request that gives up leaves the queue at once. Waiting reservations carry the customer in a field that old daemons skip. The expected wait goes by the hold time of each route.

Ruled out: the sum of the work ahead divided by the slots as the estimate; it exceeds the real wait when one of several slots is about to be free. The lower of a schedule by mean hold times and the memoryless estimate used before is taken instead. Charging actual hold times: they are known too late.

--- a/features/support/mesh_fleet.ts
+++ b/features/support/mesh_fleet.ts
@@ -14,6 +14,7 @@
 import {listen} from '../../src/http/listener.js';
 import type {DecisionLog, LogFields} from '../../src/log/decision_log.js';
 import {DEFAULT_HEADER_NAMES as NAMES} from '../../src/mesh/header_names.js';
+import type {CustomerShares} from '../../src/mesh/gate/queue_place.js';
 import {MeshDaemon} from '../../src/mesh/mesh_daemon.js';
 import {MeshMetrics} from '../../src/mesh/mesh_metrics.js';
 import type {FleetConfiguration, Route} from '../../src/mesh/model.js';
@@ -220,6 +221,8 @@
 export class MeshFleet {
   readonly vms: MeshVm[] = [];
   readonly lines: LogLine[] = [];
+  /** The setting of daemons that are started from now on. */
+  customerShares: CustomerShares = 'none';
   #heldReader: HeldReader | undefined;
 
   /** Starts a fleet, and waits until all daemons are connected. */
@@ -234,7 +237,9 @@
   async launch(services: readonly string[], slots: number): Promise<void> {
     for (const [index, service] of services.entries()) {
       const log = this.#log();
-      this.vms.push(await startVm({id: `vm-${index}`, service, slots, log}));
+      const id = `vm-${index}`;
+      const {customerShares} = this;
+      this.vms.push(await startVm({id, service, slots, log, customerShares}));
     }
     const all = this.vms.map(({daemon}) => daemon.self);
     this.vms.forEach(({daemon}) => daemon.peers.applyList(all));
@@ -247,7 +252,10 @@
     service: string,
     slots: number,
   ): Promise<void> {
-    const vm = await startVm({id, service, slots, log: this.#log(), peers});
+    const {customerShares} = this;
+    const log = this.#log();
+    const options = {id, service, slots, log, peers, customerShares};
+    const vm = await startVm(options);
     vm.daemon.peers.applyList(this.vms.map(({daemon}) => daemon.self));
     this.vms.push(vm);
   }
@@ -310,12 +318,14 @@
   slots,
   log,
   peers = ANY_PORT,
+  customerShares,
 }: {
   readonly id: string;
   readonly service: string;
   readonly slots: number;
   readonly log: DecisionLog;
   readonly peers?: string;
+  readonly customerShares: CustomerShares;
 }): Promise<MeshVm> {
   const backend = new MeshBackend();
   const address = await backend.start();
@@ -334,6 +344,7 @@
       isFirstStart: true,
       stopTimeoutS: 3,
       quarantinesRequests: true,
+      scheduling: {customerShares},
       repeats: {ratio: 0.2, windowS: 10, slack: 60},
     },
     names: NAMES,
--- a/src/mesh/gate/gate.ts
+++ b/src/mesh/gate/gate.ts
@@ -14,6 +14,8 @@
 import type {InstanceNotice} from './instance_notice.js';
 import {queueTimeoutMs} from './queue_timeout.js';
 import {ResponseTimes} from './response_times.js';
+import type {CustomerShares} from './queue_place.js';
+import {QueueReport} from './queue_report.js';
 import {SlotQueue, type Slot} from './slot_queue.js';
 import {OutlierDetector, type FailureKind} from './outlier_detector.js';
 import {
@@ -35,6 +37,10 @@
   readonly metrics: MeshMetrics;
   /** Called when routers should be notified of a change at once. */
   readonly onChange: () => void;
+  /** `none` if omitted. */
+  readonly customerShares?: CustomerShares;
+  /** The weight of a customer; 1 if omitted. */
+  readonly weightOf?: (customer: string) => number;
 }
 
 /** A reserved slot that is not used within this time is released. */
@@ -49,13 +55,18 @@
   readonly inFlight = new InFlightRequests();
   readonly #options: GateOptions;
   readonly #identity = new BackendIdentity();
-  readonly #slots = new SlotQueue();
+  readonly #slots: SlotQueue;
   #outliers = new OutlierDetector();
   readonly #responseTimes = new ResponseTimes();
   #isStopping = false;
 
   constructor(options: GateOptions) {
     this.#options = options;
+    const report = new QueueReport(options);
+    this.#slots = new SlotQueue({
+      ...options,
+      onEnd: (waiter, end) => report.record(waiter, end),
+    });
   }
 
   /** The status for routers; undefined before the first heartbeat. */
@@ -126,11 +137,9 @@
   ): Promise<Reservation | Declined> {
     const decline = this.#checkAdmission(request, this.#slots.running);
     if (decline) return decline;
-    const {priority} = request;
-    const timeoutMs = this.#queueTimeoutMs(request);
     const slot = await this.#slots.acquire({
-      priority,
-      queueTimeoutMs: timeoutMs,
+      ...request,
+      queueTimeoutMs: this.#queueTimeoutMs(request),
       signal,
     });
     if (slot.kind === 'declined') return slot;
--- a/src/mesh/gate/rate_pacer.ts
+++ b/src/mesh/gate/rate_pacer.ts
@@ -8,8 +8,9 @@
  * some seconds, while routers still see free slots there.
  */
 import {setTimeout as sleep} from 'node:timers/promises';
-import PQueue from 'p-queue';
 import {TokenBucket} from '../limits/token_bucket.js';
+import {FairQueue, type Place} from './fair_queue.js';
+import {createFairTurns, type Task} from './fair_turns.js';
 
 /**
  * The lowest rate, in requests per second. Only a response tells that the limit
@@ -23,14 +24,15 @@
 
 /** A request that waits for its turn. */
 export interface PacedRequest {
-  /** 0 is the most urgent. */
-  readonly priority: number;
+  readonly place: Place;
   readonly isAbandoned: () => boolean;
 }
 
 /** The pacer of one instance. */
 export class RatePacer {
-  readonly #turns = new PQueue({concurrency: 1});
+  /** The requests that wait for a turn, without the one whose turn is next. */
+  readonly order = new FairQueue<Task>();
+  readonly #turns = createFairTurns(this.order);
   #limitPerS: number | undefined;
   #bucket: TokenBucket | undefined;
 
@@ -39,6 +41,11 @@
     return this.#limitPerS;
   }
 
+  /** Number of requests, 0 or 1, that are next and wait for their token. */
+  get dueTurns(): number {
+    return this.#turns.pending;
+  }
+
   /** Sets the limit that the instance named last; undefined removes it. */
   setLimit(limitPerS: number | undefined): void {
     this.#limitPerS = limitPerS;
@@ -65,13 +72,13 @@
 
   /** Calls `pass` at the request's turn, unless it was abandoned before. */
   async takeTurn(request: PacedRequest, pass: () => unknown): Promise<void> {
-    const {priority, isAbandoned} = request;
+    const {place, isAbandoned} = request;
     const isEmpty = this.#turns.size + this.#turns.pending === 0;
     if (!this.#bucket && isEmpty) return void pass();
     const wait = async () => {
       if (await this.#waitForToken(isAbandoned)) pass();
     };
-    await this.#turns.add(wait, {priority: -priority});
+    await this.#turns.add(wait, {place});
   }
 
   /** Returns the turn of a request that was not sent. */
--- a/src/mesh/gate/slot_queue.ts
+++ b/src/mesh/gate/slot_queue.ts
@@ -1,12 +1,17 @@
 /**
  * The slots of one instance and the queue of requests that wait for one. The
- * most urgent request goes first, then the oldest. A request that is not
- * expected to get a slot within its queue timeout is declined on arrival, not
- * after waiting. While the instance names a rate limit, a request needs its
- * turn within that limit as well as a slot.
+ * most urgent request goes first, then the oldest, or with equal shares the one
+ * whose customer is next. A request that is not expected to get a slot within
+ * its queue timeout is declined on arrival, not after waiting. While the
+ * instance names a rate limit, a request needs its turn within that limit as
+ * well as a slot.
  */
-import PQueue from 'p-queue';
+import {FairQueue, type Place} from './fair_queue.js';
+import {createFairTurns, type Task} from './fair_turns.js';
+import {HoldTimes} from './hold_times.js';
+import {createPlace, type CustomerShares} from './queue_place.js';
 import {RatePacer} from './rate_pacer.js';
+import {estimateWaitMs} from './wait_estimate.js';
 import {declined, type Declined} from './work.js';
 
 /** A held slot. */
@@ -24,37 +29,63 @@
   readonly priority: number;
   readonly queueTimeoutMs: number;
   readonly signal: AbortSignal;
+  readonly requestId?: string;
+  readonly route?: string;
+  /** Undefined: one of the group of requests without a customer. */
+  readonly customer?: string;
 }
 
-/** Weight of the newest hold time in the running mean. */
-const GAIN = 0.1;
-/** Assumed mean hold time until the first request has ended. */
-const INITIAL_HOLD_MS = 200;
+/** How a request left the queue. */
+export interface QueueEnd {
+  readonly result: 'slot' | 'refused' | 'timeout' | 'withdrawn';
+  readonly waitedMs: number;
+  /** The estimate on arrival. */
+  readonly expectedMs: number;
+}
+
+/** Options of {@link SlotQueue}. */
+export interface SlotQueueOptions {
+  readonly customerShares?: CustomerShares;
+  /** The weight of a customer; 1 if omitted. */
+  readonly weightOf?: (customer: string) => number;
+  /** Called when a request that had to wait, or was refused, has left. */
+  readonly onEnd?: (waiter: Waiter, end: QueueEnd) => void;
+}
+
+interface RunningRequest {
+  readonly route: string;
+  readonly sinceMs: number;
+}
 
 /** Slots and queue of one instance. */
 export class SlotQueue {
+  readonly #options: SlotQueueOptions;
   readonly #pacer = new RatePacer();
-  readonly #queue = new PQueue({concurrency: 1});
+  readonly #order = new FairQueue<Task>();
+  readonly #turns = createFairTurns(this.#order);
+  readonly #holdTimes = new HoldTimes();
+  readonly #running = new Set<RunningRequest>();
   #slots = 1;
-  /** Queue length by priority, without requests that left it early. */
-  readonly #waiting = new Map<number, number>();
-  /** Mean time that a request holds a slot. */
-  #holdMs = INITIAL_HOLD_MS;
-  #isFirstHold = true;
+  /** Queue length, without requests that left it early. */
+  #waiting = 0;
+
+  constructor(options: SlotQueueOptions = {}) {
+    this.#options = options;
+  }
 
   get running(): number {
-    return this.#queue.pending;
+    return this.#turns.pending;
   }
 
   /** Number of queued requests. */
   get waiting(): number {
-    return this.#waitingUpTo(Infinity);
+    return this.#waiting;
   }
 
   resize(slots: number): void {
     if (slots === this.#slots) return;
     this.#slots = slots;
-    this.#queue.concurrency = slots;
+    this.#turns.concurrency = slots;
   }
 
   /** The rate limit in force, in requests per second. */
@@ -76,47 +107,67 @@
     return this.#pacer.expectedWaitMs(this.waiting);
   }
 
-  /** How long another request of this priority would wait for a slot. */
-  expectedWaitMs(priority: number): number {
-    const waiting = this.#waitingUpTo(priority);
-    const ahead = this.running + waiting - this.#slots + 1;
-    const slotWaitMs = ahead <= 0 ? 0 : (ahead / this.#slots) * this.#holdMs;
-    return Math.max(slotWaitMs, this.#pacer.expectedWaitMs(waiting));
-  }
-
   /** Waits for a slot; declines at once if the wait would be too long. */
   acquire(waiter: Waiter): Promise<Slot | Declined> {
-    const {priority, queueTimeoutMs, signal} = waiter;
-    const waitMs = this.expectedWaitMs(priority);
+    const {queueTimeoutMs, signal, route = ''} = waiter;
+    const place = createPlace(waiter, {
+      ...this.#options,
+      costMs: this.#holdTimes.meanMs(route),
+    });
+    const expectedMs = this.#expectedWaitMs(place);
+    const arrivedAtMs = performance.now();
+    const report = (result: QueueEnd['result']) => {
+      const waitedMs = performance.now() - arrivedAtMs;
+      this.#options.onEnd?.(waiter, {result, waitedMs, expectedMs});
+    };
     if (signal.aborted) return Promise.resolve(declined('withdrawn'));
-    if (waitMs > queueTimeoutMs)
-      return Promise.resolve(declined(this.#declineReason, waitMs));
+    if (expectedMs > queueTimeoutMs) {
+      report('refused');
+      return Promise.resolve(declined(this.#declineReason, expectedMs));
+    }
+    const onEnd = (result: QueueEnd['result']) => {
+      if (expectedMs > 0 || result !== 'slot') report(result);
+    };
+    return this.#wait(waiter, place, onEnd);
+  }
+
+  #wait(
+    {queueTimeoutMs, signal, route = ''}: Waiter,
+    place: Place,
+    onEnd: (result: QueueEnd['result']) => void,
+  ): Promise<Slot | Declined> {
     return new Promise(resolve => {
       let isSettled = false;
-      const settle = (result: Slot | Declined) => {
+      const settle = (
+        outcome: Slot | Declined,
+        result: QueueEnd['result'] = 'slot',
+      ) => {
         if (isSettled) return;
         isSettled = true;
-        this.#adjustWaiting(priority, -1);
+        this.#waiting -= 1;
         clearTimeout(timer);
         signal.removeEventListener('abort', onAbort);
-        resolve(result);
+        if (result !== 'slot') this.#leave(place);
+        onEnd(result);
+        resolve(outcome);
       };
-      const onAbort = () => settle(declined('withdrawn'));
-      const timer = setTimeout(
-        () =>
-          settle(declined(this.#declineReason, this.expectedWaitMs(priority))),
-        Math.max(1, queueTimeoutMs),
-      );
+      const onAbort = () => settle(declined('withdrawn'), 'withdrawn');
+      const onTimeout = () => {
+        this.#leave(place);
+        const waitMs = this.#expectedWaitMs(place);
+        settle(declined(this.#declineReason, waitMs), 'timeout');
+      };
+      const timer = setTimeout(onTimeout, Math.max(1, queueTimeoutMs));
       signal.addEventListener('abort', onAbort, {once: true});
       const hold = () => {
-        if (!isSettled) return this.#hold(settle);
+        if (!isSettled) return this.#hold(route, settle);
         this.#pacer.returnTurn();
         return Promise.resolve();
       };
       const isAbandoned = () => isSettled;
-      this.#adjustWaiting(priority, 1);
-      void this.#pacer.takeTurn({priority, isAbandoned}, () =>
-        this.#queue.add(hold, {priority: -priority}),
+      this.#waiting += 1;
+      void this.#pacer.takeTurn({place, isAbandoned}, () =>
+        this.#turns.add(hold, {place}),
       );
     });
   }
@@ -125,31 +176,40 @@
     return this.limitPerS === undefined ? 'busy' : 'limited';
   }
 
-  /** Number of queued requests that are at least as urgent. */
-  #waitingUpTo(priority: number): number {
-    return [...this.#waiting].reduce(
-      (sum, [of, count]) => (of <= priority ? sum + count : sum),
-      0,
-    );
+  /** How long a request with this place would wait for a slot. */
+  #expectedWaitMs(place: Place): number {
+    const ahead = [
+      ...this.#pacer.order.ahead(place),
+      ...this.#order.ahead(place),
+    ];
+    const nowMs = performance.now();
+    const slotWaitMs = estimateWaitMs({
+      slots: this.#slots,
+      running: [...this.#running].map(({route, sinceMs}) => ({
+        meanMs: this.#holdTimes.meanMs(route),
+        heldMs: nowMs - sinceMs,
+      })),
+      aheadMs: ahead.map(({costMs}) => costMs),
+    });
+    const turnsAhead = ahead.length + this.#pacer.dueTurns;
+    return Math.max(slotWaitMs, this.#pacer.expectedWaitMs(turnsAhead));
   }
 
-  #adjustWaiting(priority: number, change: number): void {
-    const count = (this.#waiting.get(priority) ?? 0) + change;
-    if (count === 0) this.#waiting.delete(priority);
-    else this.#waiting.set(priority, count);
+  /** Removes a request that no longer waits, and returns its turn if it had one. */
+  #leave(place: Place): void {
+    this.#pacer.order.remove(place);
+    if (this.#order.remove(place)) this.#pacer.returnTurn();
   }
 
   /** Resolves when the slot is released. */
-  #hold(settle: (slot: Slot) => void): Promise<void> {
-    const sinceMs = performance.now();
+  #hold(route: string, settle: (slot: Slot) => void): Promise<void> {
+    const running = {route, sinceMs: performance.now()};
+    this.#running.add(running);
     return new Promise(resolve => {
       let isReleased = false;
       const release = () => {
+        if (!isReleased) this.#recordHold(running);
         isReleased = true;
-        const heldMs = performance.now() - sinceMs;
-        const gain = this.#isFirstHold ? 1 : GAIN;
-        this.#isFirstHold = false;
-        this.#holdMs += gain * (heldMs - this.#holdMs);
         resolve();
       };
       const releaseUnused = () => {
@@ -159,4 +219,10 @@
       settle({kind: 'slot', release, releaseUnused});
     });
   }
+
+  #recordHold(running: RunningRequest): void {
+    this.#running.delete(running);
+    const {route, sinceMs} = running;
+    this.#holdTimes.addSample(route, performance.now() - sinceMs);
+  }
 }
--- a/src/mesh/gate/work.ts
+++ b/src/mesh/gate/work.ts
@@ -15,6 +15,8 @@
   /** Time until a response is of no use; 0: don't wait for a slot. */
   readonly leftMs: number;
   readonly assurance: Assurance;
+  /** Sent only if the request may wait; daemons that don't know it skip it. */
+  readonly customer?: string;
 }
 
 /**
--- a/src/mesh/mesh_daemon.ts
+++ b/src/mesh/mesh_daemon.ts
@@ -15,6 +15,7 @@
 import {BackendClient} from './gate/backend_client.js';
 import {Gate} from './gate/gate.js';
 import type {HeaderNames} from './header_names.js';
+import {buildCustomerWeights} from './gate/customer_weights.js';
 import {buildCustomerLimits} from './limits/customer_limits.js';
 import {RepeatBudget} from './limits/repeat_budget.js';
 import {RepeatCalls} from './limits/repeat_calls.js';
@@ -72,6 +73,7 @@
   readonly #readinessServer: Server;
   readonly #metricsServer: Server;
   #limitsByName: ReadonlyMap<string, Limit> = new Map();
+  #weights: ReadonlyMap<string, number> = new Map();
   readonly #stopDeadline = new StopDeadline();
   #isStopping = false;
   /** The configured address; from `start()` on it has the bound port. */
@@ -91,6 +93,8 @@
       log,
       metrics,
       onChange: () => this.#peerServer.scheduleBroadcast(),
+      customerShares: settings.scheduling.customerShares,
+      weightOf: customer => this.#weights.get(customer) ?? 1,
     });
     this.configurationTracker = new ConfigurationTracker({
       log,
@@ -146,6 +150,7 @@
         log,
         metrics,
         stop: this.#stopDeadline,
+        customerShares: settings.scheduling.customerShares,
         quarantine: this.#quarantine,
       }),
       limits,
@@ -262,6 +267,7 @@
 
   #applyConfiguration(configuration: FleetConfiguration): void {
     this.#limitsByName = buildCustomerLimits(configuration);
+    this.#weights = buildCustomerWeights(configuration);
     this.#callerServer.applyLimits(configuration.limits);
     this.#peerServer.scheduleBroadcast();
     if (!this.gate.status) void this.#probeInstance(configuration);
--- a/src/mesh/mesh_metrics.ts
+++ b/src/mesh/mesh_metrics.ts
@@ -16,6 +16,9 @@
 /** The store normally answers in 4 ms; calls are given up after 1.5 s. */
 const STORE_BUCKETS_S = [0.005, 0.01, 0.05, 0.1, 0.25, 0.5, 1, 1.5];
 
+/** From a slot that is about to be free to the longest queue timeouts. */
+const QUEUE_BUCKETS_S = [0.005, 0.025, 0.1, 0.25, 0.5, 1, 2, 4, 8];
+
 /** How an attempt to connect to a peer ended. */
 export type ConnectOutcome = 'opened' | 'failed';
 
@@ -91,6 +94,19 @@
     help: 'Rate limit that the instance of this VM named last, if any',
     registers: [this.#registry],
   });
+  readonly #queueWait = new Histogram({
+    name: 'chicorycourse_queue_wait_seconds',
+    help: 'Time that requests waited at the gate, by priority and result',
+    labelNames: ['priority', 'result'],
+    buckets: QUEUE_BUCKETS_S,
+    registers: [this.#registry],
+  });
+  readonly #queueExcess = new Counter({
+    name: 'chicorycourse_queue_overestimated_total',
+    help: 'Granted requests that waited less than was expected on arrival',
+    labelNames: ['priority'],
+    registers: [this.#registry],
+  });
   readonly #version = new Gauge({
     name: 'chicorycourse_configuration_version',
     help: 'Version of the configuration in force',
@@ -197,6 +213,15 @@
     this.#storeSeconds.observe({operation}, tookMs / 1000);
   }
 
+  /** `priority` is one of a bounded set of labels. */
+  recordQueueWait(priority: string, result: string, waitedMs: number): void {
+    this.#queueWait.observe({priority, result}, waitedMs / 1000);
+  }
+
+  recordQueueOverestimate(priority: string): void {
+    this.#queueExcess.inc({priority});
+  }
+
   setConfigurationVersion(version: number): void {
     this.#version.set(version);
   }
--- a/src/mesh/model.ts
+++ b/src/mesh/model.ts
@@ -41,6 +41,8 @@
   readonly burst: number;
   /** Overrides the priority of the route. */
   readonly priority?: number;
+  /** Its part of an instance beside other customers; 1 if omitted. */
+  readonly weight?: number;
 }
 
 /** What the operators configure for a service. */
--- a/src/mesh/peers/peer_server.ts
+++ b/src/mesh/peers/peer_server.ts
@@ -9,7 +9,7 @@
 import {listen} from '../../http/listener.js';
 import {StrictServer} from '../../http/strict_server.js';
 import type {DecisionLog} from '../../log/decision_log.js';
-import type {GateClient, Reservation} from '../gate/work.js';
+import type {GateClient, Reservation, SlotRequest} from '../gate/work.js';
 import type {RepeatBudget} from '../limits/repeat_budget.js';
 import type {SharedLimits} from '../limits/shared_limits.js';
 import type {FingerprintRecord} from '../router/query_of_death.js';
@@ -29,6 +29,7 @@
   type RequestFrame,
   type ResponseFrame,
 } from './frames.js';
+import {customerSchema} from './customer_schema.js';
 import {vmSchema} from './vm_schema.js';
 
 /** Options of {@link PeerServer}. */
@@ -167,6 +168,7 @@
   readonly #options: PeerServerOptions;
   readonly #held = new Map<number, HeldReservation>();
   #peerId = 'unknown';
+  #hasSentInvalidCustomer = false;
 
   readonly #handlers: Handlers = {
     hello: frame => {
@@ -243,7 +245,7 @@
       if (!isSettled) this.#send({kind: 'queued', id});
     });
     const result = await this.#options.gate.reserve(
-      frame.slot,
+      this.#checkCustomer(frame.slot),
       held.abort.signal,
     );
     isSettled = true;
@@ -264,6 +266,20 @@
     });
   }
 
+  /** Ignores an invalid customer; the request then counts as one without. */
+  #checkCustomer(slot: SlotRequest): SlotRequest {
+    if (customerSchema.safeParse(slot.customer).success) return slot;
+    if (!this.#hasSentInvalidCustomer) {
+      this.#hasSentInvalidCustomer = true;
+      const {requestId: id} = slot;
+      this.#options.log.belief('peer-customer-invalid', {
+        peer: this.#peerId,
+        id,
+      });
+    }
+    return {...slot, customer: undefined};
+  }
+
   async #run(
     frame: Extract<RequestFrame, {readonly kind: 'run'}>,
   ): Promise<void> {
--- a/src/mesh/router/caller_server.ts
+++ b/src/mesh/router/caller_server.ts
@@ -294,6 +294,7 @@
       route,
       service: pickService(route) ?? '',
       priority: computePriority(route, customer, table),
+      customer: customer?.name,
       method,
       path,
       headers: buildBackendHeaders(req, names, origin),
--- a/src/mesh/router/dispatcher.ts
+++ b/src/mesh/router/dispatcher.ts
@@ -18,6 +18,7 @@
   type Outcome,
   type Work,
 } from '../gate/work.js';
+import type {CustomerShares} from '../gate/queue_place.js';
 import type {RepeatBudget} from '../limits/repeat_budget.js';
 import type {MeshMetrics} from '../mesh_metrics.js';
 import type {Route} from '../model.js';
@@ -35,6 +36,7 @@
   readonly route: Route;
   readonly service: string;
   readonly priority: number;
+  readonly customer?: string;
   readonly method: string;
   readonly path: string;
   readonly headers: readonly string[];
@@ -67,6 +69,8 @@
     'isQuarantined' | 'recordEnd' | 'recordSuccess'
   >;
   readonly stop: StopDeadline;
+  /** Gates are told the customer only with equal shares; `none` if omitted. */
+  readonly customerShares?: CustomerShares;
   readonly log: DecisionLog;
   readonly metrics: MeshMetrics;
 }
@@ -322,11 +326,14 @@
     signal: AbortSignal,
   ): Promise<FoundSlot | Declined> {
     const {id, route, service, priority, deadlineAtMs} = this.#request;
-    return findSlot(this.#options.gates, {
+    const {gates, customerShares} = this.#options;
+    const hasShares = customerShares === 'equal';
+    return findSlot(gates, {
       requestId: id,
       service,
       route: route.name,
       priority,
+      customer: hasShares ? this.#request.customer : undefined,
       objectiveMs: route.objectiveMs,
       isIdempotent: route.isIdempotent,
       bodyBytes: this.#request.body.length,
--- a/src/mesh/router/slot_search.ts
+++ b/src/mesh/router/slot_search.ts
@@ -116,7 +116,7 @@
   const waits = gates.map(async ({vm, gate}) => {
     const leftMs = deadlineAtMs - performance.now();
     const assurance = 'answering';
-    const request = {...toSlotRequest(search), leftMs, assurance} as const;
+    const request = {...toWaitingRequest(search), leftMs, assurance} as const;
     const result = await gate.reserve(request, waitAbort.signal);
     if (result.kind === 'declined') return Promise.reject(new NoSlot(result));
     if (isSlotTaken) {
@@ -151,6 +151,15 @@
   return declines.reduce((a, b) => (b.waitMs < a.waitMs ? b : a));
 }
 
+/** Only requests that wait need a customer, for their order in the queue. */
+function toWaitingRequest(
+  search: SlotSearch,
+): Omit<SlotRequest, 'leftMs' | 'assurance'> {
+  const {customer} = search;
+  const request = toSlotRequest(search);
+  return customer === undefined ? request : {...request, customer};
+}
+
 function toSlotRequest(
   search: SlotSearch,
 ): Omit<SlotRequest, 'leftMs' | 'assurance'> {
--- a/src/mesh/settings.ts
+++ b/src/mesh/settings.ts
@@ -27,6 +27,10 @@
   stopTimeoutS: nonNegative,
   /** Whether requests that end the instances that run them are refused. */
   quarantinesRequests: z.boolean().default(true),
+  /** Whether the customers of one priority get equal shares of an instance. */
+  scheduling: z
+    .object({customerShares: z.enum(['equal', 'none']).default('none')})
+    .default({customerShares: 'none'}),
   repeats: z.object({
     ratio: nonNegative,
     windowS: nonNegative,
