Test that withdrawn requests cost no share, and the estimate behind fresh work

Cause: two changes of the code on a scratch copy passed all scenarios: leaving withdrawn requests in the queue, and an estimate by schedule alone.

Change: one scenario for each, which fail with these changes and pass without.

--- a/features/mesh_fair_sharing.feature
+++ b/features/mesh_fair_sharing.feature
@@ -92,6 +92,13 @@
       | 6     | equal  | 95   |
       | 8     | equal  | 105  |
 
+  # Guards against an estimate that takes requests which have just started to end
+  # all at their mean: with hold times that vary, the first ends long before.
+  Scenario: The expected wait behind requests that have just started, with hold times that vary
+    Given an instance with 8 slots and customer shares "none"
+    When a request arrives just after 8 bookings of 568 ms have started, 5000 times
+    Then it is expected to wait at most 1.1 times as long as it does on average
+
   # Guards against one mean for all routes: lookups behind lookups were refused
   # while reads ran on the other slots.
   Scenario: The hold time of each route decides the expected wait
@@ -121,6 +128,13 @@
       | equal  |
       | none   |
 
+  # Guards against a customer that pays for requests it has withdrawn, or that got
+  # their slots at other gates.
+  Scenario: Withdrawn requests cost their customer nothing
+    Given a gate with customer shares "equal" and 1 busy slot
+    When a customer withdraws 20 of 25 requests, and another sends 5
+    Then both get slots in turn
+
   # Guards against a pacer that serves turns by age while the instance names a limit.
   Scenario: Customers also share the turns within a rate limit
     Given a gate with customer shares "equal" whose instance names a limit of 50 per second
--- a/features/steps/mesh_fair_sharing_steps.ts
+++ b/features/steps/mesh_fair_sharing_steps.ts
@@ -3,8 +3,9 @@
 import {Given, Then, When} from '@cucumber/cucumber';
 import {HoldTimes} from '../../src/mesh/gate/hold_times.js';
 import type {CustomerShares} from '../../src/mesh/gate/queue_place.js';
-import {SlotQueue} from '../../src/mesh/gate/slot_queue.js';
+import {SlotQueue, type Slot} from '../../src/mesh/gate/slot_queue.js';
 import {estimateWaitMs} from '../../src/mesh/gate/wait_estimate.js';
+import type {Declined} from '../../src/mesh/gate/work.js';
 import {SeededRandom} from '../support/seeded_random.js';
 import {
   SimulatedGate,
@@ -24,7 +25,12 @@
   fromMs: number;
   holdTimes: HoldTimes;
   queue: SlotQueue;
+  /** The slots that requests hold at the beginning. */
+  busy: readonly (Slot | Declined)[];
   order: readonly string[];
+  expectedMs: number;
+  /** The mean of the real waits. */
+  waitedMs: number;
 }
 
 const SEED = 70;
@@ -51,7 +57,10 @@
     fromMs: 0,
     holdTimes: new HoldTimes(),
     queue: new SlotQueue(),
+    busy: [],
     order: [],
+    expectedMs: 0,
+    waitedMs: 0,
   } as const satisfies SharingState;
   states.set(world, state);
   return state;
@@ -396,6 +405,30 @@
   },
 );
 
+When(
+  'a request arrives just after {int} bookings of {int} ms have started, {int} times',
+  function (count: number, meanMs: number, times: number) {
+    const state = stateOf(this);
+    const {random, slots} = state;
+    const draw = () => meanMs * exponential(random);
+    const waitsMs = Array.from({length: times}, () =>
+      Math.min(...Array.from({length: count}, draw)),
+    );
+    const running = Array.from({length: count}, () => ({meanMs, heldMs: 0}));
+    state.expectedMs = estimateWaitMs({slots, running, aheadMs: []});
+    state.waitedMs = waitsMs.reduce((sum, ms) => sum + ms, 0) / times;
+  },
+);
+
+Then(
+  'it is expected to wait at most {float} times as long as it does on average',
+  function (factor: number) {
+    const {expectedMs, waitedMs} = stateOf(this);
+    const figures = `${expectedMs} ms, ${waitedMs} ms`;
+    assert.ok(expectedMs > 0 && expectedMs <= factor * waitedMs, figures);
+  },
+);
+
 /** Rounding, and the least wait that is expected while no slot is free. */
 const TOLERANCE_MS = 1.001;
 
@@ -471,16 +504,71 @@
   },
 );
 
+Given(
+  'a gate with customer shares {string} and {int} busy slot(s)',
+  async function (customerShares: CustomerShares, slots: number) {
+    const state = stateOf(this);
+    state.queue = new SlotQueue({customerShares});
+    state.queue.resize(slots);
+    state.busy = await Promise.all(
+      Array.from({length: slots}, () => acquireSlot(state, 'busy').slot),
+    );
+  },
+);
+
+/** Waits for a slot, and can be withdrawn. */
+function acquireSlot(
+  {queue}: SharingState,
+  customer: string,
+): {
+  readonly slot: ReturnType<SlotQueue['acquire']>;
+  readonly withdraw: () => void;
+} {
+  const abort = new AbortController();
+  const {signal} = abort;
+  const waiter = {priority: 0, queueTimeoutMs: 10_000, signal, customer};
+  return {slot: queue.acquire(waiter), withdraw: () => abort.abort()};
+}
+
+When(
+  'a customer withdraws {int} of {int} requests, and another sends {int}',
+  async function (withdrawn: number, count: number, others: number) {
+    const state = stateOf(this);
+    const order: string[] = [];
+    const send = (customer: string, length: number) =>
+      Array.from({length}, () => {
+        const {slot, withdraw} = acquireSlot(state, customer);
+        const ended = slot.then(result => {
+          if (result.kind === 'declined') return;
+          order.push(customer);
+          result.release();
+        });
+        return {ended, withdraw};
+      });
+    const first = send('first', count);
+    first.slice(0, withdrawn).forEach(({withdraw}) => withdraw());
+    const all = [...first, ...send('second', others)];
+    state.busy.forEach(slot => slot.kind === 'slot' && slot.release());
+    await Promise.all(all.map(({ended}) => ended));
+    state.order = order;
+  },
+);
+
+Then('both get slots in turn', function () {
+  const {order} = stateOf(this);
+  assert.ok(order.length > 0);
+  order.forEach((customer, index) =>
+    assert.equal(customer, index % 2 === 0 ? 'first' : 'second'),
+  );
+});
+
 When(
   'a customer has {int} requests waiting and another sends one',
   async function (count: number) {
     const state = stateOf(this);
     const order: string[] = [];
     const acquire = async (customer: string) => {
-      const {signal} = new AbortController();
-      const queueTimeoutMs = 10_000;
-      const waiter = {priority: 0, queueTimeoutMs, signal, customer};
-      const slot = await state.queue.acquire(waiter);
+      const slot = await acquireSlot(state, customer).slot;
       order.push(customer);
       if (slot.kind === 'slot') slot.release();
     };
