--- a/features/support/mesh_fleet.ts
+++ b/features/support/mesh_fleet.ts
@@ -221,24 +221,30 @@
 export class MeshFleet {
   readonly vms: MeshVm[] = [];
   readonly lines: LogLine[] = [];
-  /** The setting of daemons that are started from now on. */
-  customerShares: CustomerShares = 'none';
   #heldReader: HeldReader | undefined;
 
   /** Starts a fleet, and waits until all daemons are connected. */
-  async start(services: readonly string[], slots: number): Promise<void> {
-    await this.launch(services, slots);
+  async start(
+    services: readonly string[],
+    slots: number,
+    shares: readonly CustomerShares[] = [],
+  ): Promise<void> {
+    await this.launch(services, slots, shares);
     while (!this.isConnected) {
       await new Promise(resolve => setTimeout(resolve, 10));
     }
   }
 
   /** Starts `vm-0`, `vm-1` … with one backend server for each service given. */
-  async launch(services: readonly string[], slots: number): Promise<void> {
+  async launch(
+    services: readonly string[],
+    slots: number,
+    shares: readonly CustomerShares[] = [],
+  ): Promise<void> {
     for (const [index, service] of services.entries()) {
       const log = this.#log();
       const id = `vm-${index}`;
-      const {customerShares} = this;
+      const customerShares = shares[index];
       this.vms.push(await startVm({id, service, slots, log, customerShares}));
     }
     const all = this.vms.map(({daemon}) => daemon.self);
@@ -252,10 +258,7 @@
     service: string,
     slots: number,
   ): Promise<void> {
-    const {customerShares} = this;
-    const log = this.#log();
-    const options = {id, service, slots, log, peers, customerShares};
-    const vm = await startVm(options);
+    const vm = await startVm({id, service, slots, log: this.#log(), peers});
     vm.daemon.peers.applyList(this.vms.map(({daemon}) => daemon.self));
     this.vms.push(vm);
   }
@@ -318,14 +321,14 @@
   slots,
   log,
   peers = ANY_PORT,
-  customerShares,
+  customerShares = 'none',
 }: {
   readonly id: string;
   readonly service: string;
   readonly slots: number;
   readonly log: DecisionLog;
   readonly peers?: string;
-  readonly customerShares: CustomerShares;
+  readonly customerShares?: CustomerShares;
 }): Promise<MeshVm> {
   const backend = new MeshBackend();
   const address = await backend.start();
