Keep a part of the retry budget for calls of instances

Cause: when tokens run low, repeats of ordinary requests take them before those of calls that instances make, though a failed call loses all the work of the request that made it.

Change: with `repeats.callReserve` the owner of a budget keeps that part of the issued tokens for requests without a customer, while the service gets any. Two optional fields of payments, which the build before skips; payments without them keep their bytes. A counter of refused repeats by sender.

Ruled out: a queue for tokens (delays the answers of those that get none) and separate budgets (the bounds are for the service as a whole).

--- a/features/mesh_customer_shares.feature
+++ b/features/mesh_customer_shares.feature
@@ -41,6 +41,19 @@
     When a reservation without a customer is encoded
     Then its bytes are those of the build before shares
 
+  # Guards against budgets that lose tokens or charges beside the build before the
+  # reserve for calls.
+  Scenario Outline: A payment <kind> is read by the build before shares
+    When a payment <kind> is encoded
+    Then the build before shares reads its tokens and charges
+    And it is decoded to the same payment
+
+    Examples:
+      | kind                    |
+      | for a call              |
+      | of a service with calls |
+      | without calls           |
+
   # Guards against a customer that is trusted though it is none.
   Scenario Outline: A peer that names <fault> as customer is served as one without
     Given a mesh fleet of 1 VMs with 2 slots each and customer shares "equal"
--- a/features/mesh_repeats.feature
+++ b/features/mesh_repeats.feature
@@ -19,6 +19,41 @@
       | daemons restart one after the other                | 30   |
       | all daemons restart at once                        | 50   |
 
+  # Guards against calls that fail, and lose all the work of the requests that
+  # made them, because repeats of ordinary requests took the last tokens.
+  Scenario Outline: Calls of instances are repeated first while <fault>
+    Given 30 daemons that share a repeat budget and keep 20 percent of it for calls
+    When 70 requests and 40 failures per second, of them 10 and 3 of calls, arrive for 40 seconds while <fault>
+    Then at least <calls> percent of the failed calls are repeated
+    And no 10 second window has more repeats than the budget allows
+    And some 10 second window uses at least 75 percent of the budget
+
+    Examples:
+      | fault                                              | calls |
+      | nothing fails                                      | 95    |
+      | a tenth of the daemons lose the owner each second  | 80    |
+
+  # The share of calls before there was a reserve, which stays the default.
+  Scenario: Without a reserve, calls are repeated as rarely as other requests
+    Given 30 daemons that share a repeat budget
+    When 70 requests and 40 failures per second, of them 10 and 3 of calls, arrive for 40 seconds while nothing fails
+    Then at most 70 percent of the failed calls are repeated
+
+  # Guards against a reserve that takes tokens from services without calls.
+  Scenario: The reserve changes nothing for a service without calls
+    Given 30 daemons that share a repeat budget and keep 20 percent of it for calls
+    When 70 requests and 40 failures per second arrive for 40 seconds while nothing fails
+    Then as many requests are repeated as without a reserve
+
+  # Guards against a reserve that outlasts the calls.
+  Scenario: The reserve ends 10 s after the last call
+    When a reserve of 20 percent has 100 tokens and gets calls until 5000 ms
+    Then it keeps 20 tokens at 14999 ms
+    And it keeps 0 tokens at 15000 ms
+
+  Scenario: In any sequence, only calls take the tokens that are kept for them
+    Then in any sequence of tokens and repeats, others leave the kept tokens, and calls take the last one
+
   # Guards against tokens that accumulate in quiet times and are spent at once.
   Scenario: A budget that was unused for a while is no larger
     Given 30 daemons that share a repeat budget
--- a/features/steps/mesh_customer_share_steps.ts
+++ b/features/steps/mesh_customer_share_steps.ts
@@ -8,7 +8,9 @@
 import type {CustomerShares} from '../../src/mesh/gate/queue_place.js';
 import {DEFAULT_HEADER_NAMES as NAMES} from '../../src/mesh/header_names.js';
 import type {SlotRequest, Work} from '../../src/mesh/gate/work.js';
+import type {RepeatPayment} from '../../src/mesh/limits/repeat_budget.js';
 import {
+  decodeFrame,
   encodeFrame,
   PEER_PATH,
   type RequestFrame,
@@ -72,6 +74,7 @@
 interface ShareState {
   served: readonly ServedRequest[];
   slot: SlotRequest;
+  payment?: RepeatPayment;
   bytes: Buffer;
   outcomes: readonly ResponseFrame[];
 }
@@ -346,6 +349,45 @@
   assert.deepEqual(bytes, Buffer.from(earlierCodec.pack(frame)));
 });
 
+const PAYMENT: RepeatPayment = {
+  service: SERVICE,
+  lots: [[1.25, 1600.5]],
+  spent: 2,
+};
+
+const PAYMENTS: Readonly<Record<string, RepeatPayment>> = {
+  'for a call': {...PAYMENT, isForCall: true},
+  'of a service with calls': {...PAYMENT, hasCalls: true},
+  'without calls': PAYMENT,
+};
+
+When(/^a payment (.+) is encoded$/, function (this: World, kind: string) {
+  const payment = PAYMENTS[kind];
+  assert.ok(payment);
+  const bytes = encodeFrame({kind: 'payment', payment});
+  Object.assign(stateOf(this), {payment, bytes});
+  const isAsBefore = bytes.equals(
+    earlierCodec.pack({kind: 'payment', payment}),
+  );
+  assert.ok(isAsBefore);
+});
+
+Then(
+  'the build before shares reads its tokens and charges',
+  function (this: World) {
+    const frame = earlierCodec.unpack(stateOf(this).bytes) as {
+      readonly payment: RepeatPayment;
+    };
+    const {service, lots, spent} = frame.payment;
+    assert.deepEqual({service, lots, spent}, PAYMENT);
+  },
+);
+
+Then('it is decoded to the same payment', function (this: World) {
+  const {bytes, payment} = stateOf(this);
+  assert.deepEqual(decodeFrame(bytes, 'peer'), {kind: 'payment', payment});
+});
+
 const INVALID_CUSTOMERS: Readonly<Record<string, unknown>> = {
   'a number': 7,
   'an empty name': '',
--- a/features/steps/mesh_repeat_steps.ts
+++ b/features/steps/mesh_repeat_steps.ts
@@ -1,10 +1,12 @@
 /** Steps for the repeat budget; none of them uses a network. */
 import assert from 'node:assert/strict';
 import {Given, Then, When, type DataTable} from '@cucumber/cucumber';
+import fc from 'fast-check';
 import {
   busiestRepeats,
   type RepeatWindow,
 } from '../../src/commands/repeat_windows.js';
+import {CallReserve} from '../../src/mesh/limits/call_reserve.js';
 import {TokenPool} from '../../src/mesh/limits/token_pool.js';
 import {CallingBackend} from '../support/calling_backend.js';
 import {
@@ -46,6 +48,95 @@
   },
 );
 
+Given(
+  '{int} daemons that share a repeat budget and keep {int} percent of it for calls',
+  function (count: number, percent: number) {
+    daemonsOf.set(this, new SimulatedRepeatFleet(count, percent / 100));
+  },
+);
+
+When(
+  /^(\d+) requests and (\d+) failures per second, of them (\d+) and (\d+) of calls, arrive for (\d+) seconds while (.+)$/,
+  async function (
+    requests: string,
+    failed: string,
+    calls: string,
+    failedCalls: string,
+    seconds: string,
+    fault: RepeatFault,
+  ) {
+    const load = {
+      requests: Number(requests),
+      failed: Number(failed),
+      calls: Number(calls),
+      failedCalls: Number(failedCalls),
+    };
+    await daemons(this).run(load, Number(seconds) * 1000, fault);
+  },
+);
+
+Then(
+  /^at (least|most) (\d+) percent of the failed calls are repeated$/,
+  function (bound: 'least' | 'most', percent: string) {
+    const {wanted, granted} = daemons(this).calls;
+    assert.ok(wanted > 0);
+    const share = (100 * granted) / wanted;
+    const isWithin =
+      bound === 'least' ? share >= Number(percent) : share <= Number(percent);
+    assert.ok(isWithin, `${share}`);
+  },
+);
+
+Then('as many requests are repeated as without a reserve', async function () {
+  const without = new SimulatedRepeatFleet(30);
+  const load = {requests: 70, failed: 40};
+  await without.run(load, 40_000, 'nothing fails');
+  assert.ok(without.others.granted > 0);
+  assert.deepEqual(daemons(this).others, without.others);
+});
+
+const reserveOf = new WeakMap<object, CallReserve>();
+
+When(
+  'a reserve of {int} percent has {int} tokens and gets calls until {int} ms',
+  function (percent: number, tokens: number, untilMs: number) {
+    const reserve = new CallReserve(percent / 100);
+    reserve.recordTokens(tokens, Infinity, 0);
+    reserve.recordCalls(untilMs);
+    reserveOf.set(this, reserve);
+  },
+);
+
+Then(
+  'it keeps {int} tokens at {int} ms',
+  function (tokens: number, at: number) {
+    assert.equal(reserveOf.get(this)?.tokensAt(at), tokens);
+  },
+);
+
+Then(
+  'in any sequence of tokens and repeats, others leave the kept tokens, and calls take the last one',
+  () => {
+    const step = fc.record({
+      tokens: fc.integer({min: 0, max: 3}),
+      isCall: fc.boolean(),
+      kept: fc.integer({min: 0, max: 5}),
+    });
+    const property = fc.property(fc.array(step, {maxLength: 60}), steps => {
+      const pool = new TokenPool();
+      steps.forEach(({tokens, isCall, kept}, nowMs) => {
+        if (tokens > 0) pool.add(tokens, nowMs + 10, nowMs);
+        const before = pool.availableAt(nowMs);
+        const keptTokens = isCall ? 0 : kept;
+        const isGranted = pool.take(nowMs, keptTokens);
+        assert.equal(isGranted, before - keptTokens >= 1);
+        assert.equal(pool.availableAt(nowMs), before - (isGranted ? 1 : 0));
+      });
+    });
+    fc.assert(property, {seed: 20, numRuns: 300});
+  },
+);
+
 Then(
   'no 10 second window has more repeats than the budget allows',
   function () {
--- a/features/support/mesh_fleet.ts
+++ b/features/support/mesh_fleet.ts
@@ -348,7 +348,7 @@
       stopTimeoutS: 3,
       quarantinesRequests: true,
       scheduling: {customerShares},
-      repeats: {ratio: 0.2, windowS: 10, slack: 60},
+      repeats: {ratio: 0.2, windowS: 10, slack: 60, callReserve: 0},
     },
     names: NAMES,
     log,
--- a/features/support/simulated_repeat_fleet.ts
+++ b/features/support/simulated_repeat_fleet.ts
@@ -22,6 +22,15 @@
 export interface FleetLoad {
   readonly requests: number;
   readonly failed: number;
+  /** Of the requests and the failures, those of calls made by instances. */
+  readonly calls?: number;
+  readonly failedCalls?: number;
+}
+
+/** Repeats that were wanted and that the budget allowed. */
+interface Granted {
+  wanted: number;
+  granted: number;
 }
 
 interface Daemon {
@@ -36,12 +45,16 @@
 /** The daemons, and the repeats that they sent. */
 export class SimulatedRepeatFleet {
   readonly windows = new RepeatWindows();
+  readonly calls: Granted = {wanted: 0, granted: 0};
+  readonly others: Granted = {wanted: 0, granted: 0};
   readonly #random = new SeededRandom(SEED);
   readonly #reachability: Reachability;
   readonly #daemons: readonly Daemon[];
+  readonly #callReserve: number | undefined;
   #nowMs = 0;
 
-  constructor(count: number) {
+  constructor(count: number, callReserve?: number) {
+    this.#callReserve = callReserve;
     const ids = Array.from({length: count}, (_, index) => `vm-${index}`);
     this.#reachability = new Reachability(ids, () => this.#nowMs);
     this.#daemons = ids.map(id => ({id, budget: this.#budgetOf(id, true)}));
@@ -55,11 +68,14 @@
       if (this.#nowMs % PAYMENT_INTERVAL_MS === 0) this.#sendPayments();
       due.requests += (load.requests * STEP_MS) / 1000;
       for (; due.requests >= 1; due.requests -= 1) {
-        this.#randomDaemon().budget.countRequest(SERVICE);
+        const isCall = this.#isCall(load.calls, load.requests);
+        this.#randomDaemon().budget.countRequest(SERVICE, isCall);
         this.windows.requested(this.#nowMs);
       }
       due.failed += (load.failed * STEP_MS) / 1000;
-      for (; due.failed >= 1; due.failed -= 1) await this.#failRequest();
+      for (; due.failed >= 1; due.failed -= 1) {
+        await this.#failRequest(this.#isCall(load.failedCalls, load.failed));
+      }
     }
   }
 
@@ -86,9 +102,18 @@
     this.#daemons.forEach((_, index) => this.restart(index));
   }
 
-  async #failRequest(): Promise<void> {
-    const {isGranted} = await this.#randomDaemon().budget.take(SERVICE);
+  async #failRequest(isCall: boolean): Promise<void> {
+    const {budget} = this.#randomDaemon();
+    const {isGranted} = await budget.take(SERVICE, isCall);
     if (isGranted) this.windows.repeated(this.#nowMs);
+    const count = isCall ? this.calls : this.others;
+    count.wanted += 1;
+    if (isGranted) count.granted += 1;
+  }
+
+  /** Without calls, no random number is drawn. */
+  #isCall(calls: number | undefined, all: number): boolean {
+    return calls !== undefined && this.#random.next() < calls / all;
   }
 
   #randomDaemon(): Daemon {
@@ -112,7 +137,7 @@
           Promise.resolve(daemonOf(vm)?.budget.grant(payment)),
         pay: (vm, payment) => daemonOf(vm)?.budget.receivePayment(payment),
       },
-      bounds: REPEAT_BOUNDS,
+      bounds: {...REPEAT_BOUNDS, callReserve: this.#callReserve},
       isFirstStart,
       now: () => this.#nowMs,
     });
--- a/src/mesh/limits/repeat_budget.ts
+++ b/src/mesh/limits/repeat_budget.ts
@@ -14,6 +14,7 @@
  * that daemons disagree about who is reachable, while instances fail many
  * requests.
  */
+import {CallReserve} from './call_reserve.js';
 import {FleetCount} from './fleet_count.js';
 import {OwnerSelector, type OwnerCandidates} from './owner_selector.js';
 import {PaymentTimer} from './payment_timer.js';
@@ -26,6 +27,8 @@
   readonly windowS: number;
   /** Allowed repeats per window in addition to the ratio. */
   readonly slack: number;
+  /** Part of the tokens that is kept for calls of instances; 0 if omitted. */
+  readonly callReserve?: number;
 }
 
 /** A number of tokens and the time until they expire. */
@@ -38,6 +41,13 @@
   readonly lots: readonly TokenLot[];
   /** Repeats sent without taking a token: calls that repeats make. */
   readonly spent: number;
+  /**
+   * Whether the token is for a call of an instance, and whether such calls were
+   * counted since the last payment. Left out otherwise, so that the frame keeps
+   * its shape; daemons that don't know these fields skip them.
+   */
+  readonly isForCall?: true;
+  readonly hasCalls?: true;
 }
 
 /** The decision whether a repeat may be sent. */
@@ -90,18 +100,25 @@
   spent: number;
   /** Whether the fixed tokens for the time before the start are due. */
   isInitialDue: boolean;
+  hasCalls: boolean;
   sinceMs: number;
   lastRequestAtMs: number;
 }
 
+/** The budget of one service at its owner. */
+interface OwnedBudget {
+  readonly pool: TokenPool;
+  readonly reserve: CallReserve;
+}
+
 /** One daemon's view of the budgets of all services. */
 export class RepeatBudget {
   readonly #options: RepeatBudgetOptions;
   readonly #ownerSelector: OwnerSelector;
   readonly #now: () => number;
   readonly #unpaid = new Map<string, UnpaidTokens>();
-  /** Pools of the budgets that this daemon owns. */
-  readonly #pools = new Map<string, TokenPool>();
+  /** The budgets that this daemon owns. */
+  readonly #owned = new Map<string, OwnedBudget>();
   readonly #startedAtMs: number;
   readonly #fleetSize: FleetCount;
   readonly #timer = new PaymentTimer(() => this.sendPayments());
@@ -123,8 +140,9 @@
   }
 
   /** Counts a request to a service and issues tokens for it. */
-  countRequest(service: string): void {
+  countRequest(service: string, isCall = false): void {
     const unpaid = this.#unpaidOf(service);
+    unpaid.hasCalls ||= isCall && this.#callReserve > 0;
     const {ratio} = this.#options.bounds;
     unpaid.tokens += ratio * this.#issuedShare('requests');
     unpaid.lastRequestAtMs = this.#now();
@@ -136,10 +154,12 @@
   }
 
   /** Takes a token for one repeat from the owner of the budget. */
-  async take(service: string): Promise<RepeatDecision> {
+  async take(service: string, isCall = false): Promise<RepeatDecision> {
     const {peers} = this.#options;
     const owner = this.ownerOf(service);
-    const payment = this.#collectPayment(service);
+    const collected = this.#collectPayment(service);
+    const isForCall = isCall && this.#callReserve > 0;
+    const payment = isForCall ? {...collected, isForCall} : collected;
     if (owner === peers.selfId) {
       return {isGranted: this.grant(payment), owner};
     }
@@ -154,16 +174,23 @@
   /** Records another daemon's payment and grants it a token if there is one. */
   grant(payment: RepeatPayment): boolean {
     this.receivePayment(payment);
-    return this.#poolOf(payment.service).take(this.#now());
+    const nowMs = this.#now();
+    const {pool, reserve} = this.#ownedOf(payment.service);
+    const isForCall = payment.isForCall === true;
+    return pool.take(nowMs, isForCall ? 0 : reserve.tokensAt(nowMs));
   }
 
   /** Records another daemon's payment. */
-  receivePayment({service, lots, spent}: RepeatPayment): void {
+  receivePayment({service, lots, spent, hasCalls}: RepeatPayment): void {
     const nowMs = this.#now();
-    const pool = this.#poolOf(service);
+    const {pool, reserve} = this.#ownedOf(service);
+    if (hasCalls === true) reserve.recordCalls(nowMs);
     lots
       .filter(([tokens, leftMs]) => tokens > 0 && leftMs > 0)
-      .forEach(([tokens, leftMs]) => pool.add(tokens, nowMs + leftMs, nowMs));
+      .forEach(([tokens, leftMs]) => {
+        pool.add(tokens, nowMs + leftMs, nowMs);
+        reserve.recordTokens(tokens, nowMs + leftMs, nowMs);
+      });
     if (spent > 0) pool.charge(spent, nowMs);
   }
 
@@ -197,11 +224,11 @@
     const unpaid = this.#unpaidOf(service);
     const nowMs = this.#now();
     const {requests, fixed} = TOKEN_LIFETIME_MS;
-    const {tokens, spent, isInitialDue} = unpaid;
+    const {tokens, spent, isInitialDue, hasCalls} = unpaid;
     const elapsedMs = Math.min(fixed, nowMs - unpaid.sinceMs);
     const fixedPerMs = this.#fixedPerMs();
     const isInitialPaid = isInitialDue && fixedPerMs > 0;
-    const reset = {tokens: 0, spent: 0, sinceMs: nowMs};
+    const reset = {tokens: 0, spent: 0, hasCalls: false, sinceMs: nowMs};
     Object.assign(unpaid, reset, {
       isInitialDue: isInitialDue && !isInitialPaid,
     });
@@ -210,7 +237,8 @@
       [fixedPerMs * elapsedMs, fixed - elapsedMs],
       [isInitialPaid ? fixedPerMs * fixed : 0, fixed],
     ];
-    return {service, lots: lots.filter(([count]) => count > 0), spent};
+    const payment = {service, lots: lots.filter(([count]) => count > 0), spent};
+    return hasCalls ? {...payment, hasCalls} : payment;
   }
 
   #unpaidOf(service: string): UnpaidTokens {
@@ -221,6 +249,7 @@
     const unpaid = {
       tokens: 0,
       spent: 0,
+      hasCalls: false,
       isInitialDue: isInStartPeriod && this.#options.isFirstStart,
       sinceMs: nowMs,
       lastRequestAtMs: nowMs,
@@ -238,12 +267,17 @@
     return USABLE_SHARE / (1 + TOKEN_LIFETIME_MS[kind] / windowMs);
   }
 
-  #poolOf(service: string): TokenPool {
-    const known = this.#pools.get(service);
+  #ownedOf(service: string): OwnedBudget {
+    const known = this.#owned.get(service);
     if (known) return known;
-    const pool = new TokenPool();
-    this.#pools.set(service, pool);
-    return pool;
+    const reserve = new CallReserve(this.#callReserve);
+    const owned = {pool: new TokenPool(), reserve};
+    this.#owned.set(service, owned);
+    return owned;
+  }
+
+  get #callReserve(): number {
+    return this.#options.bounds.callReserve ?? 0;
   }
 
   /** Tokens per millisecond of this daemon's part of the fixed number. */
--- a/src/mesh/mesh_metrics.ts
+++ b/src/mesh/mesh_metrics.ts
@@ -51,6 +51,12 @@
     labelNames: ['route', 'reason'],
     registers: [this.#registry],
   });
+  readonly #repeatsOverBudget = new Counter({
+    name: 'chicorycourse_repeats_over_budget_total',
+    help: 'Repeats that the budget did not allow, by who sent the request',
+    labelNames: ['sender'],
+    registers: [this.#registry],
+  });
   readonly #quarantine = new Counter({
     name: 'chicorycourse_quarantine_events_total',
     help: 'What happened to requests during which instances ended',
@@ -170,6 +176,10 @@
     this.#repeats.inc({route, reason});
   }
 
+  recordRepeatOverBudget(isCall: boolean): void {
+    this.#repeatsOverBudget.inc({sender: isCall ? 'instance' : 'caller'});
+  }
+
   recordQuarantine(event: string): void {
     this.#quarantine.inc({event});
   }
--- a/src/mesh/router/dispatcher.ts
+++ b/src/mesh/router/dispatcher.ts
@@ -106,7 +106,8 @@
 
   /** Dispatches a request until it succeeds, fails, or is aborted. */
   async serve(request: AdmittedRequest): Promise<DispatchResult> {
-    this.#options.repeats.countRequest(request.service);
+    const isCall = isCallOfInstance(request);
+    this.#options.repeats.countRequest(request.service, isCall);
     const abortController = new AbortController();
     const leftMs = request.deadlineAtMs - performance.now();
     const timer = setTimeout(
@@ -152,6 +153,11 @@
   }
 }
 
+/** Backend servers send no API key, so their calls have no customer. */
+function isCallOfInstance({customer}: AdmittedRequest): boolean {
+  return customer === undefined;
+}
+
 /** One attempt: the request at one instance. */
 interface Attempt {
   readonly found: FoundSlot;
@@ -287,11 +293,15 @@
   async #takeToken(reason: string): Promise<boolean> {
     if (this.#isOutOfAttempts || this.#signal.aborted) return false;
     const {id, route, service} = this.#request;
-    const {isGranted, owner} = await this.#options.repeats.take(service);
+    const isCall = isCallOfInstance(this.#request);
+    const {repeats} = this.#options;
+    const {isGranted, owner} = await repeats.take(service, isCall);
     const event = isGranted ? 'repeat' : 'repeat-over-budget';
-    const fields = {id, route: route.name, service, reason, owner};
-    this.#options.log.step(event, fields);
-    if (isGranted) this.#options.metrics.recordRepeat(route.name, reason);
+    const fields = {id, route: route.name, service, reason, owner, isCall};
+    const {log, metrics} = this.#options;
+    log.step(event, fields);
+    if (isGranted) metrics.recordRepeat(route.name, reason);
+    else metrics.recordRepeatOverBudget(isCall);
     return isGranted;
   }
 
--- a/src/mesh/settings.ts
+++ b/src/mesh/settings.ts
@@ -35,6 +35,8 @@
     ratio: nonNegative,
     windowS: nonNegative,
     slack: nonNegative,
+    /** Part of the tokens that is kept for calls of instances. */
+    callReserve: z.number().min(0).max(1).default(0),
   }),
 });
 
