Tell refused requests the usual wait, not the least one

Cause: the estimate that decides refusals takes requests that run longer than their means as about to end. While all slots hang, a refused caller would be told to return after the minimum of 100 ms.

Change: the wait in a decline is the memoryless estimate, which is what it was before if all routes have the same mean. Refusals are decided as they were.

--- a/features/mesh_fair_sharing.feature
+++ b/features/mesh_fair_sharing.feature
@@ -106,6 +106,14 @@
     Then a route without samples is expected to hold a slot for the mean of all routes
     And 8 lookups ahead at 4 busy slots are a shorter wait than 8 reads ahead
 
+  # Guards against callers that return at once while all slots hang, because the
+  # running requests should have ended long ago.
+  Scenario: A refused request is told a usual wait while all requests are late
+    Given an instance with 4 slots and customer shares "none"
+    When 4 bookings of 568 ms have run for 3000 ms, and 8 requests wait
+    Then a refused request is told a wait of 1278 ms
+    And the estimate that decides refusals is 1136 ms
+
   Scenario Outline: In any sequence of arrivals and slots, <rule>
     Then in any sequence, <rule>
 
--- a/features/steps/mesh_fair_sharing_steps.ts
+++ b/features/steps/mesh_fair_sharing_steps.ts
@@ -4,7 +4,10 @@
 import {HoldTimes} from '../../src/mesh/gate/hold_times.js';
 import type {CustomerShares} from '../../src/mesh/gate/queue_place.js';
 import {SlotQueue, type Slot} from '../../src/mesh/gate/slot_queue.js';
-import {estimateWaitMs} from '../../src/mesh/gate/wait_estimate.js';
+import {
+  estimateWaitMs,
+  usualWaitMs,
+} from '../../src/mesh/gate/wait_estimate.js';
 import type {Declined} from '../../src/mesh/gate/work.js';
 import {SeededRandom} from '../support/seeded_random.js';
 import {
@@ -429,6 +432,26 @@
   },
 );
 
+When(
+  '{int} bookings of {int} ms have run for {int} ms, and {int} requests wait',
+  function (count: number, meanMs: number, heldMs: number, waiting: number) {
+    const state = stateOf(this);
+    const {slots} = state;
+    const running = Array.from({length: count}, () => ({meanMs, heldMs}));
+    const aheadMs = Array<number>(waiting).fill(meanMs);
+    state.expectedMs = estimateWaitMs({slots, running, aheadMs});
+    state.waitedMs = usualWaitMs({slots, running, aheadMs});
+  },
+);
+
+Then('a refused request is told a wait of {int} ms', function (ms: number) {
+  assert.equal(Math.round(stateOf(this).waitedMs), ms);
+});
+
+Then('the estimate that decides refusals is {int} ms', function (ms: number) {
+  assert.equal(Math.round(stateOf(this).expectedMs), ms);
+});
+
 /** Rounding, and the least wait that is expected while no slot is free. */
 const TOLERANCE_MS = 1.001;
 
--- a/src/mesh/gate/slot_queue.ts
+++ b/src/mesh/gate/slot_queue.ts
@@ -11,7 +11,7 @@
 import {HoldTimes} from './hold_times.js';
 import {createPlace, type CustomerShares} from './queue_place.js';
 import {RatePacer} from './rate_pacer.js';
-import {estimateWaitMs} from './wait_estimate.js';
+import {estimateWaitMs, usualWaitMs, type LoadAhead} from './wait_estimate.js';
 import {declined, type Declined} from './work.js';
 
 /** A held slot. */
@@ -114,7 +114,7 @@
       ...this.#options,
       costMs: this.#holdTimes.meanMs(route),
     });
-    const expectedMs = this.#expectedWaitMs(place);
+    const expectedMs = this.#waitMs(place, estimateWaitMs);
     const arrivedAtMs = performance.now();
     const report = (result: QueueEnd['result']) => {
       const waitedMs = performance.now() - arrivedAtMs;
@@ -123,7 +123,7 @@
     if (signal.aborted) return Promise.resolve(declined('withdrawn'));
     if (expectedMs > queueTimeoutMs) {
       report('refused');
-      return Promise.resolve(declined(this.#declineReason, expectedMs));
+      return Promise.resolve(this.#decline(place));
     }
     const onEnd = (result: QueueEnd['result']) => {
       if (expectedMs > 0 || result !== 'slot') report(result);
@@ -154,8 +154,7 @@
       const onAbort = () => settle(declined('withdrawn'), 'withdrawn');
       const onTimeout = () => {
         this.#leave(place);
-        const waitMs = this.#expectedWaitMs(place);
-        settle(declined(this.#declineReason, waitMs), 'timeout');
+        settle(this.#decline(place), 'timeout');
       };
       const timer = setTimeout(onTimeout, Math.max(1, queueTimeoutMs));
       signal.addEventListener('abort', onAbort, {once: true});
@@ -172,18 +171,19 @@
     });
   }
 
-  get #declineReason(): 'busy' | 'limited' {
-    return this.limitPerS === undefined ? 'busy' : 'limited';
+  #decline(place: Place): Declined {
+    const reason = this.limitPerS === undefined ? 'busy' : 'limited';
+    return declined(reason, this.#waitMs(place, usualWaitMs));
   }
 
-  /** How long a request with this place would wait for a slot. */
-  #expectedWaitMs(place: Place): number {
+  /** How long a request with this place would wait for a slot and its turn. */
+  #waitMs(place: Place, estimate: (load: LoadAhead) => number): number {
     const ahead = [
       ...this.#pacer.order.ahead(place),
       ...this.#order.ahead(place),
     ];
     const nowMs = performance.now();
-    const slotWaitMs = estimateWaitMs({
+    const slotWaitMs = estimate({
       slots: this.#slots,
       running: [...this.#running].map(({route, sinceMs}) => ({
         meanMs: this.#holdTimes.meanMs(route),
--- a/src/mesh/gate/wait_estimate.ts
+++ b/src/mesh/gate/wait_estimate.ts
@@ -24,10 +24,24 @@
 
 /** The expected wait for a slot; 0 if one is free. */
 export function estimateWaitMs(load: LoadAhead): number {
+  return Math.min(usualWaitMs(load), atLeast(load, scheduledWaitMs));
+}
+
+/**
+ * The wait that a refused request is told, so that it returns later; 0 if a slot
+ * is free. While requests run longer than usual, the estimate above is near 0.
+ */
+export function usualWaitMs(load: LoadAhead): number {
+  return atLeast(load, memorylessWaitMs);
+}
+
+function atLeast(
+  load: LoadAhead,
+  estimate: (load: LoadAhead) => number,
+): number {
   const {slots, running, aheadMs} = load;
   if (running.length + aheadMs.length < slots) return 0;
-  const waitMs = Math.min(scheduledWaitMs(load), memorylessWaitMs(load));
-  return Math.max(MIN_WAIT_MS, waitMs);
+  return Math.max(MIN_WAIT_MS, estimate(load));
 }
 
 /** Exact if every request holds its slot for the mean of its route. */
