Ignore weights of customers that are not positive numbers

Cause: configurations also arrive from peers; a weight of 0 would make the virtual time of a customer infinite, and a negative one would let it pass without end.

Change: such weights are left out. Four examples.

--- a/features/mesh_fair_sharing.feature
+++ b/features/mesh_fair_sharing.feature
@@ -63,6 +63,17 @@
       | 1     |
       | 4     |
 
+  # Guards against a customer that passes without end, or never.
+  Scenario Outline: A weight of <weight> in the configuration is ignored
+    Then a customer with a weight of <weight> has no weight of its own
+
+    Examples:
+      | weight   |
+      | 0        |
+      | -1       |
+      | NaN      |
+      | Infinity |
+
   # Guards against refusals of requests that would have got a slot in time.
   Scenario Outline: The expected wait is not more than the real one with mixed routes
     Given an instance with <slots> slots and customer shares "<shares>"
--- a/features/steps/mesh_fair_sharing_steps.ts
+++ b/features/steps/mesh_fair_sharing_steps.ts
@@ -1,6 +1,7 @@
 /** Steps for the shares of customers, in virtual time. */
 import assert from 'node:assert/strict';
 import {Given, Then, When} from '@cucumber/cucumber';
+import {buildCustomerWeights} from '../../src/mesh/gate/customer_weights.js';
 import {HoldTimes} from '../../src/mesh/gate/hold_times.js';
 import type {CustomerShares} from '../../src/mesh/gate/queue_place.js';
 import {SlotQueue, type Slot} from '../../src/mesh/gate/slot_queue.js';
@@ -15,6 +16,7 @@
   type Arrival,
   type Ended,
 } from '../support/simulated_gate.js';
+import {configuration} from './mesh_path_steps.js';
 
 interface SharingState {
   slots: number;
@@ -234,6 +236,17 @@
   assert.ok(longestMs <= mostMs, `${longestMs}`);
 });
 
+Then(
+  /^a customer with a weight of (\S+) has no weight of its own$/,
+  (weight: string) => {
+    const customer = {name: 'odd', keys: [], ratePerS: 0, burst: 0};
+    const valid = {...customer, name: 'heavy', weight: 3};
+    const customers = [{...customer, weight: Number(weight)}, valid];
+    const weights = buildCustomerWeights({...configuration(1), customers});
+    assert.deepEqual([...weights], [['heavy', 3]]);
+  },
+);
+
 /** Requests that are enough to keep all slots of the scenarios busy. */
 function flood(
   customer: string,
