--- a/features/support/mesh_fleet.ts
+++ b/features/support/mesh_fleet.ts
@@ -14,6 +14,7 @@
 import {listen} from '../../src/http/listener.js';
 import type {DecisionLog, LogFields} from '../../src/log/decision_log.js';
 import {DEFAULT_HEADER_NAMES as NAMES} from '../../src/mesh/header_names.js';
+import type {CustomerShares} from '../../src/mesh/gate/queue_place.js';
 import {MeshDaemon} from '../../src/mesh/mesh_daemon.js';
 import {MeshMetrics} from '../../src/mesh/mesh_metrics.js';
 import type {FleetConfiguration, Route} from '../../src/mesh/model.js';
@@ -229,21 +230,30 @@
   #heldReader: HeldReader | undefined;
 
   /** Starts a fleet, and waits until all daemons are connected. */
-  async start(services: readonly string[], slots: number): Promise<void> {
-    await this.launch(services, slots);
+  async start(
+    services: readonly string[],
+    slots: number,
+    shares: readonly CustomerShares[] = [],
+  ): Promise<void> {
+    await this.launch(services, slots, shares);
     while (!this.isConnected) {
       await new Promise(resolve => setTimeout(resolve, 10));
     }
   }
 
   /** Starts `vm-0`, `vm-1` … with one backend server for each service given. */
-  async launch(services: readonly string[], slots: number): Promise<void> {
+  async launch(
+    services: readonly string[],
+    slots: number,
+    shares: readonly CustomerShares[] = [],
+  ): Promise<void> {
     for (const [index, service] of services.entries()) {
       const log = this.#log();
       const domain = this.domains[index] ?? 'test';
       const {canEvacuate} = this;
+      const customerShares = shares[index];
       const plan = {id: `vm-${index}`, service, slots, domain, canEvacuate};
-      this.vms.push(await startVm({...plan, log}));
+      this.vms.push(await startVm({...plan, log, customerShares}));
     }
     const all = this.vms.map(({daemon}) => daemon.self);
     this.vms.forEach(({daemon}) => daemon.peers.applyList(all));
@@ -324,6 +334,7 @@
   peers = ANY_PORT,
   domain = 'test',
   canEvacuate = false,
+  customerShares = 'none',
 }: {
   readonly id: string;
   readonly service: string;
@@ -332,6 +343,7 @@
   readonly peers?: string;
   readonly domain?: string;
   readonly canEvacuate?: boolean;
+  readonly customerShares?: CustomerShares;
 }): Promise<MeshVm> {
   const backend = new MeshBackend();
   const address = await backend.start();
@@ -351,7 +363,8 @@
       isFirstStart: true,
       stopTimeoutS: 3,
       quarantinesRequests: true,
-      repeats: {ratio: 0.2, windowS: 10, slack: 60},
+      scheduling: {customerShares},
+      repeats: {ratio: 0.2, windowS: 10, slack: 60, callReserve: 0},
     },
     names: NAMES,
     log,
--- a/src/mesh/gate/gate.ts
+++ b/src/mesh/gate/gate.ts
@@ -18,6 +18,8 @@
 import {QueuedWaits} from './queued_waits.js';
 import {RunLimit} from './run_limit.js';
 import {ResponseTimes} from './response_times.js';
+import type {CustomerShares} from './queue_place.js';
+import {QueueReport} from './queue_report.js';
 import {SlotQueue, type Slot} from './slot_queue.js';
 import {OutlierDetector, type FailureKind} from './outlier_detector.js';
 import {
@@ -39,6 +41,10 @@
   readonly metrics: MeshMetrics;
   /** Called when routers should be notified of a change at once. */
   readonly onChange: () => void;
+  /** `none` if omitted. */
+  readonly customerShares?: CustomerShares;
+  /** The weight of a customer; 1 if omitted. */
+  readonly weightOf?: (customer: string) => number;
 }
 
 /** A reserved slot that is not used within this time is released. */
@@ -53,7 +59,7 @@
   readonly inFlight = new InFlightRequests();
   readonly #options: GateOptions;
   readonly #identity = new BackendIdentity();
-  readonly #slots = new SlotQueue();
+  readonly #slots: SlotQueue;
   /** Paces the requests while the instance is cold. */
   readonly cold: ColdPacing;
   #outliers = new OutlierDetector();
@@ -64,6 +70,11 @@
 
   constructor(options: GateOptions) {
     this.#options = options;
+    const report = new QueueReport(options);
+    this.#slots = new SlotQueue({
+      ...options,
+      onEnd: (waiter, end) => report.record(waiter, end),
+    });
     const {log, metrics, onChange} = options;
     let isStarted = false;
     const onLimit = (limit: TurnLimit | undefined) => {
@@ -186,11 +197,9 @@
   ): Promise<Reservation | Declined> {
     const decline = this.#checkAdmission(request, this.#slots.running);
     if (decline) return decline;
-    const {priority} = request;
-    const timeoutMs = this.#queueTimeoutMs(request);
     const slot = await this.#slots.acquire({
-      priority,
-      queueTimeoutMs: timeoutMs,
+      ...request,
+      queueTimeoutMs: this.#queueTimeoutMs(request),
       signal,
     });
     if (slot.kind === 'declined') return slot;
--- a/src/mesh/mesh_daemon.ts
+++ b/src/mesh/mesh_daemon.ts
@@ -16,6 +16,7 @@
 import {BackendClient, type ProbeResult} from './gate/backend_client.js';
 import {Gate} from './gate/gate.js';
 import type {HeaderNames} from './header_names.js';
+import {buildCustomerWeights} from './gate/customer_weights.js';
 import {buildCustomerLimits} from './limits/customer_limits.js';
 import {RepeatBudget} from './limits/repeat_budget.js';
 import {RepeatCalls} from './limits/repeat_calls.js';
@@ -75,6 +76,7 @@
   readonly #readinessServer: Server;
   readonly #metricsServer: Server;
   #limitsByName: ReadonlyMap<string, Limit> = new Map();
+  #weights: ReadonlyMap<string, number> = new Map();
   readonly #stopDeadline = new StopDeadline();
   #isStopping = false;
   /** The configured address; from `start()` on it has the bound port. */
@@ -94,6 +96,8 @@
       log,
       metrics,
       onChange: () => this.#peerServer.scheduleBroadcast(),
+      customerShares: settings.scheduling.customerShares,
+      weightOf: customer => this.#weights.get(customer) ?? 1,
     });
     this.configurationTracker = new ConfigurationTracker({
       log,
@@ -163,6 +167,7 @@
         log,
         metrics,
         stop: this.#stopDeadline,
+        customerShares: settings.scheduling.customerShares,
         quarantine: this.#quarantine,
       }),
       limits,
@@ -290,6 +295,7 @@
 
   #applyConfiguration(configuration: FleetConfiguration): void {
     this.#limitsByName = buildCustomerLimits(configuration);
+    this.#weights = buildCustomerWeights(configuration);
     this.#callerServer.applyLimits(configuration.limits);
     this.#peerServer.scheduleBroadcast();
     this.gate.cold.configure(this.#serviceRecord(configuration));
--- a/src/mesh/router/dispatcher.ts
+++ b/src/mesh/router/dispatcher.ts
@@ -18,6 +18,7 @@
   type Outcome,
   type Work,
 } from '../gate/work.js';
+import type {CustomerShares} from '../gate/queue_place.js';
 import type {RepeatBudget} from '../limits/repeat_budget.js';
 import type {MeshMetrics} from '../mesh_metrics.js';
 import type {Route} from '../model.js';
@@ -35,6 +36,7 @@
   readonly route: Route;
   readonly service: string;
   readonly priority: number;
+  readonly customer?: string;
   readonly method: string;
   readonly path: string;
   readonly headers: readonly string[];
@@ -67,6 +69,8 @@
     'isQuarantined' | 'recordEnd' | 'recordSuccess'
   >;
   readonly stop: StopDeadline;
+  /** Gates are told the customer only with equal shares; `none` if omitted. */
+  readonly customerShares?: CustomerShares;
   readonly log: DecisionLog;
   readonly metrics: MeshMetrics;
 }
@@ -103,7 +107,8 @@
 
   /** Dispatches a request until it succeeds, fails, or is aborted. */
   async serve(request: AdmittedRequest): Promise<DispatchResult> {
-    this.#options.repeats.countRequest(request.service);
+    const isCall = isCallOfInstance(request);
+    this.#options.repeats.countRequest(request.service, isCall);
     const abortController = new AbortController();
     const leftMs = request.deadlineAtMs - performance.now();
     const timer = setTimeout(
@@ -158,6 +163,11 @@
   }
 }
 
+/** Backend servers send no API key, so their calls have no customer. */
+function isCallOfInstance({customer}: AdmittedRequest): boolean {
+  return customer === undefined;
+}
+
 /** One attempt: the request at one instance. */
 interface Attempt {
   readonly found: FoundSlot;
@@ -293,11 +303,15 @@
   async #takeToken(reason: string): Promise<boolean> {
     if (this.#isOutOfAttempts || this.#signal.aborted) return false;
     const {id, route, service} = this.#request;
-    const {isGranted, owner} = await this.#options.repeats.take(service);
+    const isCall = isCallOfInstance(this.#request);
+    const {repeats} = this.#options;
+    const {isGranted, owner} = await repeats.take(service, isCall);
     const event = isGranted ? 'repeat' : 'repeat-over-budget';
-    const fields = {id, route: route.name, service, reason, owner};
-    this.#options.log.step(event, fields);
-    if (isGranted) this.#options.metrics.recordRepeat(route.name, reason);
+    const fields = {id, route: route.name, service, reason, owner, isCall};
+    const {log, metrics} = this.#options;
+    log.step(event, fields);
+    if (isGranted) metrics.recordRepeat(route.name, reason);
+    else metrics.recordRepeatOverBudget(isCall);
     return isGranted;
   }
 
@@ -333,11 +347,14 @@
     signal: AbortSignal,
   ): Promise<FoundSlot | Declined> {
     const {id, route, service, priority, deadlineAtMs} = this.#request;
-    return findSlot(this.#options.gates, {
+    const {gates, customerShares} = this.#options;
+    const hasShares = customerShares === 'equal';
+    return findSlot(gates, {
       requestId: id,
       service,
       route: route.name,
       priority,
+      customer: hasShares ? this.#request.customer : undefined,
       objectiveMs: route.objectiveMs,
       isIdempotent: route.isIdempotent,
       bodyBytes: this.#request.body.length,
