Hedge slow requests within a limit that operators set

A few slow responses dominate the tail latency, and late repeats were limited only by the retry budget. With the setting hedging, HedgePolicy decides when a request is slow (a quantile of its route's response times) and whether it may be sent to a second instance (a share of the service's requests, free slots, remaining time, tokens of the retry budget left for repeats after failures). Without the setting the dispatcher repeats late requests as before.

A hedge is started beside the running attempt, so that a response that arrives during the search for a slot isn't delayed. Ruled out: releasing a bucket token at the reservation, since the bucket refills meanwhile and more than the burst could start at once.

--- a/src/mesh/limits/repeat_budget.ts
+++ b/src/mesh/limits/repeat_budget.ts
@@ -38,6 +38,11 @@
   readonly lots: readonly TokenLot[];
   /** Repeats sent without taking a token: calls that repeats make. */
   readonly spent: number;
+  /**
+   * Tokens that must be left after this one, for repeats that are more urgent.
+   * Owners of earlier versions ignore it.
+   */
+  readonly spareTokens?: number;
 }
 
 /** The decision whether a repeat may be sent. */
@@ -135,11 +140,18 @@
     this.#unpaidOf(service).spent += 1;
   }
 
-  /** Takes a token for one repeat from the owner of the budget. */
-  async take(service: string): Promise<RepeatDecision> {
+  /**
+   * Takes a token for one repeat from the owner of the budget, if so many are
+   * left after it.
+   */
+  async take(service: string, spareTokens = 0): Promise<RepeatDecision> {
     const {peers} = this.#options;
     const owner = this.ownerOf(service);
-    const payment = this.#collectPayment(service);
+    // The usual payment has no further field, and so keeps its shape.
+    const payment = {
+      ...this.#collectPayment(service),
+      ...(spareTokens > 0 && {spareTokens}),
+    };
     if (owner === peers.selfId) {
       return {isGranted: this.grant(payment), owner};
     }
@@ -154,7 +166,8 @@
   /** Records another daemon's payment and grants it a token if there is one. */
   grant(payment: RepeatPayment): boolean {
     this.receivePayment(payment);
-    return this.#poolOf(payment.service).take(this.#now());
+    const pool = this.#poolOf(payment.service);
+    return pool.take(this.#now(), payment.spareTokens);
   }
 
   /** Records another daemon's payment. */
--- a/src/mesh/limits/token_pool.ts
+++ b/src/mesh/limits/token_pool.ts
@@ -40,9 +40,9 @@
     this.#debt += tokens - covered;
   }
 
-  /** Takes one token if one is available. */
-  take(nowMs: number): boolean {
-    if (this.availableAt(nowMs) < 1) return false;
+  /** Takes one token if one is available and `spare` others are left. */
+  take(nowMs: number, spare = 0): boolean {
+    if (this.availableAt(nowMs) < 1 + spare) return false;
     this.#remove(1);
     return true;
   }
--- a/src/mesh/mesh_daemon.ts
+++ b/src/mesh/mesh_daemon.ts
@@ -27,6 +27,7 @@
 import {StopDeadline} from '../router/stop_deadline.js';
 import {Dispatcher} from './router/dispatcher.js';
 import {Gates} from './router/gates.js';
+import {HedgePolicy} from './router/hedge_policy.js';
 import {QueryOfDeathGuard} from './router/query_of_death.js';
 import type {MeshSettings} from './settings.js';
 
@@ -146,6 +147,7 @@
         log,
         metrics,
         stop: this.#stopDeadline,
+        hedging: settings.hedging && new HedgePolicy(settings.hedging),
         quarantine: this.#quarantine,
       }),
       limits,
--- a/src/mesh/mesh_metrics.ts
+++ b/src/mesh/mesh_metrics.ts
@@ -48,6 +48,18 @@
     labelNames: ['route', 'reason'],
     registers: [this.#registry],
   });
+  readonly #hedges = new Counter({
+    name: 'chicorycourse_hedges_total',
+    help: 'Hedged requests that were started, won and lost',
+    labelNames: ['route', 'event'],
+    registers: [this.#registry],
+  });
+  readonly #hedgeRefusals = new Counter({
+    name: 'chicorycourse_hedges_refused_total',
+    help: 'Slow requests that got no hedge at some time, by reason',
+    labelNames: ['route', 'reason'],
+    registers: [this.#registry],
+  });
   readonly #quarantine = new Counter({
     name: 'chicorycourse_quarantine_events_total',
     help: 'What happened to requests during which instances ended',
@@ -154,6 +166,14 @@
     this.#repeats.inc({route, reason});
   }
 
+  recordHedge(route: string, event: 'started' | 'won' | 'lost'): void {
+    this.#hedges.inc({route, event});
+  }
+
+  recordHedgeRefusal(route: string, reason: string): void {
+    this.#hedgeRefusals.inc({route, reason});
+  }
+
   recordQuarantine(event: string): void {
     this.#quarantine.inc({event});
   }
--- a/src/mesh/peers/peer_server.ts
+++ b/src/mesh/peers/peer_server.ts
@@ -10,7 +10,7 @@
 import {StrictServer} from '../../http/strict_server.js';
 import type {DecisionLog} from '../../log/decision_log.js';
 import type {GateClient, Reservation} from '../gate/work.js';
-import type {RepeatBudget} from '../limits/repeat_budget.js';
+import type {RepeatBudget, RepeatPayment} from '../limits/repeat_budget.js';
 import type {SharedLimits} from '../limits/shared_limits.js';
 import type {FingerprintRecord} from '../router/query_of_death.js';
 import type {
@@ -167,6 +167,7 @@
   readonly #options: PeerServerOptions;
   readonly #held = new Map<number, HeldReservation>();
   #peerId = 'unknown';
+  #isFaultLogged = false;
 
   readonly #handlers: Handlers = {
     hello: frame => {
@@ -186,7 +187,7 @@
       this.#send({kind: 'share', id, share: this.#options.rates.grant(ask)});
     },
     repeat: ({id, payment}) => {
-      const isGranted = this.#options.repeats.grant(payment);
+      const isGranted = this.#options.repeats.grant(this.#checked(payment));
       this.#send({kind: 'repeat', id, isGranted});
     },
     part: ({payment}) => this.#options.rates.parts.receivePayment(payment),
@@ -232,6 +233,18 @@
     }
   }
 
+  /** Ignores an invalid number of spare tokens. */
+  #checked(payment: RepeatPayment): RepeatPayment {
+    const {spareTokens, ...usual} = payment;
+    if (spareTokens === undefined || isTokenCount(spareTokens)) return payment;
+    const {log} = this.#options;
+    const peer = this.#peerId;
+    if (!this.#isFaultLogged)
+      log.belief('peer-field-invalid', {peer, field: 'spareTokens'});
+    this.#isFaultLogged = true;
+    return usual;
+  }
+
   async #reserve(
     id: number,
     frame: Extract<RequestFrame, {readonly kind: 'reserve'}>,
@@ -308,3 +321,7 @@
     this.#socket.send(encodeFrame(frame));
   }
 }
+
+function isTokenCount(value: unknown): boolean {
+  return typeof value === 'number' && Number.isFinite(value) && value >= 0;
+}
--- a/src/mesh/router/dispatcher.ts
+++ b/src/mesh/router/dispatcher.ts
@@ -4,12 +4,14 @@
  * executed. An idempotent one is repeated, that is sent to a further instance,
  * when the first one fails or responds later than usual (a hedged request).
  * Repeats are limited by the route's attempts and by the retry budget that all
- * daemons share. The first good response is used and the other attempts are
- * cancelled.
+ * daemons share; with the setting `hedging`, {@link HedgePolicy} decides when a
+ * request is late and whether it may be repeated then. The first good response
+ * is used and the other attempts are cancelled.
  *
  * Designed for instances that hang on most requests for seconds while their
  * health checks pass.
  */
+import {reasonOf} from '../../errors/failure.js';
 import type {DecisionLog} from '../../log/decision_log.js';
 import {
   declined,
@@ -24,6 +26,12 @@
 import {ResponseTimeout} from '../../timing/response_timeout.js';
 import type {StopDeadline} from '../../router/stop_deadline.js';
 import type {Gates, GateCandidate} from './gates.js';
+import {
+  HEDGE_SPARE_TOKENS,
+  type HedgePolicy,
+  type HedgeRefusal,
+} from './hedge_policy.js';
+import {HedgedRequest, refusalOf} from './hedged_request.js';
 import type {QueryOfDeathGuard} from './query_of_death.js';
 import {findSlot, type FoundSlot} from './slot_search.js';
 
@@ -60,15 +68,20 @@
 export type DispatchResult = Answered | DispatchFailure;
 
 export interface DispatcherOptions {
-  readonly gates: Gates;
+  readonly gates: Pick<Gates, 'forService' | 'linkStates'>;
   readonly repeats: Pick<RepeatBudget, 'countRequest' | 'take'>;
   readonly quarantine: Pick<
     QueryOfDeathGuard,
     'isQuarantined' | 'recordEnd' | 'recordSuccess'
   >;
   readonly stop: StopDeadline;
+  /** Undefined: late requests are repeated by the gates' estimates alone. */
+  readonly hedging?: HedgePolicy;
   readonly log: DecisionLog;
-  readonly metrics: MeshMetrics;
+  readonly metrics: Pick<
+    MeshMetrics,
+    'recordRepeat' | 'recordHedge' | 'recordHedgeRefusal'
+  >;
 }
 
 /** A non-idempotent request fails when this many instances have rejected it. */
@@ -151,18 +164,32 @@
 /** One attempt: the request at one instance. */
 interface Attempt {
   readonly found: FoundSlot;
+  readonly isHedge: boolean;
   readonly outcome: Promise<Outcome>;
   readonly cancel: () => void;
 }
 
-/** What ended the wait of an idempotent request: an outcome or a timer. */
+/** A hedge that is being started while the other attempts go on. */
+interface StartingHedge {
+  /** Undefined if it isn't sent. */
+  readonly attempt: Promise<Attempt | undefined>;
+  /** An outcome arrived, so the hedge isn't sent any more. */
+  readonly withdraw: () => void;
+}
+
+/** What ended the wait of an idempotent request. */
 type WaitEvent =
   | {
       readonly kind: 'outcome';
       readonly attempt: Attempt;
       readonly outcome: Outcome;
     }
-  | {readonly kind: 'late'};
+  | LateEvent;
+
+/** The response is late, or the start of a hedge for it has ended. */
+type LateEvent =
+  | {readonly kind: 'late'}
+  | {readonly kind: 'hedge'; readonly hedge: Attempt | undefined};
 
 interface DispatchOptions extends DispatcherOptions {
   readonly usualTimes: UsualTimes;
@@ -173,6 +200,9 @@
   readonly #request: AdmittedRequest;
   readonly #options: DispatchOptions;
   readonly #signal: AbortSignal;
+  readonly #hedged: HedgedRequest | undefined;
+  /** In flight. */
+  readonly #attempts = new Set<Attempt>();
   readonly #excluded = new Set<string>();
   #attemptCount = 0;
   #wasSent = false;
@@ -186,6 +216,11 @@
     this.#request = request;
     this.#options = options;
     this.#signal = signal;
+    const {hedging: policy} = options;
+    const mayHedge = policy && request.route.isIdempotent;
+    this.#hedged = mayHedge
+      ? new HedgedRequest(request, {...options, policy})
+      : undefined;
   }
 
   /** Dispatches a request that must be executed at most once. */
@@ -213,33 +248,102 @@
   async runIdempotent(): Promise<DispatchResult> {
     const first = await this.#findSlot(true);
     if (first.kind === 'declined') return this.#failWithoutSlot(first);
-    const attempts = new Set([this.#startAttempt(first)]);
-    let hedgeDelayMs = first.reservation.lateAfterMs;
-    let lastOutcome: Outcome | undefined;
+    this.#attempts.add(this.#startAttempt(first));
+    try {
+      return await this.#awaitAnswer(this.#lateAfterMs(first));
+    } finally {
+      this.#hedged?.end();
+    }
+  }
+
+  async #awaitAnswer(firstDelayMs: number): Promise<DispatchResult> {
+    const attempts = this.#attempts;
+    let hedgeDelayMs = firstDelayMs;
+    let hedge: StartingHedge | undefined;
     for (;;) {
-      const event = await this.#nextEvent(attempts, hedgeDelayMs);
-      if (event.kind === 'late') {
-        const repeat = await this.#startRepeat('late');
-        if (repeat) attempts.add(repeat);
-        hedgeDelayMs =
-          repeat?.found.reservation.lateAfterMs ?? REPEAT_SEARCH_PAUSE_MS;
-        if (this.#isOutOfAttempts) hedgeDelayMs = Infinity;
+      const event = await this.#nextEvent(hedgeDelayMs, hedge);
+      if (event.kind === 'late' && this.#hedged) {
+        hedge = this.#startHedge(this.#hedged);
+        hedgeDelayMs = Infinity;
+        continue;
+      }
+      if (event.kind !== 'outcome') {
+        hedge = undefined;
+        hedgeDelayMs = await this.#nextHedgeDelayMs(event);
         continue;
       }
       const {attempt, outcome} = event;
       attempts.delete(attempt);
+      hedge?.withdraw();
+      hedge = undefined;
       if (isSuccess(outcome)) {
+        if (attempt.isHedge) this.#hedged?.recordWin();
         attempts.forEach(({cancel}) => cancel());
         return outcome;
       }
-      lastOutcome = outcome;
       if (this.#signal.aborted) return this.#unknown('deadline');
       const repeat = await this.#startRepeat(
         repeatReasonOf(outcome),
         attempts.size === 0,
       );
       if (repeat) attempts.add(repeat);
-      if (attempts.size === 0) return this.#finalResult(lastOutcome);
+      if (attempts.size === 0) return this.#finalResult(outcome);
+      if (this.#hedged) hedgeDelayMs = this.#lateAfterMs(repeat?.found);
+    }
+  }
+
+  /** Repeats a late request if hedging is off; returns the next delay. */
+  async #nextHedgeDelayMs(event: LateEvent): Promise<number> {
+    const repeat =
+      event.kind === 'late' ? await this.#startRepeat('late') : event.hedge;
+    if (repeat) this.#attempts.add(repeat);
+    if (this.#isOutOfAttempts) return Infinity;
+    if (repeat) return this.#lateAfterMs(repeat.found);
+    return this.#hedged?.pauseMs ?? REPEAT_SEARCH_PAUSE_MS;
+  }
+
+  /** Time after which a response of a slot's instance is late. */
+  #lateAfterMs(found: FoundSlot | undefined): number {
+    if (!found) return this.#hedged?.pauseMs ?? REPEAT_SEARCH_PAUSE_MS;
+    const {lateAfterMs} = found.reservation;
+    return this.#hedged?.slowAfterMs(lateAfterMs) ?? lateAfterMs;
+  }
+
+  /** Starts a hedge, unless an outcome arrives before it is sent. */
+  #startHedge(hedged: HedgedRequest): StartingHedge {
+    const withdrawal = new AbortController();
+    const attempt = this.#sendHedge(hedged, withdrawal.signal).catch(
+      (err: unknown) => {
+        const {id} = this.#request;
+        this.#options.log.failure('hedge-failed', {id, reason: reasonOf(err)});
+        return undefined;
+      },
+    );
+    return {attempt, withdraw: () => withdrawal.abort(ANSWERED_ELSEWHERE)};
+  }
+
+  async #sendHedge(
+    hedged: HedgedRequest,
+    withdrawn: AbortSignal,
+  ): Promise<Attempt | undefined> {
+    const isOver = () =>
+      withdrawn.aborted || this.#signal.aborted || this.#isOutOfAttempts;
+    if (isOver() || !hedged.mayStart(this.#excluded)) return undefined;
+    let found: FoundSlot | Declined | undefined;
+    let refusal: HedgeRefusal = 'withdrawn';
+    try {
+      found = await this.#findSlot(false);
+      if (found.kind === 'declined') refusal = refusalOf(found);
+      if (found.kind === 'declined' || isOver()) return undefined;
+      if (!(await this.#takeToken('late'))) refusal = 'budget';
+      if (refusal === 'budget' || isOver()) return undefined;
+      const attempt = this.#startAttempt(found, true);
+      // Now, since an outcome may be processed before this promise resolves.
+      this.#attempts.add(attempt);
+      return attempt;
+    } finally {
+      const isSent = hedged.settle(refusal);
+      if (!isSent && found?.kind === 'found') found.reservation.release();
     }
   }
 
@@ -249,20 +353,28 @@
 
   /** Waits for the next outcome, or until the response is later than usual. */
   #nextEvent(
-    attempts: ReadonlySet<Attempt>,
     hedgeDelayMs: number,
+    starting: StartingHedge | undefined,
   ): Promise<WaitEvent> {
     let timeout: ResponseTimeout | undefined;
-    const outcomes = [...attempts].map(async (attempt): Promise<WaitEvent> => {
-      return {kind: 'outcome', attempt, outcome: await attempt.outcome};
-    });
+    const outcomes = [...this.#attempts].map(
+      async (attempt): Promise<WaitEvent> => {
+        return {kind: 'outcome', attempt, outcome: await attempt.outcome};
+      },
+    );
+    const hedges = [starting?.attempt ?? []]
+      .flat()
+      .map(async (attempt): Promise<WaitEvent> => {
+        return {kind: 'hedge', hedge: await attempt};
+      });
     const late = new Promise<WaitEvent>(resolve => {
       if (hedgeDelayMs === Infinity) return;
       timeout = new ResponseTimeout(hedgeDelayMs, () =>
         resolve({kind: 'late'}),
       );
     });
-    return Promise.race([...outcomes, late]).finally(() => timeout?.cancel());
+    const events = [...outcomes, ...hedges, late];
+    return Promise.race(events).finally(() => timeout?.cancel());
   }
 
   async #startRepeat(
@@ -283,7 +395,10 @@
   async #takeToken(reason: string): Promise<boolean> {
     if (this.#isOutOfAttempts || this.#signal.aborted) return false;
     const {id, route, service} = this.#request;
-    const {isGranted, owner} = await this.#options.repeats.take(service);
+    const {repeats, hedging} = this.#options;
+    const spareTokens = hedging && reason === 'late' ? HEDGE_SPARE_TOKENS : 0;
+    const {isGranted, owner} = await repeats.take(service, spareTokens);
+    if (!isGranted) hedging?.recordBudgetRefusal(service);
     const event = isGranted ? 'repeat' : 'repeat-over-budget';
     const fields = {id, route: route.name, service, reason, owner};
     this.#options.log.step(event, fields);
@@ -337,8 +452,8 @@
     });
   }
 
-  #startAttempt(found: FoundSlot): Attempt {
-    const {id, method, path, headers, body} = this.#request;
+  #startAttempt(found: FoundSlot, isHedge = false): Attempt {
+    const {id, method, path, headers, body, service} = this.#request;
     const leftMs = this.#request.callerDeadlineAtMs - performance.now();
     const work: Work = {
       requestId: id,
@@ -349,7 +464,11 @@
       leftMs,
       isRepeat: this.#wasSent,
     };
+    const isFirst = !this.#wasSent;
     this.#wasSent = true;
+    if (isFirst) this.#options.hedging?.countRequest(service);
+    if (isHedge) this.#hedged?.recordStart();
+    const sentAtMs = performance.now();
     const controller = new AbortController();
     const onAbort = () => controller.abort(this.#signal.reason);
     this.#signal.addEventListener('abort', onAbort, {once: true});
@@ -367,9 +486,12 @@
     const outcome = reservation.run(work, controller.signal).then(result => {
       this.#signal.removeEventListener('abort', onAbort);
       this.#recordOutcome(result, vm);
+      const tookMs = performance.now() - sentAtMs;
+      if (isFirst) this.#hedged?.recordFirstResponse(result, tookMs);
       return result;
     });
-    return {found, outcome, cancel: () => controller.abort(ANSWERED_ELSEWHERE)};
+    const cancel = () => controller.abort(ANSWERED_ELSEWHERE);
+    return {found, isHedge, outcome, cancel};
   }
 
   #recordOutcome(outcome: Outcome, vm: string): void {
--- a/src/mesh/settings.ts
+++ b/src/mesh/settings.ts
@@ -32,6 +32,15 @@
     windowS: nonNegative,
     slack: nonNegative,
   }),
+  /** Without it, late requests are repeated by the gate's estimate alone. */
+  hedging: z
+    .object({
+      /** Hedges for each request that this router sends to a service. */
+      maxExtraShare: z.number().min(0).max(1),
+      /** Quantile of the response times from which a request is slow. */
+      quantile: z.number().min(0.5).max(0.999).default(0.95),
+    })
+    .optional(),
 });
 
 /** Validated settings. */
