--- a/src/mesh/router/hedged_request.ts
+++ b/src/mesh/router/hedged_request.ts
@@ -38,6 +38,8 @@
   readonly quarantine: Pick<QueryOfDeathGuard, 'isQuarantined'>;
   readonly log: DecisionLog;
   readonly metrics: Pick<MeshMetrics, 'recordHedge' | 'recordHedgeRefusal'>;
+  /** Monotonic clock in milliseconds; tests use a virtual one. */
+  readonly now?: () => number;
 }
 
 /** Pause until a slow request that was refused a hedge asks again. */
@@ -47,6 +49,7 @@
 export class HedgedRequest {
   readonly #request: HedgeableRequest;
   readonly #options: HedgedRequestOptions;
+  readonly #now: () => number;
   /** Reasons that were counted; a request asks many times. */
   readonly #refusals = new Set<HedgeRefusal>();
   #token: HedgeToken | undefined;
@@ -57,6 +60,7 @@
   constructor(request: HedgeableRequest, options: HedgedRequestOptions) {
     this.#request = request;
     this.#options = options;
+    this.#now = options.now ?? (() => performance.now());
   }
 
   /** When a request counts as slow at an instance, after it was sent there. */
@@ -76,7 +80,7 @@
       service,
       isIdempotent: route.isIdempotent,
       isQuarantined: quarantine.isQuarantined(fingerprint),
-      leftMs: deadlineAtMs - performance.now(),
+      leftMs: deadlineAtMs - this.#now(),
       gateLateAfterMs: this.#gateLateAfterMs,
       load: loadOf(candidates, excluded),
     });
