--- a/features/support/mesh_fleet.ts
+++ b/features/support/mesh_fleet.ts
@@ -17,6 +17,7 @@
 import {MeshDaemon} from '../../src/mesh/mesh_daemon.js';
 import {MeshMetrics} from '../../src/mesh/mesh_metrics.js';
 import type {FleetConfiguration, Route} from '../../src/mesh/model.js';
+import type {MeshSettings} from '../../src/mesh/settings.js';
 import {HeldReader} from './held_reader.js';
 
 /** How a backend server handles a request. */
@@ -220,6 +221,8 @@
 export class MeshFleet {
   readonly vms: MeshVm[] = [];
   readonly lines: LogLine[] = [];
+  /** Settings of the daemons that are started from now on. */
+  settings: Partial<MeshSettings> = {};
   #heldReader: HeldReader | undefined;
 
   /** Starts a fleet, and waits until all daemons are connected. */
@@ -234,7 +237,9 @@
   async launch(services: readonly string[], slots: number): Promise<void> {
     for (const [index, service] of services.entries()) {
       const log = this.#log();
-      this.vms.push(await startVm({id: `vm-${index}`, service, slots, log}));
+      const {settings} = this;
+      const id = `vm-${index}`;
+      this.vms.push(await startVm({id, service, slots, log, settings}));
     }
     const all = this.vms.map(({daemon}) => daemon.self);
     this.vms.forEach(({daemon}) => daemon.peers.applyList(all));
@@ -310,12 +315,14 @@
   slots,
   log,
   peers = ANY_PORT,
+  settings = {},
 }: {
   readonly id: string;
   readonly service: string;
   readonly slots: number;
   readonly log: DecisionLog;
   readonly peers?: string;
+  readonly settings?: Partial<MeshSettings>;
 }): Promise<MeshVm> {
   const backend = new MeshBackend();
   const address = await backend.start();
@@ -335,6 +342,7 @@
       stopTimeoutS: 3,
       quarantinesRequests: true,
       repeats: {ratio: 0.2, windowS: 10, slack: 60},
+      ...settings,
     },
     names: NAMES,
     log,
