Explain where a request would be sent, without sending it

Operators could learn where a request goes only from the log lines of requests that were sent. GET /explain on the metrics listener answers it by the functions that decide for requests: checkHead (moved from the caller server), stateOf of the quarantine, rankGates, gatesToAsk and gatesToQueueAt of the slot search, and costsOf of the ranking. chicorycourse explain-route asks it. The key is a header field read from a file, so that neither URLs nor the command line contain it.

Ruled out: a body in the question, since the metrics listener reads none; the fingerprint of a request with a body comes from the log instead.

--- a/src/errors/catalogue.ts
+++ b/src/errors/catalogue.ts
@@ -150,6 +150,12 @@
     hint: 'Check --admin, or try another daemon: every daemon serves the API.',
     exitCode: EXIT_CODES.unavailable,
   }),
+  metricsUnreachable: kind<{address: string; reason: string}>({
+    title: 'The metrics listener of the daemon does not answer',
+    message: d => `${d.address}: ${d.reason}`,
+    hint: 'Check --metrics: it is listen.metrics of the daemon’s settings.',
+    exitCode: EXIT_CODES.unavailable,
+  }),
   usage: kind<{reason: string}>({
     title: 'The command needs something more',
     message: d => d.reason,
--- a/src/main.ts
+++ b/src/main.ts
@@ -4,6 +4,7 @@
 import {check} from './commands/check.js';
 import {audit, drain, status} from './commands/fleet.js';
 import {explain} from './commands/explain.js';
+import {explainRoute} from './commands/explain_route.js';
 import {key} from './commands/key.js';
 import {customer, route, service} from './commands/records.js';
 import {report} from './commands/report.js';
@@ -31,6 +32,7 @@
     drain,
     report,
     explain,
+    'explain-route': explainRoute,
   },
 });
 
--- a/src/mesh/mesh_daemon.ts
+++ b/src/mesh/mesh_daemon.ts
@@ -26,9 +26,11 @@
 import {CallerServer} from './router/caller_server.js';
 import {StopDeadline} from '../router/stop_deadline.js';
 import {Dispatcher} from './router/dispatcher.js';
+import {EXPLAIN_PATH, handleExplain} from './router/explanation_endpoint.js';
 import {Gates} from './router/gates.js';
 import {HedgePolicy} from './router/hedge_policy.js';
 import {QueryOfDeathGuard} from './router/query_of_death.js';
+import {RouteExplainer} from './router/route_explanation.js';
 import type {MeshSettings} from './settings.js';
 
 export interface MeshDaemonOptions {
@@ -137,19 +139,20 @@
     const limits = this.#limits;
     const repeats = this.#repeatBudget;
     const gates = new Gates(this.self, this.gate, this.peers);
+    const dispatcher = new Dispatcher({
+      gates,
+      repeats,
+      log,
+      metrics,
+      stop: this.#stopDeadline,
+      hedging: settings.hedging && new HedgePolicy(settings.hedging),
+      quarantine: this.#quarantine,
+    });
     this.#callerServer = new CallerServer({
       address: settings.listen.callers,
       names,
       service,
-      dispatcher: new Dispatcher({
-        gates,
-        repeats,
-        log,
-        metrics,
-        stop: this.#stopDeadline,
-        hedging: settings.hedging && new HedgePolicy(settings.hedging),
-        quarantine: this.#quarantine,
-      }),
+      dispatcher,
       limits,
       quarantine: this.#quarantine,
       repeatCalls: new RepeatCalls({
@@ -169,9 +172,19 @@
         this.configurationTracker.routeTable !== undefined && !this.#isStopping;
       res.writeHead(isReady ? 200 : 503).end();
     });
-    const metricsApp = polka().get('/metrics', async (_, res) => {
-      res.end(await metrics.render());
+    const explainer = new RouteExplainer({
+      vm: settings.vm.id,
+      routes: () => this.configurationTracker.routeTable,
+      maxBodyBytes: () => this.#callerServer.maxBodyBytes,
+      dispatcher,
+      quarantine: this.#quarantine,
+      gates,
     });
+    const metricsApp = polka()
+      .get('/metrics', async (_, res) => {
+        res.end(await metrics.render());
+      })
+      .get(EXPLAIN_PATH, (req, res) => handleExplain(explainer, req, res));
     this.#metricsServer = new StrictServer();
     this.#metricsServer.on('request', metricsApp.handler);
   }
--- a/src/mesh/router/caller_server.ts
+++ b/src/mesh/router/caller_server.ts
@@ -16,6 +16,7 @@
 import type {SharedLimits} from '../limits/shared_limits.js';
 import type {MeshMetrics} from '../mesh_metrics.js';
 import type {CallerLimits, Customer, Route} from '../model.js';
+import {checkHead} from './admission.js';
 import {readBody} from './caller_body.js';
 import {buildBackendHeaders, buildCallerHeaders} from './caller_headers.js';
 import {
@@ -118,6 +119,11 @@
     return this.#openRequests;
   }
 
+  /** The largest body that a request may have. */
+  get maxBodyBytes(): number {
+    return this.#maxBodyBytes;
+  }
+
   async start(): Promise<string> {
     const {address, log} = this.#options;
     const bound = await listen(this.#server, address, 'callers', {
@@ -180,21 +186,23 @@
       callerSignal,
       deadlineAtMs: startedAtMs + callerTimeoutMs,
     });
-    const table = routes();
-    if (!table) return this.#refuse(context, {name: 'not-ready'});
-    const route = table.findRoute(req.headers.host ?? '', req.url ?? '/');
-    if (!route) return this.#refuse(context, {name: 'no-route'});
-    context.routeName = route.name;
-    const customer = this.#authenticate(req, route, table);
-    if (typeof customer === 'string') {
-      return this.#refuse(context, {name: customer});
-    }
-    if (context.id === '') {
-      return this.#refuse(context, {name: 'request-id-missing'});
-    }
-    if (!this.#options.dispatcher.canFinish(route)) {
-      return this.#refuseStopping(context);
+    const admission = checkHead(
+      {
+        id: context.id,
+        host: req.headers.host ?? '',
+        path: req.url ?? '/',
+        key: req.headers[names.key],
+      },
+      routes(),
+      route => this.#options.dispatcher.canFinish(route),
+    );
+    context.routeName = admission.route?.name ?? context.routeName;
+    if (admission.kind === 'refused') {
+      const {name} = admission;
+      if (name === 'stopping') return this.#refuseStopping(context);
+      return this.#refuse(context, {name});
     }
+    const {route, customer, table} = admission;
     const body = await readBody(req, this.#maxBodyBytes);
     if (body.kind === 'too-large') {
       return this.#refuse(context, {name: 'body-too-large'});
@@ -231,21 +239,6 @@
     this.#respond(context, result);
   }
 
-  /**
-   * Returns the customer, undefined if the request needs none, or the name of
-   * the refusal.
-   */
-  #authenticate(
-    req: IncomingMessage,
-    route: Route,
-    table: RouteTable,
-  ): Customer | undefined | 'key-missing' | 'key-unknown' {
-    if (route.isPublic || !table.hasCustomers) return undefined;
-    const key = req.headers[this.#options.names.key];
-    if (typeof key !== 'string' || key === '') return 'key-missing';
-    return table.findCustomer(key) ?? 'key-unknown';
-  }
-
   /** Refuses a request that could not end before the daemon does. */
   #refuseStopping(context: RequestContext): void {
     const leftMs = this.#remainingMs(context);
--- a/src/mesh/router/gate_ranking.ts
+++ b/src/mesh/router/gate_ranking.ts
@@ -37,7 +37,7 @@
 /** A request usually holds a slot for a quarter of a second. */
 const TURN_WAIT_COST_PER_MS = 1 / 250;
 /** Upper bound of a random cost, so that not all routers pick the same gate. */
-const MAX_TIE_BREAK_COST = 0.1;
+export const MAX_TIE_BREAK_COST = 0.1;
 
 /**
  * A request that can't be repeated waits rather than risk a hang: on the users'
@@ -63,15 +63,21 @@
   random: () => number = Math.random,
 ): readonly T[] {
   return candidates
-    .filter(({backend}) => backend.state === 'ready')
+    .filter(candidate => exclusionOf(candidate) === undefined)
     .map(candidate => ({
       candidate,
-      cost: computeCost(candidate, traits) + random() * MAX_TIE_BREAK_COST,
+      cost:
+        sumCosts(costsOf(candidate, traits)) + random() * MAX_TIE_BREAK_COST,
     }))
     .toSorted((a, b) => a.cost - b.cost)
     .map(({candidate}) => candidate);
 }
 
+/** Why a candidate gets no new requests; undefined if it may get them. */
+export function exclusionOf({backend}: Candidate): string | undefined {
+  return backend.state === 'ready' ? undefined : backend.state;
+}
+
 /** Whether the gate is expected to have a free slot. */
 export function hasFreeSlot(candidate: Candidate): boolean {
   const {backend, outstanding, turnWaitMs} = candidate;
@@ -81,20 +87,41 @@
   return backend.running + backend.waiting + outstanding < backend.slots;
 }
 
-function computeCost(candidate: Candidate, traits: RequestTraits): number {
+/** What adds to the cost of a candidate. */
+export type Costs = Readonly<
+  Record<
+    | 'load'
+    | 'distance'
+    | 'noFreeSlot'
+    | 'cold'
+    | 'trust'
+    | 'trialInFlight'
+    | 'turnWait',
+    number
+  >
+>;
+
+/** The costs of a candidate for a request. */
+export function costsOf(candidate: Candidate, traits: RequestTraits): Costs {
   const {backend, outstanding} = candidate;
   const {trust} = backend;
   const requestCount = backend.running + backend.waiting + outstanding;
   const isTrialInFlight = trust !== 'clear' && requestCount > 0;
-  return [
-    requestCount / backend.slots,
-    computeDistanceCost(candidate, traits.bodyBytes),
-    hasFreeSlot(candidate) ? 0 : NO_FREE_SLOT_COST,
-    backend.isCold ? COLD_COST : 0,
-    TRUST_COST[traits.isIdempotent ? 'idempotent' : 'nonIdempotent'][trust],
-    isTrialInFlight ? TRIAL_IN_FLIGHT_COST : 0,
-    (candidate.turnWaitMs ?? 0) * TURN_WAIT_COST_PER_MS,
-  ].reduce((sum, cost) => sum + cost);
+  return {
+    load: requestCount / backend.slots,
+    distance: computeDistanceCost(candidate, traits.bodyBytes),
+    noFreeSlot: hasFreeSlot(candidate) ? 0 : NO_FREE_SLOT_COST,
+    cold: backend.isCold ? COLD_COST : 0,
+    trust:
+      TRUST_COST[traits.isIdempotent ? 'idempotent' : 'nonIdempotent'][trust],
+    trialInFlight: isTrialInFlight ? TRIAL_IN_FLIGHT_COST : 0,
+    turnWait: (candidate.turnWaitMs ?? 0) * TURN_WAIT_COST_PER_MS,
+  };
+}
+
+/** The whole cost of a candidate. */
+export function sumCosts(costs: Costs): number {
+  return Object.values(costs).reduce((sum, cost) => sum + cost);
 }
 
 function computeDistanceCost(
--- a/src/mesh/router/query_of_death.ts
+++ b/src/mesh/router/query_of_death.ts
@@ -91,18 +91,30 @@
 
   /** Whether a request may be sent; the first one after a pause is a trial. */
   check(fingerprint: string, nowMs = performance.now()): Verdict {
-    const suspect = this.#suspects.get(fingerprint);
-    if (!suspect || !this.isQuarantined(fingerprint)) return ALLOWED;
-    const openAtMs = trialDueAtMs(suspect);
-    if (nowMs < openAtMs) {
+    const state = this.stateOf(fingerprint, nowMs);
+    if (state.kind === 'allowed') return ALLOWED;
+    if (state.kind === 'quarantined') {
       this.#options.metrics.recordQuarantine('refused');
-      return {kind: 'quarantined', retryAfterMs: openAtMs - nowMs};
+      return state;
     }
-    this.#store(fingerprint, {...suspect, trialAtMs: nowMs});
+    const {ends = []} = this.#suspects.get(fingerprint) ?? {};
+    this.#store(fingerprint, {ends, trialAtMs: nowMs});
     this.#report('trial', fingerprint, nowMs);
     return ALLOWED;
   }
 
+  /** What `check` would do, without starting a trial or counting anything. */
+  stateOf(
+    fingerprint: string,
+    nowMs = performance.now(),
+  ): Verdict | {readonly kind: 'trial'} {
+    const suspect = this.#suspects.get(fingerprint);
+    if (!suspect || !this.isQuarantined(fingerprint)) return ALLOWED;
+    const openAtMs = trialDueAtMs(suspect);
+    if (nowMs >= openAtMs) return {kind: 'trial'};
+    return {kind: 'quarantined', retryAfterMs: openAtMs - nowMs};
+  }
+
   /** Whether a request must not be sent to a further instance. */
   isQuarantined(fingerprint: string): boolean {
     const {ends = []} = this.#suspects.get(fingerprint) ?? {};
--- a/src/mesh/router/slot_search.ts
+++ b/src/mesh/router/slot_search.ts
@@ -65,7 +65,7 @@
   if (found.kind === 'found' || !mayWait) return found;
   if (signal.aborted) return declined('withdrawn');
   // The responses have updated the load and trust of the gates just asked.
-  const queued = rankGates(gates, search).slice(0, MAX_QUEUES);
+  const queued = gatesToQueueAt(rankGates(gates, search));
   if (queued.length === 0) return found;
   const waited = await waitInQueues(queued, search);
   if (waited.kind === 'found' || signal.aborted) return waited;
@@ -74,13 +74,32 @@
   return last.kind === 'found' ? last : waited;
 }
 
-function rankGates(
+/** Returns the gates that may be asked for a slot, the best first. */
+export function rankGates(
   gates: Pick<Gates, 'forService'>,
-  search: SlotSearch,
+  search: Pick<
+    SlotSearch,
+    'excluded' | 'service' | 'isIdempotent' | 'bodyBytes'
+  >,
+  random?: () => number,
 ): readonly GateCandidate[] {
   const {excluded, service} = search;
   const usable = gates.forService(service).filter(({vm}) => !excluded.has(vm));
-  return rankCandidates(usable, search);
+  return rankCandidates(usable, search, random);
+}
+
+/** The ranked gates that are asked in turn for a free slot. */
+export function gatesToAsk(
+  ranked: readonly GateCandidate[],
+): readonly GateCandidate[] {
+  return ranked.filter(hasFreeSlot).slice(0, MAX_GATES_ASKED);
+}
+
+/** The ranked gates that a request queues at if none grants a free slot. */
+export function gatesToQueueAt(
+  ranked: readonly GateCandidate[],
+): readonly GateCandidate[] {
+  return ranked.slice(0, MAX_QUEUES);
 }
 
 async function askFreeGates(
@@ -88,9 +107,8 @@
   search: SlotSearch,
   assurance: Assurance,
 ): Promise<FoundSlot | Declined> {
-  const free = ranked.filter(hasFreeSlot).slice(0, MAX_GATES_ASKED);
   let last = declined('busy');
-  for (const {vm, gate} of free) {
+  for (const {vm, gate} of gatesToAsk(ranked)) {
     const result = await gate.reserve(
       {...toSlotRequest(search), leftMs: 0, assurance},
       search.signal,
