--- a/features/mesh_hedges.feature
+++ b/features/mesh_hedges.feature
@@ -51,3 +51,16 @@
       | {"quantile": 0.9}                        | hedging.maxExtraShare |
       | {"maxExtraShare": 0.1, "quantile": 1}    | hedging.quantile      |
       | {"maxExtraShare": 0.1, "quantile": "95"} | hedging.quantile      |
+
+  # Guards against a peer that takes tokens which aren't there, or blocks its own.
+  Scenario Outline: A peer asks for a token and <value> spare tokens
+    Given a mesh fleet of 2 VMs with 2 slots each
+    When a peer pays 2 tokens and asks 3 times for a token and <value> spare ones
+    Then 2 of its tokens are granted, and the invalid field is logged <lines> times
+
+    Examples:
+      | value    | lines |
+      | 0        | 0     |
+      | -1       | 1     |
+      | NaN      | 1     |
+      | Infinity | 1     |
--- a/features/steps/mesh_hedges_steps.ts
+++ b/features/steps/mesh_hedges_steps.ts
@@ -1,9 +1,17 @@
 /** Steps for hedged requests of real daemons. */
 import assert from 'node:assert/strict';
+import {once} from 'node:events';
 import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import {Given, Then, When} from '@cucumber/cucumber';
+import {WebSocket} from 'ws';
+import {
+  decodeFrame,
+  encodeFrame,
+  PEER_PATH,
+  type ResponseFrame,
+} from '../../src/mesh/peers/frames.js';
 import {BURST_HEDGES} from '../../src/mesh/router/hedge_limit.js';
 import {loadMeshSettings} from '../../src/mesh/settings.js';
 import type {World} from '../support/world.js';
@@ -106,3 +114,51 @@
     assert.ok(faults.get(this)?.includes(`${fieldPath}:`), faults.get(this));
   },
 );
+
+/** No daemon issues tokens for it. */
+const OTHER_SERVICE = 'other';
+const LIFETIME_MS = 60_000;
+const grants = new WeakMap<World, readonly boolean[]>();
+
+When(
+  /^a peer pays (\d+) tokens and asks (\d+) times for a token and (\S+) spare ones$/,
+  async function (this: World, paid: string, asked: string, spare: string) {
+    const {address} = stateOf(this).fleet.vm(0).daemon.self;
+    const socket = new WebSocket(`ws://${address}${PEER_PATH}`);
+    await once(socket, 'open');
+    const replies: boolean[] = [];
+    const count = Number(asked);
+    const areAnswered = new Promise<void>(resolve => {
+      socket.on('message', (bytes: Buffer) => {
+        const frame = decodeFrame<ResponseFrame>(bytes, 'vm-0');
+        if (frame.kind === 'repeat') replies.push(frame.isGranted);
+        if (replies.length === count) resolve();
+      });
+    });
+    Array.from({length: count}, (_, id) => {
+      const tokens = id === 0 ? Number(paid) : 0;
+      const payment = {
+        service: OTHER_SERVICE,
+        lots: [[tokens, LIFETIME_MS]] as const,
+        spent: 0,
+        spareTokens: Number(spare),
+      };
+      socket.send(encodeFrame({kind: 'repeat', id, payment}));
+    });
+    await areAnswered;
+    socket.terminate();
+    grants.set(this, replies);
+  },
+);
+
+Then(
+  '{int} of its tokens are granted, and the invalid field is logged {int} times',
+  function (this: World, granted: number, logged: number) {
+    const replies = grants.get(this) ?? [];
+    assert.equal(replies.filter(Boolean).length, granted);
+    const lines = stateOf(this).fleet.lines.filter(
+      ({event}) => event === 'peer-field-invalid',
+    );
+    assert.equal(lines.length, logged);
+  },
+);
