--- a/features/support/mesh_fleet.ts
+++ b/features/support/mesh_fleet.ts
@@ -18,6 +18,7 @@
 import {MeshDaemon} from '../../src/mesh/mesh_daemon.js';
 import {MeshMetrics} from '../../src/mesh/mesh_metrics.js';
 import type {FleetConfiguration, Route} from '../../src/mesh/model.js';
+import type {MeshSettings} from '../../src/mesh/settings.js';
 import {HeldReader} from './held_reader.js';
 import {RAW_BEHAVIOURS} from './raw_responses.js';
 
@@ -227,6 +228,8 @@
   domains: readonly string[] = [];
   /** Whether failure domains can be evacuated. */
   canEvacuate = false;
+  /** Settings of the daemons that are started from now on. */
+  settings: Partial<MeshSettings> = {};
   #heldReader: HeldReader | undefined;
 
   /** Starts a fleet, and waits until all daemons are connected. */
@@ -250,10 +253,12 @@
     for (const [index, service] of services.entries()) {
       const log = this.#log();
       const domain = this.domains[index] ?? 'test';
-      const {canEvacuate} = this;
+      const {canEvacuate, settings} = this;
       const customerShares = shares[index];
-      const plan = {id: `vm-${index}`, service, slots, domain, canEvacuate};
-      this.vms.push(await startVm({...plan, log, customerShares}));
+      const plan = {id: `vm-${index}`, service, slots, domain};
+      this.vms.push(
+        await startVm({...plan, canEvacuate, customerShares, settings, log}),
+      );
     }
     const all = this.vms.map(({daemon}) => daemon.self);
     this.vms.forEach(({daemon}) => daemon.peers.applyList(all));
@@ -335,6 +340,7 @@
   domain = 'test',
   canEvacuate = false,
   customerShares = 'none',
+  settings = {},
 }: {
   readonly id: string;
   readonly service: string;
@@ -344,6 +350,7 @@
   readonly domain?: string;
   readonly canEvacuate?: boolean;
   readonly customerShares?: CustomerShares;
+  readonly settings?: Partial<MeshSettings>;
 }): Promise<MeshVm> {
   const backend = new MeshBackend();
   const address = await backend.start();
@@ -365,6 +372,7 @@
       quarantinesRequests: true,
       scheduling: {customerShares},
       repeats: {ratio: 0.2, windowS: 10, slack: 60, callReserve: 0},
+      ...settings,
     },
     names: NAMES,
     log,
--- a/features/support/simulated_repeat_fleet.ts
+++ b/features/support/simulated_repeat_fleet.ts
@@ -104,7 +104,7 @@
 
   async #failRequest(isCall: boolean): Promise<void> {
     const {budget} = this.#randomDaemon();
-    const {isGranted} = await budget.take(SERVICE, isCall);
+    const {isGranted} = await budget.take(SERVICE, {isCall});
     if (isGranted) this.windows.repeated(this.#nowMs);
     const count = isCall ? this.calls : this.others;
     count.wanted += 1;
--- a/src/mesh/limits/repeat_budget.ts
+++ b/src/mesh/limits/repeat_budget.ts
@@ -48,6 +48,19 @@
    */
   readonly isForCall?: true;
   readonly hasCalls?: true;
+  /**
+   * Tokens that must be left after this one, for repeats that are more urgent.
+   * Owners of earlier versions ignore it.
+   */
+  readonly spareTokens?: number;
+}
+
+/** How urgent a repeat is, compared with others of its service. */
+export interface RepeatUrgency {
+  /** Whether it is a call of an instance. */
+  readonly isCall?: boolean;
+  /** Tokens that it must leave to repeats that are more urgent. */
+  readonly spareTokens?: number;
 }
 
 /** The decision whether a repeat may be sent. */
@@ -154,12 +167,19 @@
   }
 
   /** Takes a token for one repeat from the owner of the budget. */
-  async take(service: string, isCall = false): Promise<RepeatDecision> {
+  async take(
+    service: string,
+    {isCall = false, spareTokens = 0}: RepeatUrgency = {},
+  ): Promise<RepeatDecision> {
     const {peers} = this.#options;
     const owner = this.ownerOf(service);
-    const collected = this.#collectPayment(service);
     const isForCall = isCall && this.#callReserve > 0;
-    const payment = isForCall ? {...collected, isForCall} : collected;
+    // The usual payment has no further field, and so keeps its shape.
+    const payment = {
+      ...this.#collectPayment(service),
+      ...(isForCall && {isForCall}),
+      ...(spareTokens > 0 && {spareTokens}),
+    };
     if (owner === peers.selfId) {
       return {isGranted: this.grant(payment), owner};
     }
@@ -176,8 +196,9 @@
     this.receivePayment(payment);
     const nowMs = this.#now();
     const {pool, reserve} = this.#ownedOf(payment.service);
-    const isForCall = payment.isForCall === true;
-    return pool.take(nowMs, isForCall ? 0 : reserve.tokensAt(nowMs));
+    const {isForCall, spareTokens = 0} = payment;
+    const reserved = isForCall === true ? 0 : reserve.tokensAt(nowMs);
+    return pool.take(nowMs, reserved + spareTokens);
   }
 
   /** Records another daemon's payment. */
