Test a daemon with callers outside the limits

Such callers made a process run out of memory. The new profile 'limits' starts the platform's build with small limits in its settings, sends it one crowd per scenario, and checks that the process runs, its peak resident memory, its open descriptors and one ordinary request.

--- /dev/null
+++ b/limits/caller_limits.feature
@@ -0,0 +1,44 @@
+Feature: Callers outside the limits
+  The daemon runs as on the platform, with little memory and few descriptors. A
+  crowd of callers breaks the limits and keeps its connections open.
+
+  # Guards against a process that runs out of memory or descriptors, or that is
+  # too busy to answer, because of callers that the operators don't control.
+  Scenario Outline: A daemon survives <kind>
+    Given a mesh daemon with 150 MB of memory and 200 descriptors
+    When <count> callers send <kind>
+    Then the process runs and took at most 150 MB and 200 descriptors
+    And an ordinary request is answered
+
+    Examples:
+      | count | kind                                                      |
+      | 300   | bodies that stop one byte short                           |
+      | 300   | bodies in pieces that stop one byte short                 |
+      | 300   | chunked bodies in large chunks that stop short            |
+      | 40    | chunked bodies in one-byte chunks that stop short         |
+      | 250   | bodies far over the limit                                 |
+      | 250   | announcements of bodies far over the limit                |
+      | 250   | header fields without end                                 |
+      | 250   | header fields without end to the metrics listener         |
+      | 250   | heartbeats that stop one byte short                       |
+      | 60    | requests for large responses that they don't read         |
+
+  # Guards against a stop that a crowd delays until the process is killed.
+  Scenario: A daemon with a crowd of unfinished bodies stops by itself
+    Given a mesh daemon with 150 MB of memory and 200 descriptors
+    When 300 callers send bodies that stop one byte short
+    And the process gets SIGTERM
+    Then the process has ended by itself and took at most 150 MB and 200 descriptors
+
+  # Guards against defaults that refuse or slow callers inside the limits.
+  Scenario Outline: <count> uploads of <bytes> bytes with <memory> MB are served
+    Given a mesh daemon with <memory> MB of memory and bodies of up to 67108864 bytes
+    When <count> callers upload <bytes> bytes each at the same time
+    Then all of them are served
+    And the process runs and took at most <memory> MB and 200 descriptors
+
+    Examples:
+      | count | bytes    | memory |
+      | 40    | 360000   | 250    |
+      | 2     | 60000000 | 350    |
+      | 1     | 67108864 | 250    |
--- /dev/null
+++ b/limits/support/limited_daemon.ts
@@ -0,0 +1,181 @@
+/**
+ * A daemon of the platform's build in a process of its own, with the stand-ins
+ * that it needs. Samples its memory and its open descriptors.
+ */
+import {mkdtempSync, readdirSync, rmSync, writeFileSync} from 'node:fs';
+import {createServer, request, type Server} from 'node:http';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {HEADER_NAMES as NAMES} from '../../platform/names.js';
+import {listen} from '../../src/http/listener.js';
+import {daemonNodeArgs} from '../../features/support/deploy_file.js';
+import {until} from '../../features/support/fleet.js';
+import {documentOfRoutes} from '../../features/support/platform_documents.js';
+import {PlatformStore} from '../../features/support/platform_store.js';
+import {freeAddress} from '../../features/support/ports.js';
+import {TestProcess} from '../../features/support/process.js';
+import {
+  LARGE_PATH,
+  LARGE_RESPONSE_BYTES,
+  MAX_BODY_BYTES,
+  type Listens,
+} from './platform_crowd.js';
+
+/** Memory and descriptors of the VM, as the daemon's settings say. */
+export interface Resources {
+  readonly memoryMb: number;
+  readonly maxDescriptors: number;
+}
+
+const ANY_PORT = '127.0.0.1:0';
+const INSTANCE_SLOTS = 8;
+const READY_TIMEOUT_MS = 10_000;
+const SAMPLE_INTERVAL_MS = 50;
+/** An ordinary caller waits this long for its response. */
+const ORDINARY_DEADLINE_MS = 15_000;
+const LARGE_RESPONSE = Buffer.alloc(LARGE_RESPONSE_BYTES);
+
+/** The daemon of one scenario. */
+export class LimitedDaemon {
+  readonly listens: Listens;
+  readonly process: TestProcess;
+  readonly #folder: string;
+  readonly #backend: Server;
+  readonly #store: PlatformStore;
+  readonly #sampling: NodeJS.Timeout;
+  #peakDescriptors = 0;
+  #peakMemoryMb = 0;
+
+  private constructor(
+    listens: Listens,
+    process: TestProcess,
+    parts: {folder: string; backend: Server; store: PlatformStore},
+  ) {
+    this.listens = listens;
+    this.process = process;
+    this.#folder = parts.folder;
+    this.#backend = parts.backend;
+    this.#store = parts.store;
+    this.#sampling = setInterval(() => this.#sample(), SAMPLE_INTERVAL_MS);
+  }
+
+  static async start(
+    resources: Resources,
+    maxBodyBytes = MAX_BODY_BYTES,
+  ): Promise<LimitedDaemon> {
+    const store = new PlatformStore();
+    store.writeConfiguration(
+      documentOfRoutes('00000001', [ROUTE], {maxBodyBytes}),
+    );
+    const backend = createBackend();
+    const listens = {
+      callers: await freeAddress(),
+      readiness: await freeAddress(),
+      announcements: await freeAddress(),
+      peers: await freeAddress(),
+      metrics: await freeAddress(),
+    };
+    const settings = {
+      vm: {id: 'vm-1', failureDomain: 'a'},
+      listen: listens,
+      backend: {
+        address: await listen(backend, ANY_PORT, 'backend server'),
+        service: ROUTE.service,
+      },
+      store: {address: await store.start()},
+      isFirstStart: false,
+      stopTimeoutS: 6,
+      repeats: {ratio: 0.2, windowS: 10, slack: 60},
+      resources,
+    };
+    const folder = mkdtempSync(path.join(tmpdir(), 'mesh-limits-'));
+    const file = path.join(folder, 'settings.json');
+    writeFileSync(file, JSON.stringify(settings));
+    const process = await TestProcess.start({
+      script: 'target/daemon.cjs',
+      nodeArgs: daemonNodeArgs(),
+      args: ['--settings', file],
+    });
+    const parts = {folder, backend, store};
+    const daemon = new LimitedDaemon(listens, process, parts);
+    const isReady = async () =>
+      (await fetch(`http://${listens.readiness}/`)).status === 200;
+    await until('the daemon is ready', isReady, READY_TIMEOUT_MS);
+    const isServing = async () => (await daemon.sendOrdinary()) === 200;
+    await until('it serves', isServing, READY_TIMEOUT_MS);
+    return daemon;
+  }
+
+  get peakMemoryMb(): number {
+    return this.#peakMemoryMb;
+  }
+
+  get peakDescriptors(): number {
+    return this.#peakDescriptors;
+  }
+
+  /** Sends a request; resolves to its status, or 0 without a response. */
+  sendOrdinary(body: Buffer | string = 'body'): Promise<number> {
+    const [host, port] = this.listens.callers.split(':');
+    const headers = {
+      host: ROUTE.host,
+      [NAMES.requestId]: `ordinary-${Math.random()}`,
+      [NAMES.deadline]: String(ORDINARY_DEADLINE_MS),
+    };
+    const options = {host, port, path: '/app/1', method: 'POST', headers};
+    return new Promise(resolve => {
+      const req = request({...options, agent: false}, res => {
+        res.resume();
+        res.on('end', () => resolve(res.statusCode ?? 0));
+        res.on('error', () => resolve(0));
+      });
+      req.setTimeout(ORDINARY_DEADLINE_MS, () => req.destroy());
+      req.on('error', () => resolve(0));
+      req.end(body);
+    });
+  }
+
+  async stop(): Promise<void> {
+    clearInterval(this.#sampling);
+    await this.process.end();
+    this.#store.stop();
+    this.#backend.closeAllConnections();
+    this.#backend.close();
+    rmSync(this.#folder, {recursive: true});
+  }
+
+  #sample(): void {
+    const {process} = this;
+    if (!process.running) return;
+    try {
+      const open = readdirSync(`/proc/${process.pid}/fd`).length;
+      this.#peakDescriptors = Math.max(this.#peakDescriptors, open);
+      const {peakMemoryMb} = process;
+      if (peakMemoryMb > this.#peakMemoryMb) this.#peakMemoryMb = peakMemoryMb;
+    } catch {
+      // The process ends just now; what was seen before counts.
+    }
+  }
+}
+
+const ROUTE = {
+  service: 'pay',
+  host: 'app.example',
+  prefix: '/app/',
+  kind: 'safe',
+  timeoutMs: 20_000,
+} as const;
+
+/** The instance: answers once it has read the whole request. */
+function createBackend(): Server {
+  return createServer((req, res) => {
+    req.resume();
+    res.setHeader(NAMES.instance, 'i-1');
+    res.setHeader(NAMES.load, `0,0,${INSTANCE_SLOTS}`);
+    if (req.url === '/health') return res.end();
+    res.setHeader(NAMES.requestId, String(req.headers[NAMES.requestId]));
+    res.setHeader(NAMES.signature, 'signed');
+    const body = req.url === LARGE_PATH ? LARGE_RESPONSE : 'done';
+    req.on('end', () => res.end(body));
+  });
+}
--- a/scripts/check.mjs
+++ b/scripts/check.mjs
@@ -21,8 +21,11 @@
   ['binary', path.join(root, 'dist', 'chicorycourse'), ['--version']],
 ];
 
-/** Cucumber profiles; each scenario has its own verdict. */
-const PROFILES = ['spec', 'features'];
+/**
+ * Cucumber profiles; each scenario has its own verdict. Scenarios of `limits`
+ * measure a process, so they run last, one at a time.
+ */
+const PROFILES = ['spec', 'features', 'limits'];
 
 const knownRed = existsSync(path.join(root, 'KNOWN-RED.txt'))
   ? readFileSync(path.join(root, 'KNOWN-RED.txt'), 'utf8')
--- a/scripts/check_names.mjs
+++ b/scripts/check_names.mjs
@@ -9,9 +9,9 @@
 const root = path.resolve(import.meta.dirname, '..');
 
 /** Folders whose code has to do without the names. */
-const FOLDERS = ['src', 'bench', 'standins', 'features', 'spec'];
+const FOLDERS = ['src', 'bench', 'standins', 'features', 'limits', 'spec'];
 /** Tests of the adapter itself speak what it translates. */
-const ADAPTER_TESTS = /^features\/([a-z]+\/)?platform_/;
+const ADAPTER_TESTS = /^(features|limits)\/([a-z]+\/)?platform_/;
 
 const NAMES = [
   'x-attempt-id',
