--- a/src/mesh/settings.ts
+++ b/src/mesh/settings.ts
@@ -32,6 +32,25 @@
     windowS: nonNegative,
     slack: nonNegative,
   }),
+  /** Memory and file descriptors of the VM; those of a small VM if omitted. */
+  resources: z
+    .object({
+      memoryMb: z.number().positive(),
+      maxDescriptors: z.number().int().positive(),
+    })
+    .optional(),
+  /** Bounds for callers; `computeCallerBounds` has the defaults. */
+  callerLimits: z
+    .object({
+      minBytesPerS: nonNegative,
+      rateWindowMs: z.number().positive(),
+      stallMs: z.number().positive(),
+      maxConnections: z.number().int().positive(),
+      maxUnfinishedRequests: z.number().int().positive(),
+      maxUnfinishedBytes: z.number().int().positive(),
+    })
+    .partial()
+    .optional(),
 });
 
 /** Validated settings. */
