Bound what callers outside the limits can take

Unfinished bodies were held without a bound on their sum, stayed open for ever, and one-byte chunks blocked the event loop for over 20 s. A body announced over the limit is refused before it is read, and nothing is parsed after a refusal.

Uploads inside the limits are still served.

--- a/features/steps/mesh_limit_steps.ts
+++ b/features/steps/mesh_limit_steps.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict';
 import {Given, Then} from '@cucumber/cucumber';
 import fc from 'fast-check';
-import {BodyProgress} from '../../src/mesh/limits/body_progress.js';
+import {BodyProgress} from '../../src/http/body_progress.js';
 import {computeCallerBounds} from '../../src/mesh/limits/caller_bounds.js';
 import {
   HOLDER_KINDS,
--- /dev/null
+++ b/src/http/connection_guard.ts
@@ -0,0 +1,177 @@
+/**
+ * Bounds what the callers of an HTTP server can take: connections, unfinished
+ * requests, time without progress, and the time to parse what they send. Beyond
+ * a bound, the connections that are longest without progress are closed first.
+ */
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
+import type {ProgressLimits} from './body_progress.js';
+import {
+  GuardedConnection,
+  type ConnectionObserver,
+  type CutReason,
+} from './guarded_connection.js';
+import type {ReadMeter} from './read_meter.js';
+
+/** Why a connection was closed, or a request cut off. */
+export type GuardReason = CutReason | 'connections' | 'unfinished';
+
+/** Options of {@link ConnectionGuard}. */
+export interface ConnectionGuardOptions {
+  readonly meter: ReadMeter;
+  readonly maxConnections: number;
+  readonly maxUnfinished: number;
+  readonly progress: ProgressLimits;
+  readonly onClose: (reason: GuardReason) => void;
+}
+
+const CHECK_INTERVAL_MS = 250;
+/** A check that is later than this found a process that was too busy to read. */
+const LATE_CHECK_MS = 2 * CHECK_INTERVAL_MS;
+/** A request without progress for this long gives way to others. */
+const DISPLACE_AFTER_MS = 500;
+
+/** Guards one server. */
+export class ConnectionGuard implements ConnectionObserver {
+  readonly #options: ConnectionGuardOptions;
+  readonly #bySocket = new Map<Socket, GuardedConnection>();
+  /** Each ordered by the time of the last progress, oldest first. */
+  readonly #unfinished = new Set<GuardedConnection>();
+  readonly #idle = new Set<GuardedConnection>();
+  readonly #lingering = new Set<GuardedConnection>();
+  #checkedAtMs = performance.now();
+
+  constructor(server: Server, options: ConnectionGuardOptions) {
+    this.#options = options;
+    server.on('connection', (socket: Socket) => this.#add(socket));
+    const begin = (req: IncomingMessage, res: ServerResponse) =>
+      this.#begin(req, res);
+    // Before the server's own handlers.
+    server.prependListener('request', begin);
+    server.prependListener('checkContinue', begin);
+    server.on('connect', (req: IncomingMessage) =>
+      this.connectionOf(req)?.closeAfterResponse(),
+    );
+    const timer = setInterval(() => this.#check(), CHECK_INTERVAL_MS).unref();
+    server.on('close', () => clearInterval(timer));
+  }
+
+  get connections(): number {
+    return this.#bySocket.size;
+  }
+
+  /** Undefined if the connection is closed. */
+  connectionOf(req: IncomingMessage): GuardedConnection | undefined {
+    return this.#bySocket.get(req.socket);
+  }
+
+  /**
+   * Cuts off the unfinished request that is longest without progress, if there
+   * is one that nobody waits for; `except` stays.
+   */
+  displaceOne(except?: GuardedConnection): boolean {
+    const beforeMs = performance.now() - DISPLACE_AFTER_MS;
+    const found = [...this.#unfinished].find(
+      connection =>
+        connection !== except &&
+        !connection.isWaiting &&
+        connection.lastAtMs < beforeMs,
+    );
+    if (!found) return false;
+    this.#unfinished.delete(found);
+    found.cut('displaced');
+    return true;
+  }
+
+  onProgress(connection: GuardedConnection): void {
+    this.#idle.delete(connection);
+    const isNew = !this.#unfinished.delete(connection);
+    this.#unfinished.add(connection);
+    const {maxUnfinished} = this.#options;
+    if (isNew && this.#unfinished.size > maxUnfinished) {
+      this.#close('unfinished', this.#unfinished);
+    }
+  }
+
+  onFinished(connection: GuardedConnection): void {
+    this.#unfinished.delete(connection);
+  }
+
+  onLinger(connection: GuardedConnection): void {
+    this.#unfinished.delete(connection);
+    this.#idle.delete(connection);
+    this.#lingering.add(connection);
+  }
+
+  onCut(reason: CutReason): void {
+    this.#options.onClose(reason);
+  }
+
+  #add(socket: Socket): void {
+    const {maxConnections, meter, progress} = this.#options;
+    if (this.#bySocket.size >= maxConnections && !this.#closeOne()) {
+      this.#options.onClose('connections');
+      return void socket.destroy();
+    }
+    const connection = new GuardedConnection(socket, progress, this);
+    this.#bySocket.set(socket, connection);
+    this.#idle.add(connection);
+    socket.on('close', () => this.#forget(connection));
+    connection.unparsed = meter.attach(socket, connection);
+  }
+
+  #begin(req: IncomingMessage, res: ServerResponse): void {
+    const connection = this.connectionOf(req);
+    if (!connection) return;
+    connection.begin(req);
+    this.#idle.delete(connection);
+    req.on('end', () => this.onFinished(connection));
+    res.on('close', () => {
+      const isOpen = this.#bySocket.has(connection.socket);
+      const isInUse =
+        connection.isUnfinished || this.#lingering.has(connection);
+      if (isOpen && !isInUse) this.#idle.add(connection);
+    });
+  }
+
+  #forget(connection: GuardedConnection): void {
+    this.#bySocket.delete(connection.socket);
+    this.#unfinished.delete(connection);
+    this.#idle.delete(connection);
+    this.#lingering.delete(connection);
+  }
+
+  /** Closes the connection that is the least loss; false if all are in use. */
+  #closeOne(): boolean {
+    const [stalled] = this.#unfinished;
+    const beforeMs = performance.now() - DISPLACE_AFTER_MS;
+    const isStalled = stalled !== undefined && stalled.lastAtMs < beforeMs;
+    return (
+      this.#close('connections', this.#lingering) ||
+      (isStalled && this.#close('connections', this.#unfinished)) ||
+      this.#close('connections', this.#idle) ||
+      this.#close('connections', this.#unfinished)
+    );
+  }
+
+  #close(
+    reason: GuardReason,
+    connections: ReadonlySet<GuardedConnection>,
+  ): boolean {
+    const [oldest] = connections;
+    if (!oldest) return false;
+    this.#options.onClose(reason);
+    oldest.socket.destroy();
+    this.#forget(oldest);
+    return true;
+  }
+
+  #check(): void {
+    const nowMs = performance.now();
+    const isLate = nowMs - this.#checkedAtMs > LATE_CHECK_MS;
+    this.#checkedAtMs = nowMs;
+    [...this.#unfinished].forEach(connection =>
+      connection.check(nowMs, isLate),
+    );
+  }
+}
--- a/src/mesh/limits/caller_bounds.ts
+++ b/src/mesh/limits/caller_bounds.ts
@@ -3,7 +3,7 @@
  * Settings replace single bounds.
  */
 import type {MeshSettings} from '../settings.js';
-import type {ProgressLimits} from './body_progress.js';
+import type {ProgressLimits} from '../../http/body_progress.js';
 
 /** The bounds of one daemon. */
 export interface CallerBounds {
@@ -22,7 +22,7 @@
 const DEFAULT_MEMORY_MB = 250;
 const DEFAULT_MAX_DESCRIPTORS = 4100;
 /** At rest a daemon has 65 to 72 MB; garbage and read buffers come on top. */
-const PROCESS_MB = 100;
+const PROCESS_MB = 110;
 /** Least budget, for a VM that has less memory than the process needs. */
 const MIN_BUDGET_MB = 16;
 /** Peers, the store, the instance and the other listeners use the rest. */
--- a/src/mesh/limits/memory_budget.ts
+++ b/src/mesh/limits/memory_budget.ts
@@ -33,9 +33,9 @@
 
 /** Share of the limit that only small bodies may use. */
 const SMALL_BODY_SHARE = 1 / 16;
-/** Shares of the limit; two bodies of 60 MB fit into 60% of 250 MB. */
-const UNFINISHED_SHARE = 0.6;
-/** One body of 64 MB fits into half of 150 MB, the budget of a small VM. */
+/** Shares of the limit; two bodies of 60 MB fit into 55% of 240 MB. */
+const UNFINISHED_SHARE = 0.55;
+/** One body of 64 MB fits into half of 140 MB, the budget of a small VM. */
 const ONE_BODY_SHARE = 0.5;
 
 /** The budget of one daemon. */
--- a/src/mesh/mesh_daemon.ts
+++ b/src/mesh/mesh_daemon.ts
@@ -8,14 +8,21 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import polka from 'polka';
 import {reasonOf} from '../errors/failure.js';
+import {ConnectionGuard} from '../http/connection_guard.js';
 import {listen, type ListenRetry} from '../http/listener.js';
+import {ReadMeter} from '../http/read_meter.js';
 import {StrictServer} from '../http/strict_server.js';
 import type {DecisionLog} from '../log/decision_log.js';
 import {ConfigurationTracker} from './configuration/configuration_tracker.js';
 import {BackendClient} from './gate/backend_client.js';
 import {Gate} from './gate/gate.js';
 import type {HeaderNames} from './header_names.js';
+import {
+  computeCallerBounds,
+  type CallerBounds,
+} from './limits/caller_bounds.js';
 import {buildCustomerLimits} from './limits/customer_limits.js';
+import {MemoryBudget} from './limits/memory_budget.js';
 import {RepeatBudget} from './limits/repeat_budget.js';
 import {RepeatCalls} from './limits/repeat_calls.js';
 import {SharedLimits, type Limit} from './limits/shared_limits.js';
@@ -69,6 +76,9 @@
   readonly #quarantine: QueryOfDeathGuard;
   readonly #peerServer: PeerServer;
   readonly #callerServer: CallerServer;
+  readonly #bounds: CallerBounds;
+  /** One for all listeners, since they share the event loop. */
+  readonly #readMeter = new ReadMeter();
   readonly #readinessServer: Server;
   readonly #metricsServer: Server;
   #limitsByName: ReadonlyMap<string, Limit> = new Map();
@@ -82,6 +92,10 @@
     this.#options = options;
     const {settings, names, log, metrics} = options;
     const {service, address} = settings.backend;
+    this.#bounds = computeCallerBounds(settings);
+    const {budgetBytes, maxUnfinishedBytes} = this.#bounds;
+    const budget = new MemoryBudget(budgetBytes, {maxUnfinishedBytes});
+    metrics.exportHeldBytes(budget);
     this.#peersAddress = settings.listen.peers;
     this.#boundAddresses = settings.listen;
     this.#exchange = new BackendClient(address, names);
@@ -155,6 +169,9 @@
         inFlight: this.gate.inFlight,
         log,
       }),
+      budget,
+      guard: server =>
+        this.#guard(server, 'callers', this.#bounds.maxConnections),
       log,
       metrics,
       routes: () => this.configurationTracker.routeTable,
@@ -162,6 +179,7 @@
       hasInstances: service => gates.forService(service).length > 0,
     });
     this.#readinessServer = new StrictServer();
+    this.guardOperatorListener(this.#readinessServer, 'readiness');
     this.#readinessServer.on('request', (_, res) => {
       const isReady =
         this.configurationTracker.routeTable !== undefined && !this.#isStopping;
@@ -171,6 +189,7 @@
       res.end(await metrics.render());
     });
     this.#metricsServer = new StrictServer();
+    this.guardOperatorListener(this.#metricsServer, 'metrics');
     this.#metricsServer.on('request', metricsApp.handler);
   }
 
@@ -250,6 +269,30 @@
     await this.#peerServer.stop();
   }
 
+  /** Bounds what the connections of a listener not for callers take. */
+  guardOperatorListener(server: Server, listener: string): void {
+    this.#guard(server, listener, this.#bounds.maxOtherConnections);
+  }
+
+  #guard(
+    server: Server,
+    listener: string,
+    maxConnections: number,
+  ): ConnectionGuard {
+    const {log, metrics} = this.#options;
+    const {progress, maxUnfinishedRequests} = this.#bounds;
+    return new ConnectionGuard(server, {
+      meter: this.#readMeter,
+      maxConnections,
+      maxUnfinished: Math.min(maxUnfinishedRequests, maxConnections),
+      progress,
+      onClose: reason => {
+        metrics.recordGuardClose(listener, reason);
+        log.failure('connection-closed', {listener, reason});
+      },
+    });
+  }
+
   #status(): VmStatus {
     const backend = this.gate.status;
     const isStopping = this.#isStopping;
--- a/src/mesh/mesh_metrics.ts
+++ b/src/mesh/mesh_metrics.ts
@@ -3,6 +3,7 @@
  * docs/OPERATIONS.md lists every name.
  */
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+import {HOLDER_KINDS, type MemoryBudget} from './limits/memory_budget.js';
 
 /** Upper bounds; the latency objectives lie between 0.2 and 1.5 s. */
 const LATENCY_BUCKETS_S = [
@@ -86,6 +87,12 @@
     buckets: DELAY_BUCKETS_S,
     registers: [this.#registry],
   });
+  readonly #guardCloses = new Counter({
+    name: 'chicorycourse_guard_closes_total',
+    help: 'Connections closed and requests cut off for a limit, by reason',
+    labelNames: ['listener', 'reason'],
+    registers: [this.#registry],
+  });
   readonly #backendLimit = new Gauge({
     name: 'chicorycourse_backend_limit_per_second',
     help: 'Rate limit that the instance of this VM named last, if any',
@@ -183,6 +190,28 @@
     });
   }
 
+  /** Exports the memory budget: its limit, and the bytes held by kind. */
+  exportHeldBytes(budget: MemoryBudget): void {
+    new Gauge({
+      name: 'chicorycourse_memory_budget_bytes',
+      help: 'Limit of the bytes that others determine',
+      registers: [this.#registry],
+    }).set(budget.limitBytes);
+    new Gauge({
+      name: 'chicorycourse_held_bytes',
+      help: 'Bytes in use of the memory budget, by kind of holder',
+      labelNames: ['kind'],
+      registers: [this.#registry],
+      collect() {
+        HOLDER_KINDS.forEach(kind => this.set({kind}, budget.usedBy(kind)));
+      },
+    });
+  }
+
+  recordGuardClose(listener: string, reason: string): void {
+    this.#guardCloses.inc({listener, reason});
+  }
+
   recordPeerConnect(outcome: ConnectOutcome, tookMs: number): void {
     this.#peerConnects.observe({outcome}, tookMs / 1000);
   }
--- a/src/mesh/router/caller_server.ts
+++ b/src/mesh/router/caller_server.ts
@@ -3,20 +3,27 @@
  * admits or refuses it, dispatches it, and sends exactly one response. Drains
  * by closing connections as they become idle.
  */
-import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import polka from 'polka';
 import {reasonOf} from '../../errors/failure.js';
 import {createCallerServer} from '../../http/caller_server.js';
+import type {ConnectionGuard} from '../../http/connection_guard.js';
 import {listen} from '../../http/listener.js';
 import {sendProblem} from '../../http/problem.js';
 import {BAD_REQUEST} from '../../http/strict_server.js';
 import type {DecisionLog} from '../../log/decision_log.js';
 import type {HeaderNames} from '../header_names.js';
+import type {MemoryBudget, MemoryGrant} from '../limits/memory_budget.js';
 import type {RepeatCalls} from '../limits/repeat_calls.js';
 import type {SharedLimits} from '../limits/shared_limits.js';
 import type {MeshMetrics} from '../mesh_metrics.js';
 import type {CallerLimits, Customer, Route} from '../model.js';
-import {readBody} from './caller_body.js';
+import {
+  announcedBytes,
+  BodyReader,
+  SMALL_BODY_BYTES,
+  type ReadResult,
+} from './body_reader.js';
 import {buildBackendHeaders, buildCallerHeaders} from './caller_headers.js';
 import {
   STOPPING_WAIT_MS,
@@ -42,6 +49,10 @@
   readonly limits: SharedLimits;
   readonly quarantine: Pick<QueryOfDeathGuard, 'check'>;
   readonly repeatCalls: RepeatCalls;
+  /** Holds the bodies that callers send. */
+  readonly budget: MemoryBudget;
+  /** Bounds what the connections of a server take. */
+  readonly guard: (server: Server) => ConnectionGuard;
   readonly log: DecisionLog;
   readonly metrics: MeshMetrics;
   /** Undefined until the first configuration is in force. */
@@ -93,6 +104,8 @@
   readonly #options: CallerServerOptions;
   readonly #startupDelay: StartupDelay;
   readonly #server;
+  readonly #guard: ConnectionGuard;
+  readonly #bodies: BodyReader;
   #maxBodyBytes = DEFAULT_MAX_BODY_BYTES;
   #openRequests = 0;
   #isStopping = false;
@@ -110,6 +123,11 @@
     this.#server = createCallerServer(MAX_HEADER_BYTES, () =>
       this.#recordMalformed(),
     );
+    this.#guard = options.guard(this.#server);
+    this.#bodies = new BodyReader({
+      budget: options.budget,
+      guard: this.#guard,
+    });
     this.#server.on('request', app.handler);
   }
 
@@ -175,6 +193,9 @@
   ): Promise<void> {
     const {req, startedAtMs} = context;
     const {routes, isFleetKnown, hasInstances, names} = this.#options;
+    if ((announcedBytes(req) ?? 0) > this.#maxBodyBytes) {
+      return this.#refuse(context, {name: 'body-too-large'});
+    }
     const callerTimeoutMs = parseCallerTimeoutMs(req, names) ?? Infinity;
     await this.#startupDelay.waitUntil(() => routes() !== undefined, {
       callerSignal,
@@ -195,11 +216,13 @@
     if (!this.#options.dispatcher.canFinish(route)) {
       return this.#refuseStopping(context);
     }
-    const body = await readBody(req, this.#maxBodyBytes);
-    if (body.kind === 'too-large') {
-      return this.#refuse(context, {name: 'body-too-large'});
-    }
+    const body = await this.#bodies.read(req, this.#maxBodyBytes);
     if (body.kind === 'broken') return this.#record(context, 0, 'caller-gone');
+    if (body.kind !== 'whole') {
+      return this.#refuse(context, {name: BODY_REFUSALS[body.kind]});
+    }
+    const {grant} = body;
+    if (grant) releaseAfter(context.res, grant);
     const request = this.#buildAdmittedRequest(context, {
       route,
       customer,
@@ -347,9 +370,18 @@
       res.setHeader('retry-after', (retryAfterMs / 1000).toFixed(2));
     }
     if (this.#isStopping) res.setHeader('connection', 'close');
+    this.#discardRest(context);
     sendProblem(res, name, REFUSALS[name], {detail});
   }
 
+  /** Parses nothing more of a refused request unless little is left of it. */
+  #discardRest({req, res}: RequestContext): void {
+    const isLittleLeft = (announcedBytes(req) ?? Infinity) <= SMALL_BODY_BYTES;
+    if (req.complete || (isLittleLeft && !req.readableDidRead)) return;
+    res.setHeader('connection', 'close');
+    this.#guard.connectionOf(req)?.closeAfterResponse();
+  }
+
   /** Its fields are in doubt, so none of them is logged. */
   #recordMalformed(): void {
     const {log, metrics} = this.#options;
@@ -391,6 +423,24 @@
   return customer?.priority ?? route.priority;
 }
 
+/** Refusals by the reason why a body was not read to its end. */
+const BODY_REFUSALS: Readonly<
+  Record<Exclude<ReadResult['kind'], 'whole' | 'broken'>, RefusalName>
+> = {
+  'too-large': 'body-too-large',
+  'no-memory': 'no-memory',
+  stalled: 'body-stalled',
+  slow: 'body-stalled',
+  framing: 'framing-too-large',
+  displaced: 'displaced',
+};
+
+/** Releases a grant once the response is sent or its caller is gone. */
+function releaseAfter(res: ServerResponse, grant: MemoryGrant): void {
+  if (res.closed) grant.release();
+  else res.on('close', () => grant.release());
+}
+
 /** Refusals by the reason why a request was not executed. */
 const NOT_RUN_REFUSALS: Readonly<Partial<Record<string, RefusalName>>> = {
   busy: 'busy',
--- a/src/mesh/router/refusals.ts
+++ b/src/mesh/router/refusals.ts
@@ -11,6 +11,26 @@
   'key-missing': {status: 401, title: 'A key is needed here', ran: 'no'},
   'key-unknown': {status: 401, title: 'The key is not valid', ran: 'no'},
   'body-too-large': {status: 413, title: 'The body is too large', ran: 'no'},
+  'framing-too-large': {
+    status: 413,
+    title: 'The chunks of the body are too small',
+    ran: 'no',
+  },
+  'body-stalled': {
+    status: 408,
+    title: 'The body came too slowly',
+    ran: 'no',
+  },
+  'no-memory': {
+    status: 503,
+    title: 'Too many bodies are being received',
+    ran: 'no',
+  },
+  displaced: {
+    status: 503,
+    title: 'The body made no progress while others wait',
+    ran: 'no',
+  },
   'request-id-missing': {
     status: 400,
     title: 'The request has no id',
