--- a/src/http/connection_guard.ts
+++ b/src/http/connection_guard.ts
@@ -95,6 +95,7 @@
 
   onFinished(connection: GuardedConnection): void {
     this.#unfinished.delete(connection);
+    this.#addIfIdle(connection);
   }
 
   onLinger(connection: GuardedConnection): void {
@@ -123,15 +124,19 @@
   #begin(req: IncomingMessage, res: ServerResponse): void {
     const connection = this.connectionOf(req);
     if (!connection) return;
-    connection.begin(req);
+    connection.begin(req, res);
     this.#idle.delete(connection);
     req.on('end', () => this.onFinished(connection));
-    res.on('close', () => {
-      const isOpen = this.#bySocket.has(connection.socket);
-      const isInUse =
-        connection.isUnfinished || this.#lingering.has(connection);
-      if (isOpen && !isInUse) this.#idle.add(connection);
-    });
+    res.on('close', () => this.#addIfIdle(connection));
+  }
+
+  #addIfIdle(connection: GuardedConnection): void {
+    const isInUse =
+      connection.isUnfinished ||
+      connection.isResponding ||
+      this.#lingering.has(connection);
+    const isOpen = this.#bySocket.has(connection.socket);
+    if (isOpen && !isInUse) this.#idle.add(connection);
   }
 
   #forget(connection: GuardedConnection): void {
@@ -150,10 +155,17 @@
       this.#close('connections', this.#lingering) ||
       (isStalled && this.#close('connections', this.#unfinished)) ||
       this.#close('connections', this.#idle) ||
-      this.#close('connections', this.#unfinished)
+      this.#close('connections', this.#unfinished) ||
+      this.#close('connections', this.#unread())
     );
   }
 
+  /** Connections whose response isn't read, longest without data first. */
+  #unread(): ReadonlySet<GuardedConnection> {
+    const unread = [...this.#bySocket.values()].filter(c => c.isUnread);
+    return new Set(unread.toSorted((a, b) => a.lastAtMs - b.lastAtMs));
+  }
+
   #close(
     reason: GuardReason,
     connections: ReadonlySet<GuardedConnection>,
--- a/src/http/guarded_connection.ts
+++ b/src/http/guarded_connection.ts
@@ -2,7 +2,7 @@
  * What a daemon knows of one connection of a guarded HTTP server: which request
  * is arriving on it, how it progresses, and how much of it is framing.
  */
-import type {IncomingMessage} from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import {BodyProgress, type ProgressLimits} from './body_progress.js';
 import type {MeteredConnection, MeteredReader} from './read_meter.js';
@@ -42,6 +42,7 @@
   readonly #progress: BodyProgress;
   readonly #observer: ConnectionObserver;
   #req: IncomingMessage | undefined;
+  #res: ServerResponse | undefined;
   #isHeadArriving = false;
   #contentBytes = 0;
   #parsedBytes = 0;
@@ -63,13 +64,24 @@
     return this.#isHeadArriving || this.#isBodyArriving;
   }
 
+  /** Whether the last request has no complete response yet. */
+  get isResponding(): boolean {
+    return this.#res !== undefined && !this.#res.closed;
+  }
+
+  /** Whether a complete response waits for the caller to read it. */
+  get isUnread(): boolean {
+    return this.isResponding && this.#res?.writableEnded === true;
+  }
+
   get #isBodyArriving(): boolean {
     return this.#req?.complete === false;
   }
 
   /** A request's head has arrived. */
-  begin(req: IncomingMessage): void {
+  begin(req: IncomingMessage, res: ServerResponse): void {
     this.#req = req;
+    this.#res = res;
     this.#isHeadArriving = false;
     this.#contentBytes = 0;
     this.#parsedBytes = 0;
