--- a/src/mesh/settings.ts
+++ b/src/mesh/settings.ts
@@ -54,6 +54,25 @@
       quantile: z.number().min(0.5).max(0.999).default(0.95),
     })
     .optional(),
+  /** Memory and file descriptors of the VM; those of a small VM if omitted. */
+  resources: z
+    .object({
+      memoryMb: z.number().positive(),
+      maxDescriptors: z.number().int().positive(),
+    })
+    .optional(),
+  /** Bounds for callers; `computeCallerBounds` has the defaults. */
+  callerLimits: z
+    .object({
+      minBytesPerS: nonNegative,
+      rateWindowMs: z.number().positive(),
+      stallMs: z.number().positive(),
+      maxConnections: z.number().int().positive(),
+      maxUnfinishedRequests: z.number().int().positive(),
+      maxUnfinishedBytes: z.number().int().positive(),
+    })
+    .partial()
+    .optional(),
 });
 
 /** Validated settings. */
