--- a/features/mesh_cold.feature
+++ b/features/mesh_cold.feature
@@ -70,16 +70,24 @@
     And at least 97 in 100 requests were served
     And VM 0 exports a cold limit of "10"
 
-  # Guards against an instance that becomes cold and gets the requests that
-  # routers sent before they knew.
-  Scenario: An instance that becomes cold under load is paced from its report on
+  # Guards against instances that become cold and get their share of a load that
+  # is three times what all of them take.
+  Scenario: Instances that become cold under load are paced from their report on
     Given a mesh fleet of 3 VMs with 8 slots each
     And a service with WarmupS 20 and ColdPerS 10 is configured on the fleet
     And callers have sent 90 requests per second to "/once/" for 2 s, spread over all VMs
-    When the instance of VM 0 reports that it stays cold for 20000 ms
+    When every instance reports that it stays cold for 20000 ms
     And callers send 90 requests per second to "/once/" for 4 s, spread over all VMs
     Then from 1000 ms after its report, VM 0 got at most 23 requests in any second
 
+  # Guards against reservations of the time before the report that are all used at
+  # once after it. 9.5 requests in a second are allowed.
+  Scenario: Reservations from before the report are held at the cap
+    Given a gate with 8 slots, whose service has WarmupS 20 and ColdPerS 1
+    And all its slots are reserved
+    When its instance reports that it is cold, and all reservations are used
+    Then 5 requests reach the instance, and 3 are returned as "cold"
+
   # Guards against requests that are refused though they could wait for a turn.
   Scenario: Requests wait for a turn when every instance is cold
     Given a mesh fleet of 3 VMs with 8 slots each
--- a/features/steps/mesh_cold_steps.ts
+++ b/features/steps/mesh_cold_steps.ts
@@ -5,6 +5,8 @@
 import {ConfigurationTracker} from '../../src/mesh/configuration/configuration_tracker.js';
 import {ColdPacing} from '../../src/mesh/gate/cold_pacing.js';
 import {ColdState, type ColdLimits} from '../../src/mesh/gate/cold_state.js';
+import {Gate} from '../../src/mesh/gate/gate.js';
+import type {Outcome, Reservation} from '../../src/mesh/gate/work.js';
 import {MeshMetrics} from '../../src/mesh/mesh_metrics.js';
 import type {FleetConfiguration} from '../../src/mesh/model.js';
 import {SILENT_LOG} from '../support/silent_log.js';
@@ -32,6 +34,10 @@
   invalidLines?: number;
   reportedAtMs?: number;
   configure?: () => void;
+  gate?: Gate;
+  sent?: number;
+  reservations?: readonly Reservation[];
+  outcomes?: readonly Outcome[];
 }
 
 const SEED = 20_264;
@@ -256,7 +262,8 @@
 
 Given(
   'every instance reports that it stays cold for {int} ms',
-  function (this: World, coldForMs: number) {
+  function (this: ColdWorld, coldForMs: number) {
+    this.reportedAtMs = performance.now();
     stateOf(this).fleet.vms.forEach((_, index) =>
       reportCold(this, index, coldForMs),
     );
@@ -343,3 +350,91 @@
     assert.equal(service?.coldPerS, coldPerS);
   },
 );
+
+function reportTo(gate: Gate, sequence: number, coldForMs: number): void {
+  gate.applyHeartbeat({
+    instance: 'instance-1',
+    service: SERVICE,
+    state: 'ready',
+    slots: 8,
+    coldForMs,
+    startedAtUnixMs: 1000,
+    sequence,
+  });
+}
+
+Given(
+  'a gate with 8 slots, whose service has WarmupS {int} and ColdPerS {int}',
+  function (this: ColdWorld, warmupS: number, coldPerS: number) {
+    this.sent = 0;
+    const run = () => {
+      this.sent = (this.sent ?? 0) + 1;
+      const answer = {kind: 'answered', instance: 'instance-1'} as const;
+      const body = Buffer.alloc(0);
+      return Promise.resolve({...answer, status: 200, headers: [], body});
+    };
+    this.gate = new Gate({
+      service: SERVICE,
+      client: {run},
+      log: SILENT_LOG,
+      metrics: new MeshMetrics(),
+      onChange: () => undefined,
+    });
+    const limits = {warmupMs: warmupS * 1000, coldPerS};
+    this.gate.cold.configure({name: SERVICE, healthPath: '/', ...limits});
+    reportTo(this.gate, 1, 0);
+  },
+);
+
+Given('all its slots are reserved', async function (this: ColdWorld) {
+  const numbers = Array.from({length: 8}, (_, index) => index);
+  const results = await Promise.all(
+    numbers.map(number =>
+      this.gate?.reserve(
+        {
+          requestId: `r-${number}`,
+          service: SERVICE,
+          route: 'route',
+          priority: 0,
+          objectiveMs: 1000,
+          leftMs: 0,
+          assurance: 'none',
+        },
+        new AbortController().signal,
+      ),
+    ),
+  );
+  this.reservations = results.filter(result => result?.kind === 'reserved');
+  assert.equal(this.reservations.length, 8);
+});
+
+When(
+  'its instance reports that it is cold, and all reservations are used',
+  async function (this: ColdWorld) {
+    assert.ok(this.gate);
+    reportTo(this.gate, 2, 20_000);
+    const work = {
+      requestId: 'r-0',
+      method: 'GET',
+      path: '/',
+      headers: [],
+      body: Buffer.alloc(0),
+      leftMs: 5000,
+      isRepeat: false,
+    };
+    const {signal} = new AbortController();
+    const runs = this.reservations?.map(({run}) => run(work, signal)) ?? [];
+    this.outcomes = await Promise.all(runs);
+  },
+);
+
+Then(
+  '{int} requests reach the instance, and {int} are returned as {string}',
+  function (this: ColdWorld, sent: number, returned: number, reason: string) {
+    assert.equal(this.sent, sent);
+    const notRun = this.outcomes?.filter(
+      outcome => outcome.kind === 'not-run' && outcome.reason === reason,
+    );
+    assert.equal(notRun?.length, returned);
+  },
+);
