Send no frame to a peer that it would close the connection for

An upload over 16 MB to an instance beside another daemon made that daemon close the connection, with all requests in flight on it, and was answered 502.

--- a/features/mesh_responses.feature
+++ b/features/mesh_responses.feature
@@ -130,3 +130,18 @@
       | 1  | 12000000 |
       | 0  | 12000000 |
       | 1  | 300000   |
+
+  # Guards against an upload that ends the connection between two daemons, and
+  # with it all requests in flight on it.
+  Scenario: An upload that fits into no frame is refused as not run
+    Given a mesh fleet whose only instance of the service is at VM 1
+    When a caller of VM 0 uploads 17000000 bytes to "/once/"
+    Then the response has status 503
+    And the request ran 0 times
+    And no connection between daemons was lost
+    And within 500 ms no slot is held
+
+  Scenario: An upload that fits into no frame is served by the instance beside the daemon
+    Given a mesh fleet whose only instance of the service is at VM 1
+    When a caller of VM 1 uploads 17000000 bytes to "/once/"
+    Then the response has status 200
--- a/features/steps/mesh_response_steps.ts
+++ b/features/steps/mesh_response_steps.ts
@@ -6,7 +6,7 @@
 import {configuration, send, SERVICE, stateOf} from './mesh_path_steps.js';
 
 const SLOTS = 2;
-const MAX_BODY_BYTES = 15_000_000;
+const MAX_BODY_BYTES = 20_000_000;
 
 Given(
   'a mesh fleet whose only instance of the service is at VM 1',
@@ -84,3 +84,8 @@
     await until('no slot is held', isIdle, withinMs);
   },
 );
+
+Then('no connection between daemons was lost', function (this: World) {
+  const lost = stateOf(this).fleet.lines.filter(l => l.event === 'peer-lost');
+  assert.deepEqual(lost, []);
+});
--- a/src/mesh/peers/frames.ts
+++ b/src/mesh/peers/frames.ts
@@ -91,6 +91,13 @@
 export const PEER_PATH = `/frames/${FRAME_FORMAT}`;
 const VM_PARAMETER = 'vm';
 
+/** A daemon closes the connection of a peer that sends a larger frame. */
+export const MAX_FRAME_BYTES = 16 * 1024 * 1024;
+/** Part of a frame for everything but the body; callers' headers are 64 KiB. */
+const FRAME_OVERHEAD_BYTES = 256 * 1024;
+/** Largest body that can be sent to a peer. */
+export const MAX_FRAME_BODY_BYTES = MAX_FRAME_BYTES - FRAME_OVERHEAD_BYTES;
+
 /** The URL of a peer's listener. It names the peer that is meant. */
 export function peerUrl({id, address}: Vm): string {
   const query = new URLSearchParams({[VM_PARAMETER]: id});
--- a/src/mesh/peers/peer_link.ts
+++ b/src/mesh/peers/peer_link.ts
@@ -28,6 +28,7 @@
 import {
   decodeFrame,
   encodeFrame,
+  MAX_FRAME_BODY_BYTES,
   peerUrl,
   type GateLoad,
   type RequestFrame,
@@ -340,6 +341,13 @@
       const hasArrived = false;
       return Promise.resolve({kind: 'not-run', instance, reason, hasArrived});
     }
+    // The peer would close the connection, with all that is in flight on it.
+    if (work.body.length > MAX_FRAME_BODY_BYTES) {
+      this.#send({kind: 'withdraw', id});
+      const reason = 'body too large for a frame';
+      const hasArrived = false;
+      return Promise.resolve({kind: 'not-run', instance, reason, hasArrived});
+    }
     return new Promise(resolve => {
       const settle = (outcome: Outcome) => {
         signal.removeEventListener('abort', onAbort);
--- a/src/mesh/peers/peer_server.ts
+++ b/src/mesh/peers/peer_server.ts
@@ -24,6 +24,7 @@
   encodeFrame,
   isEqualExceptLoad,
   isMeantFor,
+  MAX_FRAME_BYTES,
   PEER_PATH,
   type GateLoad,
   type RequestFrame,
@@ -47,8 +48,6 @@
   readonly onHello: (vm: Vm) => void;
 }
 
-/** Larger than any body that callers may send. */
-const MAX_FRAME_BYTES = 16 * 1024 * 1024;
 /**
  * The status is a heartbeat, and reports what changes gradually. Network
  * partitions are found sooner by requests that are not acknowledged; more
