Bound the time limit of a run by what timers can hold

A caller's deadline above 25 days overflowed the timer, and the gate ended the run after 40 ms; a time left that is no number was accepted from peers. The limit is now at most 24 hours, and a run without a positive time is not started.

--- a/features/steps/mesh_run_limit_steps.ts
+++ b/features/steps/mesh_run_limit_steps.ts
@@ -131,6 +131,13 @@
   },
 );
 
+When(
+  'a router runs a request whose time left is no number',
+  async function (this: RunWorld) {
+    await run(this, NaN, AbortSignal.timeout(500));
+  },
+);
+
 Then('the request was not run', function (this: RunWorld) {
   assert.equal(this.outcome?.kind, 'not-run');
   assert.equal(this.gate?.status?.running, 0);
--- a/src/mesh/gate/gate.ts
+++ b/src/mesh/gate/gate.ts
@@ -242,7 +242,7 @@
         expiry.cancel();
         // The router read the time left later than this reservation was made.
         const leftMs = work.leftMs - (performance.now() - reservedAtMs);
-        if (isExpired || leftMs <= 0) {
+        if (isExpired || !(leftMs > 0)) {
           slot.releaseUnused();
           return notRun(instance, 'reservation expired');
         }
--- a/src/mesh/gate/run_limit.ts
+++ b/src/mesh/gate/run_limit.ts
@@ -11,6 +11,9 @@
  */
 const RUN_GRACE_MS = 500;
 
+/** Callers may send any number, and timers of Node.js overflow at 25 days. */
+const MAX_LIMIT_MS = 24 * 60 * 60 * 1000;
+
 const TIME_LIMIT_EXCEEDED = new Error('time limit of the run');
 
 /** Cancels a run when its request's time has passed. */
@@ -26,7 +29,8 @@
   constructor(leftMs: number, routerSignal: AbortSignal) {
     this.#routerSignal = routerSignal;
     routerSignal.addEventListener('abort', this.#onRouterAbort, {once: true});
-    this.#timeout = new ResponseTimeout(leftMs + RUN_GRACE_MS, () =>
+    const limitMs = Math.min(leftMs + RUN_GRACE_MS, MAX_LIMIT_MS);
+    this.#timeout = new ResponseTimeout(limitMs, () =>
       this.#controller.abort(TIME_LIMIT_EXCEEDED),
     );
   }
