Refuse by deadline only in the second half of a planned stop

Requests that may run once were refused as `stopping` from the beginning of a stop if their deadline was after its end, though callers still come for 2 s and nearly all requests end in a fraction of that time.

The new scenario got a 503 before.

--- a/features/mesh_stop.feature
+++ b/features/mesh_stop.feature
@@ -62,6 +62,16 @@
     And the caller sends a request to "/once/" on its connection
     Then it is answered with 200 and has run 1 times
 
+  # Guards against a daemon that refuses from the beginning of a stop what callers
+  # still send to it, although it would end long before the stop does.
+  Scenario: A request early in a stop is served although its deadline is after the end of the stop
+    Given callers send 20 requests to "/long/", spread over all VMs
+    And a caller has opened a connection to VM 0
+    When the daemon of VM 0 begins a planned stop
+    And 200 ms pass
+    And the caller sends a request to "/long/" on its connection
+    Then it is answered with 200 and has run 1 times
+
   # Guards against a slot that was reserved before the stop and starts a run
   # that nobody awaits.
   Scenario: A reservation made before the stop runs nothing after it began
--- a/src/mesh/router/dispatcher.ts
+++ b/src/mesh/router/dispatcher.ts
@@ -118,7 +118,8 @@
   /** Whether a request on a route can end before a planned stop does. */
   canFinish(route: Route, deadlineAtMs: number): boolean {
     const {stop} = this.#options;
-    return stop.allows(this.#usualTimes.boundMs(route, deadlineAtMs));
+    const boundMs = this.#usualTimes.boundMs(route, deadlineAtMs, stop.isLate);
+    return stop.allows(boundMs);
   }
 
   /** Dispatches a request until it succeeds, fails, or is aborted. */
@@ -165,11 +166,12 @@
   }
 
   /**
-   * How long a request may take from now on. If it may run only once, it must
-   * not be cut off by a planned stop, so only its own deadline is a bound.
+   * How long a request may take from now on. If it may run only once, a planned
+   * stop must not cut it off, so late in a stop only its own deadline is a
+   * bound. Early in a stop it has several times its usual time left.
    */
-  boundMs(route: Route, deadlineAtMs: number): number {
-    if (route.isIdempotent) return this.#usualMs(route);
+  boundMs(route: Route, deadlineAtMs: number, isStopLate: boolean): number {
+    if (route.isIdempotent || !isStopLate) return this.#usualMs(route);
     return Math.max(0, deadlineAtMs - performance.now());
   }
 
@@ -437,7 +439,7 @@
   async #findSlot(mayWait: boolean): Promise<FoundSlot | Declined> {
     const {stop, usualTimes} = this.#options;
     const {route, deadlineAtMs} = this.#request;
-    const boundMs = () => usualTimes.boundMs(route, deadlineAtMs);
+    const boundMs = () => usualTimes.boundMs(route, deadlineAtMs, stop.isLate);
     const tooLate = declined('daemon-stopping', STOPPING_WAIT_MS);
     if (!stop.allows(boundMs())) return tooLate;
     const search = new AbortController();
@@ -447,7 +449,9 @@
     const unwatch = stop.watch(boundMs, () => search.abort(TOO_LATE_TO_START));
     try {
       const found = await this.#searchSlot(mayWait, search.signal);
-      if (search.signal.reason === TOO_LATE_TO_START) {
+      const isTooLate =
+        search.signal.reason === TOO_LATE_TO_START || !stop.allows(boundMs());
+      if (isTooLate) {
         if (found.kind === 'found') found.reservation.release();
         return tooLate;
       }
--- a/src/router/stop_deadline.ts
+++ b/src/router/stop_deadline.ts
@@ -12,12 +12,19 @@
   timer?: NodeJS.Timeout;
 }
 
+/**
+ * Part of a stop after which it counts as late. Callers have left by then, and
+ * a request that was sent before has at least as much time again to end.
+ */
+const LATE_SHARE = 0.5;
+
 /** Decides which requests a stopping daemon still starts. */
 export class StopDeadline {
   readonly #now: () => number;
   readonly #waiters = new Set<Waiter>();
   readonly #end = new AbortController();
   #endsAtMs = Infinity;
+  #lateFromMs = Infinity;
 
   /** `now` is a monotonic clock in milliseconds. */
   constructor(now: () => number = () => performance.now()) {
@@ -34,10 +41,16 @@
   /** Begins the stop, which may take `durationMs`. */
   begin(durationMs: number): void {
     this.#endsAtMs = this.#now() + durationMs;
+    this.#lateFromMs = this.#now() + durationMs * LATE_SHARE;
     this.#waiters.forEach(waiter => this.#schedule(waiter));
     setTimeout(() => this.#end.abort(new Error('stopping')), durationMs);
   }
 
+  /** Whether a stop is in its last part. */
+  get isLate(): boolean {
+    return this.#now() >= this.#lateFromMs;
+  }
+
   /** Whether a request that takes `expectedMs` from now on ends in time. */
   allows(expectedMs: number): boolean {
     return this.#now() + expectedMs <= this.#endsAtMs;
