Ask peers with the same version for what an older one left out

A daemon that restarts while the store is away adopts the configuration of the first peer that reports one. If that peer knows no evacuations, or is of an older build, all others had the same version and were never asked, so that the gate stayed closed until the store was back. Found in review. explain-route now uses the routes that callers are served by, so that it tells of the same refusal meanwhile.

--- a/src/mesh/configuration/configuration_tracker.ts
+++ b/src/mesh/configuration/configuration_tracker.ts
@@ -17,6 +17,8 @@
   readonly onChange: (configuration: FleetConfiguration) => void;
   /** Called with the evacuated domains that a peer sent, not validated. */
   readonly onPeerEvacuations?: (domains: unknown, peer: string) => void;
+  /** Whether evacuated domains are still to be learnt from a peer. */
+  readonly needsEvacuations?: () => boolean;
 }
 
 /**
@@ -24,6 +26,11 @@
  * delivers it first.
  */
 const PEER_FETCH_DELAY_MS = 150;
+/**
+ * Time until a peer is asked again for what it could not tell beside a version
+ * that this daemon has: an older daemon, or one that has just started.
+ */
+const COMPLETION_RETRY_MS = 5000;
 
 /** Holds the newest configuration and the route table built from it. */
 export class ConfigurationTracker {
@@ -33,6 +40,8 @@
   #isFetching = false;
   /** The peer that reported a newer version most recently. */
   #newestPeer: PeerLink | undefined;
+  /** When each peer was asked last, by id. */
+  readonly #askedAtMs = new Map<string, number>();
 
   constructor(options: ConfigurationTrackerOptions) {
     this.#options = options;
@@ -93,6 +102,7 @@
   async #fetch(link: PeerLink): Promise<boolean> {
     await sleep(PEER_FETCH_DELAY_MS);
     if (!this.#isBehind(link)) return true;
+    this.#askedAtMs.set(link.vm.id, performance.now());
     const newer = await link.fetchConfiguration();
     if (!newer) return false;
     this.#options.onPeerEvacuations?.(newer.evacuated, link.vm.id);
@@ -101,7 +111,19 @@
   }
 
   #isBehind(link: PeerLink): boolean {
-    return (link.status?.configurationVersion ?? 0) > this.version;
+    const version = link.status?.configurationVersion ?? 0;
+    if (version === 0 || version !== this.version) {
+      return version > this.version;
+    }
+    const askedAtMs = this.#askedAtMs.get(link.vm.id) ?? -Infinity;
+    const isDue = performance.now() - askedAtMs >= COMPLETION_RETRY_MS;
+    return isDue && this.#isIncomplete;
+  }
+
+  /** Whether a peer with the same version may know more. */
+  get #isIncomplete(): boolean {
+    const {needsEvacuations} = this.#options;
+    return (needsEvacuations?.() ?? false) || !isComplete(this.#configuration);
   }
 }
 
--- a/src/mesh/mesh_daemon.ts
+++ b/src/mesh/mesh_daemon.ts
@@ -122,6 +122,7 @@
       onChange: configuration => this.#applyConfiguration(configuration),
       onPeerEvacuations: (domains, peer) =>
         this.evacuatedDomains.adoptFromPeer(domains, peer),
+      needsEvacuations: () => !this.evacuatedDomains.isKnown,
     });
     this.evacuatedDomains = new EvacuatedDomains({
       isEnabled: settings.evacuation !== undefined,
@@ -213,7 +214,7 @@
     });
     const explainer = new RouteExplainer({
       vm: settings.vm.id,
-      routes: () => this.configurationTracker.routeTable,
+      routes: () => this.#routeTable,
       maxBodyBytes: () => this.#callerServer.maxBodyBytes,
       dispatcher,
       quarantine: this.#quarantine,
