Check again whether a waiting request is too late in a stop

The bound of a request that may run once is its deadline, which draws nearer while it waits; the timer of the first check refused it although it could still end in time. Found in review.

--- a/src/router/stop_deadline.ts
+++ b/src/router/stop_deadline.ts
@@ -71,8 +71,21 @@
   }
 
   #schedule(waiter: Waiter): void {
+    const nowMs = this.#now();
     const latestAtMs = this.#endsAtMs - waiter.expectedMs();
-    const waitMs = Math.max(0, latestAtMs - this.#now());
-    waiter.timer = setTimeout(waiter.onTooLate, waitMs);
+    // What a request is expected to take may change when the stop becomes late.
+    const checkAtMs =
+      nowMs < this.#lateFromMs
+        ? Math.min(latestAtMs, this.#lateFromMs)
+        : latestAtMs;
+    waiter.timer = setTimeout(
+      () => this.#check(waiter),
+      Math.max(1, checkAtMs - nowMs),
+    );
+  }
+
+  #check(waiter: Waiter): void {
+    if (this.allows(waiter.expectedMs())) this.#schedule(waiter);
+    else waiter.onTooLate();
   }
 }
