Send the wait for a turn after a full status as well

Only load frames carry it. After a change of state, gates of cold instances looked empty and without a limit to all routers until they were asked.

--- a/src/mesh/peers/peer_server.ts
+++ b/src/mesh/peers/peer_server.ts
@@ -133,18 +133,18 @@
   }
 
   /** The full status if more than the load has changed since the last one. */
-  #encodeStatusUpdate(): Buffer {
+  #encodeStatusUpdate(): readonly Buffer[] {
     const status = this.#options.status();
     const {backend} = status;
     const isLoadOnly =
       backend && isEqualExceptLoad(this.#lastBroadcast, status);
     this.#lastBroadcast = status;
-    if (isLoadOnly) return encodeFrame({kind: 'load', load: backend});
-    return encodeFrame({kind: 'status', status});
+    if (isLoadOnly) return [encodeFrame({kind: 'load', load: backend})];
+    return statusFrames(status).map(frame => encodeFrame(frame));
   }
 
   #broadcastStatus(): void {
-    this.#sendToAll(this.#encodeStatusUpdate());
+    this.#encodeStatusUpdate().forEach(bytes => this.#sendToAll(bytes));
   }
 
   #sendToAll(bytes: Buffer): void {
@@ -221,7 +221,7 @@
       });
     });
     this.#socket.on('close', () => this.#cancelAll());
-    this.#send({kind: 'status', status: this.#options.status()});
+    statusFrames(this.#options.status()).forEach(frame => this.#send(frame));
     const records = this.#options.fingerprints();
     if (records.length > 0) this.#send({kind: 'fingerprints', records});
   }
@@ -344,6 +344,14 @@
   }
 }
 
+/** A full status; it has no wait for a turn, which only a load can carry. */
+function statusFrames(status: VmStatus): readonly ResponseFrame[] {
+  const {backend} = status;
+  const frame = {kind: 'status', status} as const;
+  if (backend?.turnWaitMs === undefined) return [frame];
+  return [frame, {kind: 'load', load: backend}];
+}
+
 function isTokenCount(value: unknown): boolean {
   return typeof value === 'number' && Number.isFinite(value) && value >= 0;
 }
