--- a/src/mesh/gate/gate.ts
+++ b/src/mesh/gate/gate.ts
@@ -401,7 +401,11 @@
       this.#options.log.step('evacuated', {id, declined: 'use'});
       return 'evacuated';
     }
-    if (this.#identity.known?.instance !== instance) return 'replaced';
+    const {known} = this.#identity;
+    if (known?.instance !== instance) return 'replaced';
+    // While a request is held, the stop or the leaving may begin.
+    if (this.#isStopping) return 'stopping';
+    if (known.state === 'draining') return 'leaving';
     return isInTime ? undefined : 'cold';
   }
 
