--- a/src/mesh/router/slot_search.ts
+++ b/src/mesh/router/slot_search.ts
@@ -188,7 +188,10 @@
 }
 
 function shortestWait(err: AggregateError): Declined {
-  const declines = (err.errors as readonly NoSlot[]).map(({why}) => why);
+  const all = (err.errors as readonly NoSlot[]).map(({why}) => why);
+  // An evacuated gate tells no wait; those of the others are of use.
+  const others = all.filter(({reason}) => reason !== 'evacuated');
+  const declines = others.length > 0 ? others : all;
   return declines.reduce((a, b) => (b.waitMs < a.waitMs ? b : a));
 }
 
