--- a/src/mesh/router/caller_server.ts
+++ b/src/mesh/router/caller_server.ts
@@ -27,6 +27,7 @@
 } from './body_reader.js';
 import {buildBackendHeaders, buildCallerHeaders} from './caller_headers.js';
 import {
+  INTERNAL_PRIORITY,
   STOPPING_WAIT_MS,
   type AdmittedRequest,
   type Dispatcher,
@@ -427,13 +428,6 @@
   }
 }
 
-/**
- * Priority of requests from backend servers, which carry no API key. They come
- * before all others: the backend server that sent one occupies a slot until it
- * gets the response, and all its work is lost if it gets none.
- */
-const INTERNAL_PRIORITY = -1;
-
 function computePriority(
   route: Route,
   customer: Customer | undefined,
--- a/src/mesh/router/dispatcher.ts
+++ b/src/mesh/router/dispatcher.ts
@@ -91,6 +91,13 @@
   >;
 }
 
+/**
+ * Priority of requests from backend servers, which carry no API key. They come
+ * before all others: the backend server that sent one occupies a slot until it
+ * gets the response, and all its work is lost if it gets none.
+ */
+export const INTERNAL_PRIORITY = -1;
+
 /** A non-idempotent request fails when this many instances have rejected it. */
 const MAX_SLOT_SEARCHES = 4;
 /** Pause until a slot for a repeat is searched for again. */
@@ -181,9 +188,9 @@
   }
 }
 
-/** Backend servers send no API key, so their calls have no customer. */
-function isCallOfInstance({customer}: AdmittedRequest): boolean {
-  return customer === undefined;
+/** Whether a request comes from a backend server. */
+function isCallOfInstance({priority}: AdmittedRequest): boolean {
+  return priority === INTERNAL_PRIORITY;
 }
 
 /** One attempt: the request at one instance. */
