--- a/src/http/single_use_connection.ts
+++ b/src/http/single_use_connection.ts
@@ -91,10 +91,13 @@
   };
 }
 
-/** Whether there is no response, or its headers say where it ends. */
+/** Statuses whose responses have no body, so that they end with their head. */
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+
+/** Whether there is no response, or its head says where it ends. */
 function mayTrustEnd(req: ClientRequest): boolean {
   const {res} = req as ClientRequest & {readonly res?: IncomingMessage | null};
-  return !res || isFramed(res);
+  return !res || isFramed(res) || BODILESS_STATUSES.has(res.statusCode ?? 0);
 }
 
 /** Whether the headers of a response say where its body ends. */
