Account for frames with large bodies that a peer hasn't read

The encoded frame is a second copy of its body and stays until the link has written it, on a slow link for many seconds. A frame over 64 KB now reserves its size; without memory the request is treated as not run and tried elsewhere, or refused.

--- a/features/mesh_responses.feature
+++ b/features/mesh_responses.feature
@@ -145,3 +145,15 @@
     Given a mesh fleet whose only instance of the service is at VM 1
     When a caller of VM 1 uploads 17000000 bytes to "/once/"
     Then the response has status 200
+
+  # Guards against frames that wait for a slow link outside the memory budget: each
+  # is a second copy of its body.
+  Scenario: An upload whose frame finds no memory is refused as not run
+    Given the daemons have 16 MB of memory for bodies
+    And a mesh fleet whose only instance of the service is at VM 1
+    When a caller of VM 0 uploads 7900000 bytes to "/once/"
+    Then the response has status 503
+    And the request ran 0 times
+    And within 500 ms no slot is held
+    When a caller of VM 0 uploads 3000000 bytes to "/once/"
+    Then the response has status 200
--- a/features/steps/mesh_response_steps.ts
+++ b/features/steps/mesh_response_steps.ts
@@ -6,8 +6,19 @@
 import {configuration, send, SERVICE, stateOf} from './mesh_path_steps.js';
 
 const SLOTS = 2;
+/** Memory of a daemon beside its budget for bodies. */
+const PROCESS_MB = 110;
 const MAX_BODY_BYTES = 20_000_000;
 
+Given(
+  'the daemons have {int} MB of memory for bodies',
+  function (this: World, budgetMb: number) {
+    const memoryMb = PROCESS_MB + budgetMb;
+    const resources = {memoryMb, maxDescriptors: 4100};
+    stateOf(this).fleet.settings = {resources};
+  },
+);
+
 Given(
   'a mesh fleet whose only instance of the service is at VM 1',
   async function (this: World) {
--- a/src/mesh/limits/memory_budget.ts
+++ b/src/mesh/limits/memory_budget.ts
@@ -5,10 +5,15 @@
  */
 
 /**
- * What holds bytes: a small or a large body that is being read, or a body kept
- * while its request is dispatched.
+ * What holds bytes: a small or a large body that is being read, a body kept
+ * while its request is dispatched, or a frame that a peer hasn't read yet.
  */
-export const HOLDER_KINDS = ['small-body', 'large-body', 'kept-body'] as const;
+export const HOLDER_KINDS = [
+  'small-body',
+  'large-body',
+  'kept-body',
+  'frame',
+] as const;
 export type HolderKind = (typeof HOLDER_KINDS)[number];
 
 /** Bytes that are in use by one holder. */
@@ -44,6 +49,7 @@
     'small-body': 0,
     'large-body': 0,
     'kept-body': 0,
+    frame: 0,
   };
 
   constructor(limitBytes: number, options: MemoryBudgetOptions = {}) {
--- a/src/mesh/mesh_daemon.ts
+++ b/src/mesh/mesh_daemon.ts
@@ -138,6 +138,7 @@
     });
     this.peers = new Peers({
       self: () => this.self,
+      memory: budget,
       log,
       metrics,
       onStatus: link => void this.configurationTracker.fetchIfNewer(link),
--- a/src/mesh/peers/peer_link.ts
+++ b/src/mesh/peers/peer_link.ts
@@ -20,6 +20,7 @@
 } from '../gate/work.js';
 import type {RepeatPayment} from '../limits/repeat_budget.js';
 import type {PartPayment} from '../limits/rate_parts.js';
+import type {MemoryBudget, MemoryGrant} from '../limits/memory_budget.js';
 import type {FingerprintRecord} from '../router/query_of_death.js';
 import type {TokenAnswer, TokenRequest} from '../limits/shared_limits.js';
 import {ResponseTimeout} from '../../timing/response_timeout.js';
@@ -39,6 +40,8 @@
 
 /** Options of {@link PeerLink}. */
 export interface PeerLinkOptions {
+  /** For frames with large bodies; without it, they are not accounted for. */
+  readonly memory?: Pick<MemoryBudget, 'reserve'>;
   readonly self: () => Vm;
   readonly peer: Vm;
   /** Shared by the links of a daemon. */
@@ -80,6 +83,9 @@
  */
 const MISDIRECTED_MAX_MS = 10_000;
 const MISDIRECTED_GROWTH = 8;
+/** Frames with a body of up to this size need no memory reserved. */
+const SMALL_FRAME_BYTES = 64 * 1024;
+const NO_MEMORY_NEEDED = {release: () => undefined};
 /** Up to this share of the delay is random, so that daemons spread out. */
 const RECONNECT_JITTER_RATIO = 0.5;
 
@@ -380,6 +386,13 @@
       const hasArrived = false;
       return Promise.resolve({kind: 'not-run', instance, reason, hasArrived});
     }
+    const memory = this.#reserveFrame(work.body.length);
+    if (!memory) {
+      this.#send({kind: 'withdraw', id});
+      const reason = 'no memory for the frame';
+      const hasArrived = false;
+      return Promise.resolve({kind: 'not-run', instance, reason, hasArrived});
+    }
     return new Promise(resolve => {
       const settle = (outcome: Outcome) => {
         signal.removeEventListener('abort', onAbort);
@@ -395,10 +408,21 @@
         if (reply?.kind === 'outcome') return settle(reply.outcome);
         settle(unknown('connection to the gate lost'));
       });
-      this.#send({kind: 'run', id, work});
+      this.#send({kind: 'run', id, work}, () => memory.release());
     });
   }
 
+  /**
+   * Reserves memory for a frame with a body, which stays until the peer has read
+   * it; undefined if there is none. Frames with a small body are as frequent as
+   * requests, and no more of them wait than there are slots.
+   */
+  #reserveFrame(bodyBytes: number): Pick<MemoryGrant, 'release'> | undefined {
+    const {memory} = this.#options;
+    if (!memory || bodyBytes <= SMALL_FRAME_BYTES) return NO_MEMORY_NEEDED;
+    return memory.reserve(bodyBytes, 'frame');
+  }
+
   /** Opens one connection; resolves when it is closed. */
   async #connectOnce(signal: AbortSignal): Promise<void> {
     const {handshakes} = this.#options;
@@ -571,9 +595,10 @@
     handlers.forEach(handler => handler(undefined));
   }
 
-  #send(frame: RequestFrame): void {
-    if (this.#socket?.readyState !== WebSocket.OPEN) return;
-    this.#socket.send(encodeFrame(frame));
+  /** `onSent` is called when the frame was written, or never will be. */
+  #send(frame: RequestFrame, onSent: () => void = () => undefined): void {
+    if (this.#socket?.readyState !== WebSocket.OPEN) return onSent();
+    this.#socket.send(encodeFrame(frame), onSent);
   }
 }
 
--- a/src/mesh/peers/peers.ts
+++ b/src/mesh/peers/peers.ts
@@ -30,6 +30,8 @@
   readonly metrics: MeshMetrics;
   readonly onStatus: (link: PeerLink) => void;
   readonly onFingerprints: PeerLinkOptions['onFingerprints'];
+  /** For frames with large bodies. */
+  readonly memory?: PeerLinkOptions['memory'];
 }
 
 /** An unreachable peer is removed after this time, unless it is listed. */
