Account for responses until their callers have read them

Cause: a daemon held every response until its caller had read it. 60 callers that don't read responses of 8 MB took it to 610 MB with a limit of 150 MB.

Change: the gate gets a grant before it reads a response and pauses the instance without one; after 0.5 s the run ends as unknown (no-memory), which the outlier detector doesn't count. The router gets its own grant when the run ends, gives back that of the request's body, and writes in portions of 64 KB, which shows progress. Without room, responses that made no progress for 5 s are cut off, longest first, then the new one. A 64th of the budget is set aside for small responses. Bodies may displace unread responses as well.

Ruled out: passing the gate's grant on with the outcome, since each path that drops an outcome could leak it; displacing after 0.5 s as for bodies, since the progress of slow readers shows in large steps only.

--- a/features/mesh_limits.feature
+++ b/features/mesh_limits.feature
@@ -39,3 +39,30 @@
   # Guards against a body that is cut because the daemon itself didn't read it.
   Scenario: A body that waited for the daemon is judged from then on
     Then a body that the daemon didn't read for 60000 ms is judged good
+
+  # Guards against a daemon that holds every response until its caller reads it.
+  # Load: 60 unread responses of 8 MB with 150 MB; 4 fit.
+  Scenario: Responses that nobody reads stay under the budget
+    Given the responses of a VM with 150 MB
+    Then of 60 unread responses of 8000000 bytes 4 are held and 56 are cut off
+    And after 5000 ms a further one displaces the one that is longest unread
+
+  # Guards against cutting off a caller that reads slowly but steadily.
+  Scenario: A caller that reads is never cut off for another
+    Given the responses of a VM with 150 MB
+    Then after any sequence of responses and reads only unread ones are displaced, the longest unread first
+
+  # Load: 64 callers that share a slow link, with 540 KB each.
+  Scenario: Responses of many slow readers fit into the smallest budget
+    Given the responses of a VM with 150 MB
+    Then 64 responses of 540000 bytes are held
+
+  # Guards against ordinary requests that get no response while large ones fill
+  # the budget.
+  Scenario: A small response finds room beside any crowd of large ones
+    Then a small response is held beside any crowd of bodies and large responses
+
+  # Guards against uploads that are refused as long as responses stay unread.
+  Scenario: Unread responses give way to bodies
+    Given the responses of a VM with 150 MB
+    Then after 5000 ms a body of 8000000 bytes finds room in place of one of 4 unread responses
--- a/features/steps/late_daemon_steps.ts
+++ b/features/steps/late_daemon_steps.ts
@@ -6,6 +6,7 @@
 import {Given, Then, When} from '@cucumber/cucumber';
 import {
   BackendClient,
+  UNLIMITED_RESPONSES,
   type ProbeResult,
 } from '../../src/mesh/gate/backend_client.js';
 import {DEFAULT_HEADER_NAMES as NAMES} from '../../src/mesh/header_names.js';
@@ -261,7 +262,11 @@
   async function (this: World, busyMs: number) {
     const backend = new MeshBackend();
     backend.notices.set(NAMES.instance, 'probed');
-    const client = new BackendClient(await backend.start(), NAMES);
+    const client = new BackendClient(
+      await backend.start(),
+      NAMES,
+      UNLIMITED_RESPONSES,
+    );
     try {
       const probe = client.probe('/health');
       blockAfterTicks(TICKS, busyMs);
--- a/src/http/guarded_connection.ts
+++ b/src/http/guarded_connection.ts
@@ -36,6 +36,8 @@
   onCut: ((reason: CutReason) => void) | undefined;
   /** Whether the daemon reads nothing for now. */
   isWaiting = false;
+  /** Whether a complete response is being written in portions. */
+  isSending = false;
   lastAtMs = performance.now();
   /** What was read from the socket and not yet parsed. */
   unparsed: Pick<MeteredConnection, 'hasPending'> = {hasPending: false};
@@ -71,7 +73,8 @@
 
   /** Whether a complete response waits for the caller to read it. */
   get isUnread(): boolean {
-    return this.isResponding && this.#res?.writableEnded === true;
+    const isComplete = this.isSending || this.#res?.writableEnded === true;
+    return this.isResponding && isComplete;
   }
 
   get #isBodyArriving(): boolean {
@@ -82,6 +85,7 @@
   begin(req: IncomingMessage, res: ServerResponse): void {
     this.#req = req;
     this.#res = res;
+    this.isSending = false;
     this.#isHeadArriving = false;
     this.#contentBytes = 0;
     this.#parsedBytes = 0;
--- a/src/mesh/gate/backend_client.ts
+++ b/src/mesh/gate/backend_client.ts
@@ -5,17 +5,13 @@
 import {request, type IncomingMessage} from 'node:http';
 import {connect} from 'node:net';
 import {reasonOf} from '../../errors/failure.js';
-import {BodyBuffer} from '../../http/body_buffer.js';
 import {findFieldFault} from '../../http/field_syntax.js';
 import {
-  isFramed,
   limitConnectTime,
   limitInterimResponses,
-  ResponseTooLongError,
   SINGLE_USE_AGENT,
   TruncationError,
   watchForReset,
-  type ResetCheck,
 } from '../../http/single_use_connection.js';
 import {parseAddress} from '../../settings/address.js';
 import {ResponseTimeout} from '../../timing/response_timeout.js';
@@ -27,6 +23,11 @@
   type InstanceNotice,
   type WarmupNotice,
 } from './instance_notice.js';
+import {
+  readResponse,
+  type RawResponse,
+  type ResponseGrants,
+} from './response_reader.js';
 import {isFinalStatus} from './response_status.js';
 import type {Outcome, Work} from './work.js';
 
@@ -36,6 +37,8 @@
   readonly signal: AbortSignal;
   /** Called with what the instance says of itself in its response. */
   readonly onNotice: (notice: InstanceNotice) => void;
+  /** Called when the response has arrived and waits for memory. */
+  readonly onWait: () => void;
 }
 
 /** The result of a probe of the health path. */
@@ -49,11 +52,6 @@
 const PROBE_TIMEOUT_MS = 1000;
 const LISTEN_CHECK_TIMEOUT_MS = 200;
 
-/**
- * Largest response body: half of what a frame between daemons may carry, so
- * that the responses of all slots fit into the memory of a small VM.
- */
-const MAX_RESPONSE_BYTES = 8 * 1024 * 1024;
 /** Error codes from before the connection was open: nothing was sent. */
 const NOT_SENT_CODES: ReadonlySet<string> = new Set([
   'ECONNREFUSED',
@@ -78,12 +76,6 @@
   503,
 ]);
 
-interface RawResponse {
-  readonly status: number;
-  readonly headers: readonly string[];
-  readonly body: Buffer;
-}
-
 /** The request as it is sent. */
 interface RawRequest {
   readonly method: string;
@@ -91,8 +83,15 @@
   readonly headers: readonly string[];
   readonly body: Buffer;
   readonly signal: AbortSignal;
+  readonly responses: ResponseGrants;
+  readonly onWait?: () => void;
 }
 
+/** Probes find room at all times, since an instance is down without them. */
+export const UNLIMITED_RESPONSES: ResponseGrants = {
+  reserve: bytes => ({bytes, grow: () => true, release: () => undefined}),
+};
+
 /** The instance sent a status that can't end a request. */
 class InvalidStatusError extends Error {
   readonly code = 'INVALID_STATUS';
@@ -107,12 +106,14 @@
   readonly #host: string;
   readonly #port: number;
   readonly #names: HeaderNames;
+  readonly #responses: ResponseGrants;
 
-  constructor(address: string, names: HeaderNames) {
+  constructor(address: string, names: HeaderNames, responses: ResponseGrants) {
     const {host, port} = parseAddress(address);
     this.#host = host;
     this.#port = port;
     this.#names = names;
+    this.#responses = responses;
   }
 
   /** Sends the work to the instance and reads the whole response. */
@@ -145,6 +146,7 @@
       headers: ['host', `${this.#host}:${this.#port}`],
       body: Buffer.alloc(0),
       signal: abort.signal,
+      responses: UNLIMITED_RESPONSES,
     }).finally(() => timeout.cancel());
     const instance = headerValue(headers, this.#names.instance);
     if (status !== 200 || instance === undefined) return undefined;
@@ -193,11 +195,13 @@
       ],
       body,
       signal: target.signal,
+      responses: this.#responses,
+      onWait: target.onWait,
     });
   }
 
   #send(raw: RawRequest): Promise<RawResponse> {
-    const {method, path, body, signal} = raw;
+    const {method, path, body, signal, responses, onWait} = raw;
     return new Promise((resolve, reject) => {
       const req = request({
         host: this.#host,
@@ -228,11 +232,14 @@
       });
       req.on('response', res => {
         response = res;
-        readResponse(res, wasReset).then(rawResponse => {
-          resolve(rawResponse);
-          // Bytes after the response belong to no request.
-          req.destroy();
-        }, reject);
+        readResponse(res, {method, responses, wasReset, onWait}).then(
+          rawResponse => {
+            resolve(rawResponse);
+            // Bytes after the response belong to no request.
+            req.destroy();
+          },
+          reject,
+        );
       });
       req.end(body);
     });
@@ -280,41 +287,6 @@
   }
 }
 
-/** Reads a response to its end; rejects if the connection ends first. */
-async function readResponse(
-  res: IncomingMessage,
-  wasReset: ResetCheck,
-): Promise<RawResponse> {
-  const response = await readToEnd(res);
-  if (!isFramed(res) && (await wasReset())) {
-    throw new TruncationError('connection reset within the answer');
-  }
-  return response;
-}
-
-function readToEnd(res: IncomingMessage): Promise<RawResponse> {
-  const received = new BodyBuffer();
-  return new Promise((resolve, reject) => {
-    res.on('data', (chunk: Buffer) => {
-      received.append(chunk);
-      if (received.sizeBytes <= MAX_RESPONSE_BYTES) return;
-      received.clear();
-      res.destroy(new ResponseTooLongError('body without end'));
-    });
-    res.on('end', () => {
-      if (!res.complete) return reject(new TruncationError('answer cut short'));
-      const status = res.statusCode ?? 0;
-      const body = received.toBuffer();
-      resolve({status, headers: res.rawHeaders, body});
-    });
-    res.on('error', reject);
-    res.on('close', () => {
-      if (res.complete) return;
-      reject(new TruncationError('connection closed within the answer'));
-    });
-  });
-}
-
 function codeOf(err: unknown): string {
   if (!(err instanceof Error)) return '';
   return 'code' in err ? String(err.code) : '';
--- a/src/mesh/gate/gate.ts
+++ b/src/mesh/gate/gate.ts
@@ -16,6 +16,7 @@
 import type {DomainState} from '../evacuation/evacuated_domains.js';
 import {queueTimeoutMs} from './queue_timeout.js';
 import {QueuedWaits} from './queued_waits.js';
+import {NO_MEMORY_REASON} from './response_reader.js';
 import {RunLimit} from './run_limit.js';
 import {ResponseTimes} from './response_times.js';
 import type {CustomerShares} from './queue_place.js';
@@ -368,6 +369,8 @@
       instance,
       signal: limit.signal,
       onNotice: notice => this.#applyNotice(notice, sentTo),
+      // From then on the daemon delays the response, not the instance.
+      onWait: () => lateTimeout.cancel(),
     });
     limit.cancel();
     if (limit.isExceeded) this.#recordExceededLimit(timely, route, instance);
@@ -427,8 +430,11 @@
       reason,
       tookMs: Math.round(tookMs),
     };
+    const isUnread =
+      outcome.kind === 'unknown' && outcome.reason === NO_MEMORY_REASON;
     this.#updateTrust(cause, nowMs => {
-      this.#outliers.recordEnd(requestId, isGood, nowMs);
+      // The head of a response that wasn't read shows that nothing hangs.
+      this.#outliers.recordEnd(requestId, isGood || isUnread, nowMs);
       if (isGood) this.#outliers.recordSuccess(sentAtMs, nowMs);
       if (failureKind) this.#outliers.recordFailure(failureKind, nowMs);
     });
@@ -461,9 +467,15 @@
   return {kind: 'not-run', instance, reason, hasArrived: false};
 }
 
+/** Reasons for a run without a response that don't lie with the instance. */
+const OWN_REASONS: ReadonlySet<string> = new Set([
+  'cancelled',
+  NO_MEMORY_REASON,
+]);
+
 /** The kind of failure of an outcome; undefined if it is not a failure. */
 function classifyFailure(outcome: Outcome): FailureKind | undefined {
   if (outcome.kind === 'answered') return 'error';
-  if (outcome.reason === 'cancelled') return undefined;
+  if (OWN_REASONS.has(outcome.reason)) return undefined;
   return outcome.kind === 'unknown' ? 'broken' : 'rejected';
 }
--- a/src/mesh/limits/memory_budget.ts
+++ b/src/mesh/limits/memory_budget.ts
@@ -1,14 +1,22 @@
 /**
- * The byte budget of a daemon for bodies, whose size callers determine. Each
- * kind of holder may use a part of it. A part is set aside for small bodies, so
- * that ordinary requests find room beside large bodies that don't end.
+ * The byte budget of a daemon for bodies, whose size others determine. Each
+ * kind of holder may use a part of it. Parts are set aside for small bodies and
+ * small responses, so that ordinary requests find room beside large bodies that
+ * don't end and large responses that nobody reads.
  */
 
 /**
- * What holds bytes: a small or a large body that is being read, or a body kept
- * while its request is dispatched.
+ * What holds bytes: a small or a large body that is being read, a body kept
+ * while its request is dispatched, or a response until its caller has read it;
+ * `small-response` uses the part set aside for small ones.
  */
-export const HOLDER_KINDS = ['small-body', 'large-body', 'kept-body'] as const;
+export const HOLDER_KINDS = [
+  'small-body',
+  'large-body',
+  'kept-body',
+  'response',
+  'small-response',
+] as const;
 export type HolderKind = (typeof HOLDER_KINDS)[number];
 
 /** Bytes that are in use by one holder. */
@@ -28,6 +36,8 @@
 
 /** Share of the limit that only small bodies may use. */
 const SMALL_BODY_SHARE = 1 / 16;
+/** Share of the limit that only small responses may use. */
+const SMALL_RESPONSE_SHARE = 1 / 64;
 /** Shares of the limit; two bodies of 60 MB fit into half of 240 MB. */
 const UNFINISHED_SHARE = 0.5;
 /** One body of 64 MB fits into half of 140 MB, the budget of a small VM. */
@@ -38,20 +48,31 @@
   readonly limitBytes: number;
   /** Most bytes that one unfinished body may ever get. */
   readonly maxBodyBytes: number;
-  readonly #smallBytes: number;
+  /** Most bytes of each kind that has a part of its own. */
+  readonly #reservedBytes: Readonly<Partial<Record<HolderKind, number>>>;
+  /** Most bytes of all other kinds together. */
+  readonly #commonBytes: number;
   readonly #maxUnfinishedBytes: number;
   readonly #usedByKind: Record<HolderKind, number> = {
     'small-body': 0,
     'large-body': 0,
     'kept-body': 0,
+    response: 0,
+    'small-response': 0,
   };
 
   constructor(limitBytes: number, options: MemoryBudgetOptions = {}) {
     this.limitBytes = limitBytes;
-    this.#smallBytes = Math.floor(limitBytes * SMALL_BODY_SHARE);
+    const smallBodyBytes = Math.floor(limitBytes * SMALL_BODY_SHARE);
+    const smallResponseBytes = Math.floor(limitBytes * SMALL_RESPONSE_SHARE);
+    this.#reservedBytes = {
+      'small-body': smallBodyBytes,
+      'small-response': smallResponseBytes,
+    };
+    this.#commonBytes = limitBytes - smallBodyBytes - smallResponseBytes;
     this.#maxUnfinishedBytes = Math.min(
       options.maxUnfinishedBytes ?? Math.floor(limitBytes * UNFINISHED_SHARE),
-      limitBytes - this.#smallBytes,
+      this.#commonBytes,
     );
     this.maxBodyBytes = Math.min(
       Math.floor(limitBytes * ONE_BODY_SHARE),
@@ -97,10 +118,12 @@
   #isFree(bytes: number, totalBytes: number, kind: HolderKind): boolean {
     if (!Number.isFinite(bytes) || bytes < 0) return false;
     const used = this.#usedByKind;
-    const othersBytes = this.usedBytes - used['small-body'];
-    // Small bodies use only what is set aside for them, and nothing else does.
-    if (kind === 'small-body') return used[kind] + bytes <= this.#smallBytes;
-    if (othersBytes + bytes > this.limitBytes - this.#smallBytes) return false;
+    // Such a kind uses only what is set aside for it, and nothing else does.
+    const reservedBytes = this.#reservedBytes[kind];
+    if (reservedBytes !== undefined) return used[kind] + bytes <= reservedBytes;
+    const commonUsedBytes =
+      this.usedBytes - used['small-body'] - used['small-response'];
+    if (commonUsedBytes + bytes > this.#commonBytes) return false;
     if (kind !== 'large-body') return true;
     const isWithinPart = used[kind] + bytes <= this.#maxUnfinishedBytes;
     return isWithinPart && totalBytes <= this.maxBodyBytes;
--- /dev/null
+++ b/src/mesh/limits/response_memory.ts
@@ -0,0 +1,104 @@
+/**
+ * Decides which responses a daemon holds. A response without room displaces the
+ * ones that have been unread for longest; one whose caller reads is never
+ * displaced. Has no network: a holder closes its own connection when told to.
+ */
+import type {MemoryBudget, MemoryGrant} from './memory_budget.js';
+
+/** Why a caller's connection is closed: it reads nothing, or has no room. */
+export type ResponseCut = 'unread' | 'no-response-memory';
+
+/** Options of {@link ResponseMemory}. */
+export interface ResponseMemoryOptions {
+  readonly budget: Pick<MemoryBudget, 'reserve'>;
+  /** A response without progress for this long may be displaced. */
+  readonly unreadAfterMs: number;
+  /** Called for each connection that is closed. */
+  readonly onCut: (reason: ResponseCut) => void;
+  /** Monotonic clock in milliseconds. */
+  readonly now?: () => number;
+}
+
+/** A complete response that waits for its caller to read it. */
+export interface HeldResponse {
+  /** The caller has read some of it. */
+  progress(): void;
+  /** It is sent, or its caller is gone. Idempotent. */
+  release(): void;
+}
+
+interface Held {
+  readonly grant: MemoryGrant;
+  readonly close: () => void;
+  lastAtMs: number;
+}
+
+/** Responses up to this size use the part of the budget set aside for them. */
+export const SMALL_RESPONSE_BYTES = 65_536;
+
+/** The responses of one daemon. */
+export class ResponseMemory {
+  readonly #options: ResponseMemoryOptions;
+  readonly #now: () => number;
+  /** Ordered by the time of the last progress, oldest first. */
+  readonly #held = new Set<Held>();
+
+  constructor(options: ResponseMemoryOptions) {
+    this.#options = options;
+    this.#now = options.now ?? (() => performance.now());
+  }
+
+  /** A grant for a response; displaces unread ones if it has no room. */
+  reserve(bytes: number): MemoryGrant | undefined {
+    let grant = this.#tryReserve(bytes);
+    while (!grant && this.displaceOne()) grant = this.#tryReserve(bytes);
+    return grant;
+  }
+
+  /**
+   * Holds a complete response. Without room it calls `close`, which closes the
+   * connection of the caller, and returns undefined.
+   */
+  hold(bytes: number, close: () => void): HeldResponse | undefined {
+    const grant = this.reserve(bytes);
+    if (!grant) {
+      this.#options.onCut('no-response-memory');
+      close();
+      return undefined;
+    }
+    const held: Held = {grant, close, lastAtMs: this.#now()};
+    this.#held.add(held);
+    return {
+      progress: () => {
+        if (!this.#held.delete(held)) return;
+        held.lastAtMs = this.#now();
+        this.#held.add(held);
+      },
+      release: () => this.#release(held),
+    };
+  }
+
+  /** Cuts off the response that is longest unread; false if all are read. */
+  displaceOne(): boolean {
+    const [oldest] = this.#held;
+    if (!oldest) return false;
+    const unreadMs = this.#now() - oldest.lastAtMs;
+    if (unreadMs < this.#options.unreadAfterMs) return false;
+    this.#release(oldest);
+    this.#options.onCut('unread');
+    oldest.close();
+    return true;
+  }
+
+  #tryReserve(bytes: number): MemoryGrant | undefined {
+    const {budget} = this.#options;
+    const grant = budget.reserve(bytes, 'response');
+    if (grant || bytes > SMALL_RESPONSE_BYTES) return grant;
+    return budget.reserve(bytes, 'small-response');
+  }
+
+  #release(held: Held): void {
+    this.#held.delete(held);
+    held.grant.release();
+  }
+}
--- a/src/mesh/mesh_daemon.ts
+++ b/src/mesh/mesh_daemon.ts
@@ -25,6 +25,7 @@
 } from './limits/caller_bounds.js';
 import {buildCustomerLimits} from './limits/customer_limits.js';
 import {MemoryBudget} from './limits/memory_budget.js';
+import {ResponseMemory} from './limits/response_memory.js';
 import {RepeatBudget} from './limits/repeat_budget.js';
 import {RepeatCalls} from './limits/repeat_calls.js';
 import {SharedLimits, type Limit} from './limits/shared_limits.js';
@@ -106,7 +107,12 @@
     metrics.exportHeldBytes(budget);
     this.#peersAddress = settings.listen.peers;
     this.#boundAddresses = settings.listen;
-    this.#exchange = new BackendClient(address, names);
+    const responses = new ResponseMemory({
+      budget,
+      unreadAfterMs: this.#bounds.progress.stallMs,
+      onCut: reason => this.#recordClose('callers', reason),
+    });
+    this.#exchange = new BackendClient(address, names, responses);
     this.gate = new Gate({
       service,
       client: this.#exchange,
@@ -197,6 +203,7 @@
         log,
       }),
       budget,
+      responses,
       guard: server =>
         this.#guard(server, 'callers', this.#bounds.maxConnections),
       log,
@@ -316,20 +323,22 @@
     listener: string,
     maxConnections: number,
   ): ConnectionGuard {
-    const {log, metrics} = this.#options;
     const {progress, maxUnfinishedRequests} = this.#bounds;
     return new ConnectionGuard(server, {
       meter: this.#readMeter,
       maxConnections,
       maxUnfinished: Math.min(maxUnfinishedRequests, maxConnections),
       progress,
-      onClose: reason => {
-        metrics.recordGuardClose(listener, reason);
-        log.failure('connection-closed', {listener, reason});
-      },
+      onClose: reason => this.#recordClose(listener, reason),
     });
   }
 
+  #recordClose(listener: string, reason: string): void {
+    const {log, metrics} = this.#options;
+    metrics.recordGuardClose(listener, reason);
+    log.failure('connection-closed', {listener, reason});
+  }
+
   #status(): VmStatus {
     const backend = this.gate.status;
     const isStopping = this.#isStopping;
--- a/src/mesh/router/body_reader.ts
+++ b/src/mesh/router/body_reader.ts
@@ -8,6 +8,7 @@
 import type {ConnectionGuard} from '../../http/connection_guard.js';
 import type {CutReason} from '../../http/guarded_connection.js';
 import type {MemoryBudget, MemoryGrant} from '../limits/memory_budget.js';
+import type {ResponseMemory} from '../limits/response_memory.js';
 
 /** A body with its grant, or why there is none. */
 export type ReadResult =
@@ -23,6 +24,8 @@
 export interface BodyReaderOptions {
   readonly budget: MemoryBudget;
   readonly guard: Pick<ConnectionGuard, 'connectionOf' | 'displaceOne'>;
+  /** Unread responses give way to bodies. */
+  readonly responses: Pick<ResponseMemory, 'displaceOne'>;
 }
 
 /** Bodies up to this size use the part of the budget set aside for them. */
@@ -165,9 +168,11 @@
     const endMs = performance.now() + MAX_WAIT_MS;
     const attempt = () => {
       if (this.#isSettled) return;
-      const {guard} = this.#options;
+      const {guard, responses} = this.#options;
+      const displaceOne = () =>
+        guard.displaceOne(connection) || responses.displaceOne();
       let isTaken = take();
-      while (!isTaken && guard.displaceOne(connection)) isTaken = take();
+      while (!isTaken && displaceOne()) isTaken = take();
       if (isTaken) {
         if (connection) connection.isWaiting = false;
         proceed();
--- a/src/mesh/router/caller_server.ts
+++ b/src/mesh/router/caller_server.ts
@@ -14,6 +14,7 @@
 import type {DecisionLog} from '../../log/decision_log.js';
 import type {HeaderNames} from '../header_names.js';
 import type {MemoryBudget, MemoryGrant} from '../limits/memory_budget.js';
+import type {ResponseMemory} from '../limits/response_memory.js';
 import type {RepeatCalls} from '../limits/repeat_calls.js';
 import type {SharedLimits} from '../limits/shared_limits.js';
 import type {MeshMetrics} from '../mesh_metrics.js';
@@ -37,6 +38,7 @@
 import {fingerprintOf} from './fingerprint.js';
 import type {QueryOfDeathGuard} from './query_of_death.js';
 import {computeRetryAfterMs} from './retry_after.js';
+import {ResponseSender} from './response_sender.js';
 import {pickService, type RouteTable} from './route_table.js';
 import {StartupDelay} from './startup_delay.js';
 
@@ -52,6 +54,8 @@
   readonly repeatCalls: RepeatCalls;
   /** Holds the bodies that callers send. */
   readonly budget: MemoryBudget;
+  /** Holds responses until their callers have read them. */
+  readonly responses: ResponseMemory;
   /** Bounds what the connections of a server take. */
   readonly guard: (server: Server) => ConnectionGuard;
   readonly log: DecisionLog;
@@ -113,6 +117,7 @@
   readonly #server;
   readonly #guard: ConnectionGuard;
   readonly #bodies: BodyReader;
+  readonly #sender: ResponseSender;
   #maxBodyBytes = DEFAULT_MAX_BODY_BYTES;
   #openRequests = 0;
   #isStopping = false;
@@ -131,10 +136,9 @@
       this.#recordMalformed(),
     );
     this.#guard = options.guard(this.#server);
-    this.#bodies = new BodyReader({
-      budget: options.budget,
-      guard: this.#guard,
-    });
+    const {budget, responses} = options;
+    this.#bodies = new BodyReader({budget, guard: this.#guard, responses});
+    this.#sender = new ResponseSender({responses, guard: this.#guard});
     this.#server.on('request', app.handler);
   }
 
@@ -276,6 +280,7 @@
       ...request,
       callerSignal,
     });
+    grant?.release();
     this.#respond(context, result);
   }
 
@@ -341,13 +346,15 @@
     if (result.kind === 'failed') return this.#refuseFailed(context, result);
     const {res} = context;
     const {status, headers, body} = result;
-    this.#record(context, status, 'answered', {
-      instance: result.instance,
-    });
+    const {instance} = result;
+    if (!res.destroyed && !this.#sender.hold(context.req, res, body.length)) {
+      return this.#record(context, 0, 'no-response-memory', {instance});
+    }
+    this.#record(context, status, 'answered', {instance});
     if (res.destroyed) return;
     if (this.#isStopping) res.setHeader('connection', 'close');
     res.writeHead(status, [...buildCallerHeaders(headers, body.length)]);
-    res.end(body);
+    this.#sender.send(context.req, res, body);
   }
 
   #refuseFailed(context: RequestContext, failure: DispatchFailure): void {
