Don't count responses as unread while the daemon was paused

Cause: after a pause of the process over 5 s all held responses looked unread, though their callers couldn't get anything meanwhile.

Change: a check each 250 ms notices that it is late and begins the time of each held response anew; a displacement checks first. A limits scenario has 10 slow readers of 540 KB beside 60 callers that don't read 8 MB.

--- a/features/mesh_limits.feature
+++ b/features/mesh_limits.feature
@@ -66,3 +66,8 @@
   Scenario: Unread responses give way to bodies
     Given the responses of a VM with 150 MB
     Then after 5000 ms a body of 8000000 bytes finds room in place of one of 4 unread responses
+
+  # Guards against cutting off callers because the daemon itself was paused.
+  Scenario: Responses that the daemon didn't write don't count as unread
+    Given the responses of a VM with 150 MB
+    Then after a pause of 60000 ms none of 4 responses is cut off for another
--- a/features/steps/response_memory_steps.ts
+++ b/features/steps/response_memory_steps.ts
@@ -5,6 +5,7 @@
 import {computeCallerBounds} from '../../src/mesh/limits/caller_bounds.js';
 import {MemoryBudget} from '../../src/mesh/limits/memory_budget.js';
 import {
+  RESPONSE_CHECK_INTERVAL_MS,
   ResponseMemory,
   SMALL_RESPONSE_BYTES,
   type HeldResponse,
@@ -32,6 +33,15 @@
     });
   }
 
+  /** Lets time pass in which the process isn't busy. */
+  pass(ms: number): void {
+    const endMs = this.nowMs + ms;
+    while (this.nowMs < endMs) {
+      this.nowMs = Math.min(endMs, this.nowMs + RESPONSE_CHECK_INTERVAL_MS);
+      this.memory.check();
+    }
+  }
+
   hold(id: number, bytes: number): boolean {
     const response = this.memory.hold(bytes, () => {
       this.closed.push(id);
@@ -74,10 +84,10 @@
   'after {int} ms a further one displaces the one that is longest unread',
   function (waitMs: number) {
     const fixture = fixtureOf(this);
-    fixture.nowMs += waitMs - 1;
+    fixture.pass(waitMs - 1);
     // The oldest one is read just now.
     fixture.held.get(0)?.progress();
-    fixture.nowMs += 1;
+    fixture.pass(1);
     assert.ok(fixture.hold(100, 8_000_000));
     assert.equal(fixture.closed.at(-1), 1);
     assert.equal(fixture.reasons.at(-1), 'unread');
@@ -101,7 +111,7 @@
         const lastAtMs = new Map<number, number>();
         steps.forEach((one, id) => {
           if ('waitMs' in one) {
-            fixture.nowMs += one.waitMs;
+            fixture.pass(one.waitMs);
           } else if ('reads' in one) {
             const response = fixture.held.get(one.reads);
             response?.progress();
@@ -192,10 +202,22 @@
     const fixture = fixtureOf(this);
     const ids = Array.from({length: count}, (_, id) => id);
     assert.ok(ids.every(id => fixture.hold(id, 8_000_000)));
-    fixture.nowMs += waitMs;
+    fixture.pass(waitMs);
     assert.equal(fixture.budget.reserve(bytes, 'large-body'), undefined);
     assert.ok(fixture.memory.displaceOne());
     assert.ok(fixture.budget.reserve(bytes, 'large-body'));
     assert.deepEqual(fixture.closed, [0]);
   },
 );
+
+Then(
+  'after a pause of {int} ms none of {int} responses is cut off for another',
+  function (pauseMs: number, count: number) {
+    const fixture = fixtureOf(this);
+    const ids = Array.from({length: count}, (_, id) => id);
+    assert.ok(ids.every(id => fixture.hold(id, 8_000_000)));
+    fixture.nowMs += pauseMs;
+    assert.ok(!fixture.hold(count, 8_000_000));
+    assert.deepEqual([...fixture.held.keys()], ids);
+  },
+);
--- a/limits/caller_limits.feature
+++ b/limits/caller_limits.feature
@@ -50,3 +50,11 @@
     When a caller uploads 67108864 bytes in chunks
     Then all of them are served
     And the process runs and took at most 250 MB and 200 descriptors
+
+  # Guards against cutting off callers that read, for others that don't.
+  Scenario: Slow readers get their responses beside a crowd that doesn't read
+    Given a mesh daemon with 150 MB of memory and 200 descriptors
+    When 10 callers begin to read medium responses slowly but steadily
+    And 60 callers send requests for large responses that they don't read
+    Then all slow callers get their whole response
+    And the process runs and took at most 150 MB and 200 descriptors
--- a/limits/steps/caller_limit_steps.ts
+++ b/limits/steps/caller_limit_steps.ts
@@ -10,7 +10,11 @@
   Then,
   When,
 } from '@cucumber/cucumber';
-import {Crowd} from '../support/platform_crowd.js';
+import {
+  Crowd,
+  MEDIUM_PATH,
+  MEDIUM_RESPONSE_BYTES,
+} from '../support/platform_crowd.js';
 import {LimitedDaemon} from '../support/limited_daemon.js';
 
 interface LimitState {
@@ -18,6 +22,7 @@
   crowd?: Crowd;
   exitCode?: number | null;
   statuses?: readonly number[];
+  readBytes?: Promise<readonly number[]>;
 }
 
 const STEP_TIMEOUT_MS = 60_000;
@@ -132,3 +137,22 @@
     statuses.join(),
   );
 });
+
+When(
+  '{int} callers begin to read medium responses slowly but steadily',
+  function (count: number) {
+    const state = stateOf(this);
+    state.readBytes = Promise.all(
+      Array.from({length: count}, () => state.daemon.readSlowly(MEDIUM_PATH)),
+    );
+  },
+);
+
+Then('all slow callers get their whole response', async function () {
+  const readBytes = await stateOf(this).readBytes;
+  assert.ok(readBytes && readBytes.length > 0);
+  assert.ok(
+    readBytes.every(bytes => bytes === MEDIUM_RESPONSE_BYTES),
+    readBytes.join(),
+  );
+});
--- a/limits/support/limited_daemon.ts
+++ b/limits/support/limited_daemon.ts
@@ -18,6 +18,8 @@
   LARGE_PATH,
   LARGE_RESPONSE_BYTES,
   MAX_BODY_BYTES,
+  MEDIUM_PATH,
+  MEDIUM_RESPONSE_BYTES,
   type Listens,
 } from './platform_crowd.js';
 
@@ -33,7 +35,14 @@
 const SAMPLE_INTERVAL_MS = 50;
 /** An ordinary caller waits this long for its response. */
 const ORDINARY_DEADLINE_MS = 15_000;
-const LARGE_RESPONSE = Buffer.alloc(LARGE_RESPONSE_BYTES);
+/** Responses by path; all others are short. */
+const RESPONSES: Readonly<Partial<Record<string, Buffer>>> = {
+  [LARGE_PATH]: Buffer.alloc(LARGE_RESPONSE_BYTES),
+  [MEDIUM_PATH]: Buffer.alloc(MEDIUM_RESPONSE_BYTES),
+};
+/** A slow reader reads this much at a time: 54 KB/s, 10 s for 540 KB. */
+const SLOW_READ_BYTES = 13_500;
+const SLOW_READ_INTERVAL_MS = 250;
 
 /** The daemon of one scenario. */
 export class LimitedDaemon {
@@ -139,6 +148,34 @@
     });
   }
 
+  /** Reads a response slowly but steadily; resolves to the bytes it got. */
+  readSlowly(requestPath: string): Promise<number> {
+    const [host, port] = this.listens.callers.split(':');
+    const headers = {
+      host: ROUTE.host,
+      [NAMES.requestId]: `slow-${Math.random()}`,
+      [NAMES.deadline]: String(ORDINARY_DEADLINE_MS),
+    };
+    const options = {host, port, path: requestPath, headers, agent: false};
+    return new Promise(resolve => {
+      const req = request(options, res => {
+        let receivedBytes = 0;
+        const read = () => {
+          const data = (res.read(SLOW_READ_BYTES) ?? res.read()) as unknown;
+          if (Buffer.isBuffer(data)) receivedBytes += data.length;
+        };
+        const reading = setInterval(read, SLOW_READ_INTERVAL_MS);
+        res.on('error', () => undefined);
+        res.on('close', () => {
+          clearInterval(reading);
+          resolve(res.statusCode === 200 ? receivedBytes : 0);
+        });
+      });
+      req.on('error', () => resolve(0));
+      req.end();
+    });
+  }
+
   async stop(): Promise<void> {
     clearInterval(this.#sampling);
     await this.process.end();
@@ -179,7 +216,7 @@
     if (req.url === '/health') return res.end();
     res.setHeader(NAMES.requestId, String(req.headers[NAMES.requestId]));
     res.setHeader(NAMES.signature, 'signed');
-    const body = req.url === LARGE_PATH ? LARGE_RESPONSE : 'done';
+    const body = RESPONSES[req.url ?? ''] ?? 'done';
     req.on('end', () => res.end(body));
   });
 }
--- a/limits/support/platform_crowd.ts
+++ b/limits/support/platform_crowd.ts
@@ -12,6 +12,9 @@
 /** Path of responses of `LARGE_RESPONSE_BYTES`. */
 export const LARGE_PATH = '/app/large';
 export const LARGE_RESPONSE_BYTES = 8_000_000;
+/** Path of responses of `MEDIUM_RESPONSE_BYTES`. */
+export const MEDIUM_PATH = '/app/medium';
+export const MEDIUM_RESPONSE_BYTES = 540_000;
 
 const BODY_BYTES = 1_000_000;
 const PIECES = 20;
--- a/src/mesh/limits/response_memory.ts
+++ b/src/mesh/limits/response_memory.ts
@@ -36,16 +36,23 @@
 /** Responses up to this size use the part of the budget set aside for them. */
 export const SMALL_RESPONSE_BYTES = 65_536;
 
+/** How often {@link ResponseMemory.check} is to be called. */
+export const RESPONSE_CHECK_INTERVAL_MS = 250;
+/** A check that is later than this found a process that was too busy to write. */
+const LATE_CHECK_MS = 2 * RESPONSE_CHECK_INTERVAL_MS;
+
 /** The responses of one daemon. */
 export class ResponseMemory {
   readonly #options: ResponseMemoryOptions;
   readonly #now: () => number;
   /** Ordered by the time of the last progress, oldest first. */
   readonly #held = new Set<Held>();
+  #checkedAtMs: number;
 
   constructor(options: ResponseMemoryOptions) {
     this.#options = options;
     this.#now = options.now ?? (() => performance.now());
+    this.#checkedAtMs = this.#now();
   }
 
   /** A grant for a response; displaces unread ones if it has no room. */
@@ -78,8 +85,20 @@
     };
   }
 
+  /** While the process itself was paused or busy, no response counts as unread. */
+  check(): void {
+    const nowMs = this.#now();
+    const isLate = nowMs - this.#checkedAtMs > LATE_CHECK_MS;
+    this.#checkedAtMs = nowMs;
+    if (!isLate) return;
+    this.#held.forEach(held => {
+      held.lastAtMs = nowMs;
+    });
+  }
+
   /** Cuts off the response that is longest unread; false if all are read. */
   displaceOne(): boolean {
+    this.check();
     const [oldest] = this.#held;
     if (!oldest) return false;
     const unreadMs = this.#now() - oldest.lastAtMs;
