--- a/src/mesh/mesh_daemon.ts
+++ b/src/mesh/mesh_daemon.ts
@@ -25,6 +25,10 @@
 } from './limits/caller_bounds.js';
 import {buildCustomerLimits} from './limits/customer_limits.js';
 import {MemoryBudget} from './limits/memory_budget.js';
+import {
+  RESPONSE_CHECK_INTERVAL_MS,
+  ResponseMemory,
+} from './limits/response_memory.js';
 import {RepeatBudget} from './limits/repeat_budget.js';
 import {RepeatCalls} from './limits/repeat_calls.js';
 import {SharedLimits, type Limit} from './limits/shared_limits.js';
@@ -88,6 +92,7 @@
   readonly #readMeter = new ReadMeter();
   readonly #readinessServer: Server;
   readonly #metricsServer: Server;
+  readonly #responseCheck: NodeJS.Timeout;
   #limitsByName: ReadonlyMap<string, Limit> = new Map();
   #weights: ReadonlyMap<string, number> = new Map();
   readonly #stopDeadline = new StopDeadline();
@@ -106,7 +111,16 @@
     metrics.exportHeldBytes(budget);
     this.#peersAddress = settings.listen.peers;
     this.#boundAddresses = settings.listen;
-    this.#exchange = new BackendClient(address, names);
+    const responses = new ResponseMemory({
+      budget,
+      unreadAfterMs: this.#bounds.progress.stallMs,
+      onCut: reason => this.#recordClose('callers', reason),
+    });
+    this.#responseCheck = setInterval(
+      () => responses.check(),
+      RESPONSE_CHECK_INTERVAL_MS,
+    ).unref();
+    this.#exchange = new BackendClient(address, names, responses);
     this.gate = new Gate({
       service,
       client: this.#exchange,
@@ -199,6 +213,7 @@
         log,
       }),
       budget,
+      responses,
       guard: server =>
         this.#guard(server, 'callers', this.#bounds.maxConnections),
       log,
@@ -299,6 +314,7 @@
 
   /** Stops all components at once, without waiting for in-flight requests. */
   async halt(): Promise<void> {
+    clearInterval(this.#responseCheck);
     this.#limits.parts.stop();
     this.#repeatBudget.stop();
     this.peers.stop();
@@ -318,20 +334,22 @@
     listener: string,
     maxConnections: number,
   ): ConnectionGuard {
-    const {log, metrics} = this.#options;
     const {progress, maxUnfinishedRequests} = this.#bounds;
     return new ConnectionGuard(server, {
       meter: this.#readMeter,
       maxConnections,
       maxUnfinished: Math.min(maxUnfinishedRequests, maxConnections),
       progress,
-      onClose: reason => {
-        metrics.recordGuardClose(listener, reason);
-        log.failure('connection-closed', {listener, reason});
-      },
+      onClose: reason => this.#recordClose(listener, reason),
     });
   }
 
+  #recordClose(listener: string, reason: string): void {
+    const {log, metrics} = this.#options;
+    metrics.recordGuardClose(listener, reason);
+    log.failure('connection-closed', {listener, reason});
+  }
+
   #status(): VmStatus {
     const backend = this.gate.status;
     const isStopping = this.#isStopping;
