Watch a body that began before the previous request ended

With a complete request and an unfinished body in one packet, the end of the first request came after the head of the second, and took the connection out of the unfinished ones: the body was never judged, counted or displaced, and kept its grant. The end of a request now counts only if nothing on its connection is unfinished.

--- /dev/null
+++ b/features/steps/mesh_caller_guard_steps.ts
@@ -0,0 +1,84 @@
+/** Steps for the guards for callers on one server. */
+import assert from 'node:assert/strict';
+import {After, Given, Then, When} from '@cucumber/cucumber';
+import {until} from '../support/fleet.js';
+import {GuardedServer, type RawConnection} from '../support/guarded_server.js';
+
+const OPTIONS = {
+  budgetBytes: 16 * 1024 * 1024,
+  stallMs: 500,
+  maxConnections: 100,
+  maxUnfinished: 100,
+};
+
+const WAIT_MS = 5000;
+
+interface State {
+  readonly server: GuardedServer;
+  readonly callers: RawConnection[];
+}
+
+const states = new WeakMap<object, State>();
+
+function stateOf(world: object): State {
+  const state = states.get(world);
+  assert.ok(state, 'no guarded server');
+  return state;
+}
+
+function connectOne(world: object): RawConnection {
+  const {server, callers} = stateOf(world);
+  const caller = server.connect();
+  callers.push(caller);
+  return caller;
+}
+
+After(function () {
+  const state = states.get(this);
+  state?.callers.forEach(caller => caller.end());
+  state?.server.stop();
+});
+
+function get(path = '/'): string {
+  return `GET ${path} HTTP/1.1\r\nhost: app.example\r\n\r\n`;
+}
+
+function post(bytes: number, sent: number): string {
+  const head = `POST / HTTP/1.1\r\nhost: app.example\r\ncontent-length: ${bytes}`;
+  return `${head}\r\n\r\n${'x'.repeat(sent)}`;
+}
+
+async function start(
+  world: object,
+  options: Partial<typeof OPTIONS> = {},
+): Promise<void> {
+  const server = new GuardedServer({...OPTIONS, ...options});
+  await server.start();
+  states.set(world, {server, callers: []});
+}
+
+Given('a guarded server', async function () {
+  await start(this);
+});
+
+const PACKETS: Readonly<Record<string, string>> = {
+  'a request and an unfinished body': get() + post(1000, 10),
+};
+
+When('a caller sends at once: {}', function (packet: string) {
+  connectOne(this).write(PACKETS[packet] ?? '');
+});
+
+Then(
+  'the caller reads {string}, and its connection is closed',
+  async function (text: string) {
+    const [caller] = stateOf(this).callers;
+    await until('closed', () => caller?.isClosed === true, WAIT_MS);
+    assert.ok(caller?.text.includes(text), caller?.text);
+  },
+);
+
+Then('no bytes of the budget are in use', async function () {
+  const {budget} = stateOf(this).server;
+  await until('nothing in use', () => budget.usedBytes === 0, WAIT_MS);
+});
--- a/src/http/connection_guard.ts
+++ b/src/http/connection_guard.ts
@@ -94,6 +94,8 @@
   }
 
   onFinished(connection: GuardedConnection): void {
+    // A request may end after the next one on its connection has begun.
+    if (connection.isUnfinished) return;
     this.#unfinished.delete(connection);
     this.#addIfIdle(connection);
   }
