Displace only bodies that hold what another one lacks

A body without a grant cut off every unfinished request that was idle for 0.5 s, whatever it held: a small body sent at 2 KB/s got 503 because one of 64 MB waited. Now only holders of the kind that is short give way, and only if they free enough together. Sizes that are never granted are refused at once; they waited 2 s and displaced others.

A flag per grant in place of the kind was ruled out: small bodies can't free room for large ones in any case.

--- a/features/mesh_caller_guards.feature
+++ b/features/mesh_caller_guards.feature
@@ -8,3 +8,31 @@
     When a caller sends at once: a request and an unfinished body
     Then the caller reads "stalled", and its connection is closed
     And no bytes of the budget are in use
+
+  # Guards against small bodies that are cut off for a large one, though they
+  # don't hold what it lacks, and against more displacements than needed.
+  Scenario: A large body waits beside a small one and two large ones
+    Given a guarded server
+    When callers leave bodies of 28000, 4000000 and 4000000 bytes for 700 ms
+    And another caller sends a body of 2000000 bytes
+    Then the last caller reads "whole"
+    And only caller 2 was cut off, as "displaced"
+
+  # Guards against bodies that are cut off in vain.
+  Scenario: A body waits that can't be granted beside what is kept
+    Given a guarded server
+    And 6000000 bytes of kept bodies
+    When callers leave bodies of 28000, 1000000 and 1000000 bytes for 700 ms
+    And 7000000 bytes of kept bodies
+    And another caller sends a body of 8000000 bytes
+    Then the last caller reads "no-memory"
+    And no caller was cut off as "displaced"
+
+  # Guards against a body that waits, and displaces others, though the budget
+  # never has room for it.
+  Scenario: A body is larger than the budget ever grants
+    Given a guarded server
+    When callers leave bodies of 28000, 4000000 and 4000000 bytes for 700 ms
+    And another caller sends a body of 9000000 bytes
+    Then within 500 ms the last caller reads "no-memory"
+    And no caller was cut off as "displaced"
--- a/features/steps/mesh_caller_guard_steps.ts
+++ b/features/steps/mesh_caller_guard_steps.ts
@@ -1,17 +1,19 @@
 /** Steps for the guards for callers on one server. */
 import assert from 'node:assert/strict';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {After, Given, Then, When} from '@cucumber/cucumber';
 import {until} from '../support/fleet.js';
 import {GuardedServer, type RawConnection} from '../support/guarded_server.js';
 
 const OPTIONS = {
   budgetBytes: 16 * 1024 * 1024,
-  stallMs: 500,
+  stallMs: 4000,
   maxConnections: 100,
   maxUnfinished: 100,
 };
 
-const WAIT_MS = 5000;
+const ORDER_PAUSE_MS = 20;
+const WAIT_MS = 8000;
 
 interface State {
   readonly server: GuardedServer;
@@ -82,3 +84,63 @@
   const {budget} = stateOf(this).server;
   await until('nothing in use', () => budget.usedBytes === 0, WAIT_MS);
 });
+
+When(
+  'callers leave bodies of {int}, {int} and {int} bytes for {int} ms',
+  async function (first: number, second: number, third: number, ms: number) {
+    for (const bytes of [first, second, third]) {
+      connectOne(this).write(post(bytes, 1));
+      // Their order is that of their last progress.
+      await sleep(ORDER_PAUSE_MS);
+    }
+    await sleep(ms);
+  },
+);
+
+Given('{int} bytes of kept bodies', function (bytes: number) {
+  const grant = stateOf(this).server.budget.reserve(bytes, 'kept-body');
+  assert.ok(grant);
+});
+
+When('another caller sends a body of {int} bytes', function (bytes: number) {
+  connectOne(this).write(post(bytes, bytes));
+});
+
+async function untilLastReads(
+  world: object,
+  text: string,
+  boundMs: number,
+): Promise<void> {
+  const last = stateOf(world).callers.at(-1);
+  await until(text, () => last?.text.includes(text) === true, boundMs);
+}
+
+Then('the last caller reads {string}', async function (text: string) {
+  await untilLastReads(this, text, WAIT_MS);
+});
+
+Then(
+  'within {int} ms the last caller reads {string}',
+  async function (ms: number, text: string) {
+    await untilLastReads(this, text, ms);
+  },
+);
+
+/** Positions of the callers that read `text`. */
+function callersThatRead(world: object, text: string): readonly number[] {
+  const {callers} = stateOf(world);
+  return callers.flatMap((caller, i) =>
+    caller.text.includes(text) ? [i + 1] : [],
+  );
+}
+
+Then(
+  'only caller {int} was cut off, as {string}',
+  function (position: number, reason: string) {
+    assert.deepEqual(callersThatRead(this, reason), [position]);
+  },
+);
+
+Then('no caller was cut off as {string}', function (reason: string) {
+  assert.deepEqual(callersThatRead(this, reason), []);
+});
--- a/src/http/connection_guard.ts
+++ b/src/http/connection_guard.ts
@@ -66,20 +66,32 @@
   }
 
   /**
-   * Cuts off the unfinished request that is longest without progress, if there
-   * is one that nobody waits for; `except` stays.
+   * Cuts off unfinished requests that hold bytes as this kind of holder and for
+   * which nobody waits, longest without progress first, until `bytes` come free.
+   * Cuts off none if all of them hold less; `except` stays.
    */
-  displaceOne(except?: GuardedConnection): boolean {
+  displace(
+    bytes: number,
+    kind: string,
+    except: GuardedConnection | undefined,
+  ): boolean {
     const beforeMs = performance.now() - DISPLACE_AFTER_MS;
-    const found = [...this.#unfinished].find(
-      connection =>
+    let freedBytes = 0;
+    const found = [...this.#unfinished].filter(connection => {
+      const heldBytes = connection.body?.heldBytes(kind) ?? 0;
+      const isCandidate =
         connection !== except &&
         !connection.isWaiting &&
-        connection.lastAtMs < beforeMs,
-    );
-    if (!found) return false;
-    this.#unfinished.delete(found);
-    found.cut('displaced');
+        connection.lastAtMs < beforeMs;
+      if (!isCandidate || heldBytes === 0 || freedBytes >= bytes) return false;
+      freedBytes += heldBytes;
+      return true;
+    });
+    if (freedBytes < bytes) return false;
+    found.forEach(connection => {
+      this.#unfinished.delete(connection);
+      connection.cut('displaced');
+    });
     return true;
   }
 
--- a/src/http/guarded_connection.ts
+++ b/src/http/guarded_connection.ts
@@ -19,6 +19,16 @@
 const MAX_DISCARDED_BYTES = 1024 * 1024;
 const MAX_LINGER_MS = 1000;
 
+/** What reads the body that arrives on a connection. */
+export interface BodyHolder {
+  /** Whether the daemon reads nothing for now. */
+  readonly isWaiting: boolean;
+  /** Bytes of a memory budget that the body has as a holder of this kind. */
+  heldBytes(kind: string): number;
+  /** Handles a cut in place of closing the connection. */
+  cut(reason: CutReason): void;
+}
+
 /** Told about changes of a connection. */
 export interface ConnectionObserver {
   /** Data of a request that hasn't arrived completely. */
@@ -32,10 +42,7 @@
 /** One connection. */
 export class GuardedConnection implements MeteredReader {
   readonly socket: Socket;
-  /** Handles a cut in place of closing the connection. */
-  onCut: ((reason: CutReason) => void) | undefined;
-  /** Whether the daemon reads nothing for now. */
-  isWaiting = false;
+  body: BodyHolder | undefined;
   lastAtMs = performance.now();
   /** What was read from the socket and not yet parsed. */
   unparsed: Pick<MeteredConnection, 'hasPending'> = {hasPending: false};
@@ -74,6 +81,10 @@
     return this.isResponding && this.#res?.writableEnded === true;
   }
 
+  get isWaiting(): boolean {
+    return this.body?.isWaiting ?? false;
+  }
+
   get #isBodyArriving(): boolean {
     return this.#req?.complete === false;
   }
@@ -139,9 +150,9 @@
   cut(reason: CutReason): void {
     if (this.#isDiscarding || this.socket.destroyed) return;
     this.#observer.onCut(reason);
-    const handle = this.onCut;
-    this.onCut = undefined;
-    if (handle) handle(reason);
+    const {body} = this;
+    this.body = undefined;
+    if (body) body.cut(reason);
     else this.socket.destroy();
   }
 
--- a/src/mesh/limits/memory_budget.ts
+++ b/src/mesh/limits/memory_budget.ts
@@ -93,6 +93,16 @@
     };
   }
 
+  /** Bytes that holders of one kind may get now, in total. */
+  freeBytes(kind: HolderKind): number {
+    const used = this.#usedByKind;
+    if (kind === 'small-body') return this.#smallBytes - used[kind];
+    const othersBytes = this.usedBytes - used['small-body'];
+    const freeBytes = this.limitBytes - this.#smallBytes - othersBytes;
+    if (kind !== 'large-body') return freeBytes;
+    return Math.min(freeBytes, this.#maxUnfinishedBytes - used[kind]);
+  }
+
   /** Whether a holder may get `bytes` more and then have `totalBytes`. */
   #isFree(bytes: number, totalBytes: number, kind: HolderKind): boolean {
     if (!Number.isFinite(bytes) || bytes < 0) return false;
