Clear only the handlers of the body that settled

If a body began in the packet that ended the one before, the settling of the first cleared what the guard calls for the second: it was closed without a response once it stalled.

--- a/features/mesh_caller_guards.feature
+++ b/features/mesh_caller_guards.feature
@@ -36,3 +36,12 @@
     And another caller sends a body of 9000000 bytes
     Then within 500 ms the last caller reads "no-memory"
     And no caller was cut off as "displaced"
+
+  # Guards against a body that loses its refusal and its place among those that
+  # may be cut off, because an earlier body ended after it began.
+  Scenario: A body and an unfinished one come in one packet
+    Given a guarded server
+    When a caller sends at once: a whole and an unfinished body
+    Then the caller reads "whole", and its connection is closed
+    And the caller reads "stalled", and its connection is closed
+    And no bytes of the budget are in use
--- a/features/steps/mesh_caller_guard_steps.ts
+++ b/features/steps/mesh_caller_guard_steps.ts
@@ -45,8 +45,8 @@
   return `GET ${path} HTTP/1.1\r\nhost: app.example\r\n\r\n`;
 }
 
-function post(bytes: number, sent: number): string {
-  const head = `POST / HTTP/1.1\r\nhost: app.example\r\ncontent-length: ${bytes}`;
+function post(bytes: number, sent: number, path = '/'): string {
+  const head = `POST ${path} HTTP/1.1\r\nhost: app.example\r\ncontent-length: ${bytes}`;
   return `${head}\r\n\r\n${'x'.repeat(sent)}`;
 }
 
@@ -65,6 +65,7 @@
 
 const PACKETS: Readonly<Record<string, string>> = {
   'a request and an unfinished body': get() + post(1000, 10),
+  'a whole and an unfinished body': post(1000, 1000) + post(1000, 10),
 };
 
 When('a caller sends at once: {}', function (packet: string) {
@@ -144,3 +145,26 @@
 Then('no caller was cut off as {string}', function (reason: string) {
   assert.deepEqual(callersThatRead(this, reason), []);
 });
+
+When(
+  'a caller has gone {int} ms before the body is read',
+  async function (ms: number) {
+    const {server} = stateOf(this);
+    const caller = connectOne(this);
+    caller.write(post(1000, 10, '/late'));
+    await until('a held request', () => server.held !== undefined, WAIT_MS);
+    caller.end();
+    await sleep(ms);
+  },
+);
+
+Then(
+  'its body is {string} within {int} ms',
+  async function (kind: string, boundMs: number) {
+    const {server} = stateOf(this);
+    assert.ok(server.held);
+    const late = sleep(boundMs, undefined);
+    const result = await Promise.race([server.read(server.held), late]);
+    assert.equal(result?.kind, kind);
+  },
+);
--- a/features/support/guarded_server.ts
+++ b/features/support/guarded_server.ts
@@ -12,7 +12,10 @@
 import {listen} from '../../src/http/listener.js';
 import {ReadMeter} from '../../src/http/read_meter.js';
 import {MemoryBudget} from '../../src/mesh/limits/memory_budget.js';
-import {BodyReader} from '../../src/mesh/router/body_reader.js';
+import {
+  BodyReader,
+  type ReadResult,
+} from '../../src/mesh/router/body_reader.js';
 
 const MAX_HEADER_BYTES = 16_384;
 const MAX_BODY_BYTES = 64 * 1024 * 1024;
@@ -33,6 +36,8 @@
   readonly guard: ConnectionGuard;
   readonly bodies: BodyReader;
   readonly closes: GuardReason[] = [];
+  /** A request to the path `/late`, whose body the steps read. */
+  held: IncomingMessage | undefined;
   readonly #server: Server;
   #address = '';
 
@@ -64,8 +69,16 @@
     return new RawConnection(this.#address);
   }
 
+  read(req: IncomingMessage): Promise<ReadResult> {
+    return this.bodies.read(req, MAX_BODY_BYTES);
+  }
+
   async #serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
-    const result = await this.bodies.read(req, MAX_BODY_BYTES);
+    if (req.url === '/late') {
+      this.held = req;
+      return;
+    }
+    const result = await this.read(req);
     if (result.kind !== 'whole') {
       res.setHeader('connection', 'close');
       this.guard.connectionOf(req)?.closeAfterResponse();
--- a/src/mesh/router/body_reader.ts
+++ b/src/mesh/router/body_reader.ts
@@ -271,7 +271,8 @@
     this.#isSettled = true;
     clearTimeout(this.#retry);
     const connection = this.#connection;
-    if (connection) connection.body = undefined;
+    // The next body on the connection may have begun.
+    if (connection?.body === this) connection.body = undefined;
     this.#resolve(result);
   }
 }
