--- a/features/mesh_caller_guards.feature
+++ b/features/mesh_caller_guards.feature
@@ -45,3 +45,11 @@
     Then the caller reads "whole", and its connection is closed
     And the caller reads "stalled", and its connection is closed
     And no bytes of the budget are in use
+
+  # Guards against a grant that is never returned, because the request had closed
+  # before its body was read.
+  Scenario: A caller has gone before its body is read
+    Given a guarded server
+    When a caller has gone 200 ms before the body is read
+    Then its body is "broken" within 1000 ms
+    And no bytes of the budget are in use
--- a/src/mesh/router/body_reader.ts
+++ b/src/mesh/router/body_reader.ts
@@ -122,6 +122,8 @@
 
   start(): void {
     const req = this.#req;
+    // No event tells of it any more.
+    if (req.destroyed) return this.#fail('broken');
     const connection = this.#connection;
     if (connection) connection.body = this;
     req.on('error', () => this.#fail('broken'));
