--- a/src/mesh/limits/memory_budget.ts
+++ b/src/mesh/limits/memory_budget.ts
@@ -117,6 +117,23 @@
     };
   }
 
+  /** Bytes that holders of one kind may get now, in total. */
+  freeBytes(kind: HolderKind): number {
+    const used = this.#usedByKind;
+    const reservedBytes = this.#reservedBytes[kind];
+    if (reservedBytes !== undefined) return reservedBytes - used[kind];
+    const freeBytes = this.#commonBytes - this.#commonUsedBytes;
+    if (kind !== 'large-body') return freeBytes;
+    return Math.min(freeBytes, this.#maxUnfinishedBytes - used[kind]);
+  }
+
+  /** Bytes of all kinds that nothing is set aside for. */
+  get #commonUsedBytes(): number {
+    const {'small-body': bodies, 'small-response': responses} =
+      this.#usedByKind;
+    return this.usedBytes - bodies - responses;
+  }
+
   /** Whether a holder may get `bytes` more and then have `totalBytes`. */
   #isFree(bytes: number, totalBytes: number, kind: HolderKind): boolean {
     if (!Number.isFinite(bytes) || bytes < 0) return false;
@@ -124,9 +141,7 @@
     // Such a kind uses only what is set aside for it, and nothing else does.
     const reservedBytes = this.#reservedBytes[kind];
     if (reservedBytes !== undefined) return used[kind] + bytes <= reservedBytes;
-    const commonUsedBytes =
-      this.usedBytes - used['small-body'] - used['small-response'];
-    if (commonUsedBytes + bytes > this.#commonBytes) return false;
+    if (this.#commonUsedBytes + bytes > this.#commonBytes) return false;
     if (kind !== 'large-body') return true;
     const isWithinPart = used[kind] + bytes <= this.#maxUnfinishedBytes;
     return isWithinPart && totalBytes <= this.maxBodyBytes;
