Close a connection instead of refusing behind an awaited response

If a complete request waits for its response and what follows it on the connection is late, oversized or malformed, Node.js writes a raw 408, 431 or 400, which the caller takes for the response to the first request; a 408 promises that it has not run. Only faulty header fields were exempt. The server now keeps all unfinished responses of a connection, not the newest alone, and closes it in all these cases, also for a faulty body behind it and for an upgrade that its own check refuses. Waiting for the first response and refusing then was ruled out: the head timeout exists to free the connection. Found in review.

--- a/features/header_fields.feature
+++ b/features/header_fields.feature
@@ -66,6 +66,28 @@
     When it gets the raw request "GET / HTTP/1.1\r\nHost: a\r\n\r\nGET / HTTP/1.1\r\nX(: 1\r\n\r\n"
     Then it closes the connection without a response
 
+  # Guards against a raw 400, 408 or 431 of Node.js in the same place; a 408
+  # promises that the request has not run.
+  Scenario Outline: A request with <fault> behind one in progress closes the connection
+    Given a strict server that doesn't respond, with 200 ms for a head of 1000 bytes
+    When it gets the raw request "GET / HTTP/1.1\r\nHost: a\r\n\r\n<bytes>"
+    Then it closes the connection without a response
+    And its handlers got <handled> requests
+
+    Examples:
+      | fault                    | bytes                                                                                       | handled |
+      | a partial head           | GET / HTTP/1.1\r\nHost: a\r\n                                                               | 1       |
+      | an oversized head        | GET / HTTP/1.1\r\nX-Long: (1000 bytes)\r\n\r\n                                              | 1       |
+      | an invalid method        | G(T / HTTP/1.1\r\nHost: a\r\n\r\n                                                           | 1       |
+      | an invalid version       | GET / HTTP/x\r\nHost: a\r\n\r\n                                                             | 1       |
+      | an invalid chunk         | POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n+5\r\nhello\r\n0\r\n\r\n    | 2       |
+
+  # Guards against the same for a request that only the server's own check refuses.
+  Scenario: A faulty upgrade behind a request in progress closes the connection
+    Given a strict server with a lenient parser that doesn't respond
+    When it gets the raw request "GET / HTTP/1.1\r\nHost: a\r\n\r\nGET / HTTP/1.1\r\nConnection: upgrade\r\nUpgrade: a\r\nX-Bad: 1\u00002\r\n\r\n"
+    Then it closes the connection without a response
+
   # Names and values from a fixed seed, each with one character that is not
   # allowed there.
   Scenario: A server refuses generated fields that are not valid
--- a/features/steps/header_field_steps.ts
+++ b/features/steps/header_field_steps.ts
@@ -56,9 +56,10 @@
 });
 
 Given(
-  /^a strict server with a (lenient|strict) parser$/,
-  async function (this: FieldWorld, parser: string) {
-    await startStrictServer(this, {insecureHTTPParser: parser === 'lenient'});
+  /^a strict server with a (lenient|strict) parser( that doesn't respond)?$/,
+  async function (this: FieldWorld, parser: string, silent: string | null) {
+    const options = {insecureHTTPParser: parser === 'lenient'};
+    await startStrictServer(this, options, Boolean(silent));
   },
 );
 
@@ -69,6 +70,19 @@
   },
 );
 
+Given(
+  "a strict server that doesn't respond, with {int} ms for a head of {int} bytes",
+  async function (this: FieldWorld, timeoutMs: number, maxBytes: number) {
+    const options = {
+      headersTimeout: timeoutMs,
+      requestTimeout: timeoutMs,
+      connectionsCheckingInterval: timeoutMs / 2,
+      maxHeaderSize: maxBytes,
+    };
+    await startStrictServer(this, options, true);
+  },
+);
+
 After(async function (this: FieldWorld) {
   this.strictServer?.closeAllConnections();
   if (this.strictServer) await close(this.strictServer);
--- a/features/support/raw_socket.ts
+++ b/features/support/raw_socket.ts
@@ -1,13 +1,17 @@
 /** Raw sockets, for requests that HTTP libraries refuse to send. */
 import {connect} from 'node:net';
 
-/** Bytes written in a feature file with escapes for control characters. */
+/**
+ * Bytes written in a feature file with escapes for control characters; a number
+ * of bytes, such as `(20 bytes)`, stands for as many letters.
+ */
 export function unescapeBytes(text: string): string {
   return text
     .replaceAll('\\r', '\r')
     .replaceAll('\\n', '\n')
     .replaceAll('\\t', '\t')
-    .replaceAll('\\u0000', '\u0000');
+    .replaceAll('\\u0000', '\u0000')
+    .replaceAll(/\((\d+) bytes\)/g, (_, count) => 'x'.repeat(Number(count)));
 }
 
 /** Options of {@link sendRawBytes}. */
--- a/src/http/strict_server.ts
+++ b/src/http/strict_server.ts
@@ -43,6 +43,7 @@
 
 const refuseUpgrade: Refuse = connection => {
   const socket = connection as Duplex;
+  if (socket.destroyed) return;
   socket.on('error', () => socket.destroy());
   socket.end(
     'HTTP/1.1 400 Bad Request\r\n' +
@@ -61,8 +62,8 @@
 /** A server whose handlers only get requests with valid header fields. */
 export class StrictServer extends Server {
   readonly #onRefused: (() => void) | undefined;
-  /** The newest response on each connection. */
-  readonly #responses = new WeakMap<Duplex, ServerResponse>();
+  /** The unfinished responses on each connection, in order of their requests. */
+  readonly #responses = new WeakMap<Duplex, readonly ServerResponse[]>();
   /** Connections whose parser has refused a field. */
   readonly #refusedConnections = new WeakSet<Duplex>();
 
@@ -87,11 +88,10 @@
     const refuse = REFUSE_BY_EVENT.get(event);
     if (!refuse) return super.emit(event as string, ...(args as []));
     const [req, connection] = args as [IncomingMessage, unknown];
-    if (event === 'request') {
-      this.#responses.set(req.socket, connection as ServerResponse);
-    }
+    if (event !== 'upgrade') this.#addResponse(connection as ServerResponse);
     const fault = findFieldFault(req.rawHeaders);
     if (!fault) return super.emit(event as string, ...(args as []));
+    if (event === 'upgrade') this.#closeIfAwaited(connection as Duplex);
     refuse(connection, fault);
     this.#onRefused?.();
     return true;
@@ -101,21 +101,38 @@
   #refuseParserError(err: ParserError, connection: Duplex): boolean {
     // The parser reports an error again for all bytes that follow.
     if (this.#refusedConnections.has(connection)) return true;
+    if (this.#closeIfAwaited(connection)) return true;
     if (!isFieldError(err)) return false;
-    const res = this.#responses.get(connection);
-    if (res && !res.writableFinished) {
-      // The faulty field is in the trailer of the request in progress.
-      if (!res.req.complete) return false;
-      // It belongs to a later request; a refusal would be taken for the
-      // response to the one in progress, which may have run.
-      connection.destroy();
-      return true;
-    }
+    // The faulty field is in the trailer of the request in progress.
+    if (this.#unfinishedResponses(connection).length > 0) return false;
     this.#refusedConnections.add(connection);
     sendFieldRefusal(connection, findRefusedField(err));
     this.#onRefused?.();
     return true;
   }
+
+  /**
+   * Closes a connection on which a complete request waits for its response,
+   * which may have run. A refusal of what follows it (a malformed, oversized or
+   * late head) would be taken for that response. Returns whether it closed.
+   */
+  #closeIfAwaited(connection: Duplex): boolean {
+    const unfinished = this.#unfinishedResponses(connection);
+    const isAwaited = unfinished.some(({req}) => req.complete);
+    if (isAwaited) connection.destroy();
+    return isAwaited;
+  }
+
+  #addResponse(res: ServerResponse): void {
+    const {socket} = res.req;
+    const others = this.#unfinishedResponses(socket).filter(r => r !== res);
+    this.#responses.set(socket, [...others, res]);
+  }
+
+  #unfinishedResponses(connection: Duplex): readonly ServerResponse[] {
+    const responses = this.#responses.get(connection) ?? [];
+    return responses.filter(({writableFinished}) => !writableFinished);
+  }
 }
 
 /** Refuses a request that the parser didn't pass on. */
