Keep the token of a hedge local to its start

A start that awaits a silent gate or budget owner is withdrawn by an outcome, and the next one may begin before it ends. Both shared one field: the first token leaked, the hedge that was sent wasn't charged to the limit, and the slot of the one that wasn't sent stayed reserved. Each start now holds its own token, and a withdrawal ends the search for its slot too, so that gates are not asked in vain. Waiting for the withdrawn start before the next one was ruled out: a silent owner would delay hedges as long as it is silent. Found in review.

--- a/features/mesh_hedging.feature
+++ b/features/mesh_hedging.feature
@@ -103,6 +103,21 @@
       When an idempotent request is dispatched with hedging
       Then it is answered by the first instance within 800 ms
       And the second instance ran nothing, and its slot was released
+      And the search for its slot was withdrawn
+
+    # Guards against two starts that share a token: one leaks, the other isn't
+    # charged, and a slot stays reserved.
+    Scenario Outline: A hedge starts while a withdrawn one still waits for the retry budget
+      Given a first instance that fails after 60 ms and gates that take 0 ms to reserve a slot for a hedge
+      And a third gate, and a retry budget that takes <first> ms for the first hedge and <next> ms for the next
+      When an idempotent request is dispatched with hedging
+      Then one hedge was sent, and the slot of the other was released
+      And the limit has 2 tokens left, and 3 after a further request
+
+      Examples:
+        | first | next |
+        | 500   | 0    |
+        | 200   | 400  |
 
     Scenario: A slow request is answered by the hedge, and the slow run is cancelled
       Given a first instance that responds after 5000 ms and gates that take 0 ms to reserve a slot for a hedge
--- a/features/steps/mesh_hedge_dispatch_steps.ts
+++ b/features/steps/mesh_hedge_dispatch_steps.ts
@@ -3,12 +3,17 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {Given, Then, When} from '@cucumber/cucumber';
 import {StopDeadline} from '../../src/router/stop_deadline.js';
-import type {Outcome, Reservation} from '../../src/mesh/gate/work.js';
+import type {
+  Outcome,
+  Reservation,
+  SlotRequest,
+} from '../../src/mesh/gate/work.js';
 import {
   Dispatcher,
   type DispatchResult,
 } from '../../src/mesh/router/dispatcher.js';
 import type {GateCandidate} from '../../src/mesh/router/gates.js';
+import {BURST_HEDGES} from '../../src/mesh/router/hedge_limit.js';
 import {HedgePolicy} from '../../src/mesh/router/hedge_policy.js';
 import {testRoute} from '../support/mesh_fleet.js';
 import {SILENT_LOG} from '../support/silent_log.js';
@@ -17,14 +22,22 @@
 /** The gates' estimate, which decides while there are few samples. */
 const LATE_AFTER_MS = 30;
 const TIMEOUT_MS = 3000;
-const DOMAIN_BY_PLACE = {first: true, second: false} as const;
+/** Response time of the repeat after a failure, beside which a hedge starts. */
+const REPEAT_MS = 700;
+const DOMAIN_BY_PLACE = {first: true, second: false, third: false} as const;
 type Place = keyof typeof DOMAIN_BY_PLACE;
 
 interface DispatchState {
   readonly runs: Place[];
   readonly cancelled: Place[];
   readonly released: Place[];
+  /** Gates where a search was withdrawn before they had replied. */
+  readonly withdrawn: Place[];
   maxExtraShare: number;
+  /** Time that the retry budget takes for each hedge, in order. */
+  budgetMs: readonly number[];
+  hasThirdGate: boolean;
+  policy?: HedgePolicy;
   firstResponds: {readonly afterMs: number; readonly status: number};
   hedgeSearchMs: number;
   result?: DispatchResult;
@@ -45,8 +58,10 @@
   signal: AbortSignal,
 ): Promise<Outcome> {
   state.runs.push(place);
+  const isRepeat = state.hasThirdGate && state.runs.length === 2;
+  const otherMs = isRepeat ? REPEAT_MS : 5;
   const {afterMs, status} =
-    place === 'first' ? state.firstResponds : {afterMs: 5, status: 200};
+    place === 'first' ? state.firstResponds : {afterMs: otherMs, status: 200};
   try {
     await sleep(afterMs, undefined, {signal});
   } catch {
@@ -58,8 +73,14 @@
 }
 
 function gateAt(state: DispatchState, place: Place): GateCandidate {
-  const reserve = async (): Promise<Reservation> => {
+  const reserve = async (
+    _: SlotRequest,
+    signal: AbortSignal,
+  ): Promise<Reservation> => {
+    const onAbort = () => state.withdrawn.push(place);
+    signal.addEventListener('abort', onAbort);
     if (place === 'second') await sleep(state.hedgeSearchMs);
+    signal.removeEventListener('abort', onAbort);
     return {
       kind: 'reserved',
       instance: place,
@@ -93,7 +114,12 @@
   const hedging = new HedgePolicy({maxExtraShare, quantile: 0.95});
   // The limit allows no hedge before requests were sent.
   Array.from({length: 3}, () => hedging.countRequest(SERVICE));
-  const gates = [gateAt(state, 'first'), gateAt(state, 'second')];
+  state.policy = hedging;
+  const places: readonly Place[] = state.hasThirdGate
+    ? ['first', 'second', 'third']
+    : ['first', 'second'];
+  const gates = places.map(place => gateAt(state, place));
+  const hedgeWaits = [...state.budgetMs];
   const drop = () => undefined;
   return new Dispatcher({
     gates: {
@@ -102,7 +128,10 @@
     },
     repeats: {
       countRequest: drop,
-      take: () => Promise.resolve({isGranted: true, owner: 'vm-0'}),
+      take: async (_, {spareTokens = 0} = {}) => {
+        if (spareTokens > 0) await sleep(hedgeWaits.shift() ?? 0);
+        return {isGranted: true, owner: 'vm-0'};
+      },
     },
     quarantine: {
       isQuarantined: () => false,
@@ -129,7 +158,10 @@
       runs: [],
       cancelled: [],
       released: [],
+      withdrawn: [],
       maxExtraShare: 1,
+      budgetMs: [],
+      hasThirdGate: false,
       firstResponds: {afterMs: Number(afterMs), status},
       hedgeSearchMs: Number(searchMs),
       tookMs: 0,
@@ -137,6 +169,15 @@
   },
 );
 
+Given(
+  'a third gate, and a retry budget that takes {int} ms for the first hedge and {int} ms for the next',
+  function (this: object, firstMs: number, nextMs: number) {
+    const state = stateOf(this);
+    state.hasThirdGate = true;
+    state.budgetMs = [firstMs, nextMs];
+  },
+);
+
 Given('no hedge is allowed', function (this: object) {
   stateOf(this).maxExtraShare = 0;
 });
@@ -156,6 +197,7 @@
         prefix: '/read/',
         isIdempotent: kind === 'an idempotent',
         targets: [{service: SERVICE, weight: 1}],
+        maxAttempts: 3,
       }),
       service: SERVICE,
       priority: 1,
@@ -169,7 +211,8 @@
     });
     state.tookMs = performance.now() - startedAtMs;
     // A hedge that is being started ends after the search for its slot.
-    await sleep(state.hedgeSearchMs + 2 * LATE_AFTER_MS);
+    const startMs = Math.max(state.hedgeSearchMs, ...state.budgetMs);
+    await sleep(startMs + 2 * LATE_AFTER_MS);
   },
 );
 
@@ -199,3 +242,48 @@
 Then('the run at the first instance was cancelled', function (this: object) {
   assert.deepEqual(stateOf(this).cancelled, ['first']);
 });
+
+Then('the search for its slot was withdrawn', function (this: object) {
+  assert.deepEqual(stateOf(this).withdrawn, ['second']);
+});
+
+Then(
+  'one hedge was sent, and the slot of the other was released',
+  function (this: object) {
+    const {runs, released} = stateOf(this);
+    // The first request, the repeat after its failure and one hedge.
+    assert.equal(runs.length, 3);
+    assert.equal(released.length, 1);
+  },
+);
+
+Then(
+  'the limit has {int} tokens left, and {int} after a further request',
+  function (this: object, left: number, later: number) {
+    const {policy} = stateOf(this);
+    assert.ok(policy);
+    assert.equal(countTokens(policy), left);
+    policy.countRequest(SERVICE);
+    assert.equal(countTokens(policy), later);
+  },
+);
+
+/** Reserves all tokens and returns them. */
+function countTokens(policy: HedgePolicy): number {
+  const decisions = Array.from({length: 2 * BURST_HEDGES}, () =>
+    policy.decide({
+      route: 'read',
+      service: SERVICE,
+      isIdempotent: true,
+      isQuarantined: false,
+      leftMs: TIMEOUT_MS,
+      gateLateAfterMs: LATE_AFTER_MS,
+      load: {slots: 9, requests: 0, hasOtherFreeSlot: true},
+    }),
+  );
+  const tokens = decisions.flatMap(decision =>
+    decision.kind === 'granted' ? [decision.token] : [],
+  );
+  tokens.forEach(token => token.release());
+  return tokens.length;
+}
--- a/features/support/simulated_hedging.ts
+++ b/features/support/simulated_hedging.ts
@@ -7,6 +7,7 @@
 import {
   HedgePolicy,
   type HedgingSettings,
+  type HedgeRefusal,
 } from '../../src/mesh/router/hedge_policy.js';
 import {
   HedgedRequest,
@@ -152,20 +153,26 @@
     excluded: ReadonlySet<string>,
     send: (instance: number) => void,
   ): boolean {
-    if (!hedged.mayStart(excluded)) return false;
+    const token = hedged.reserve(excluded);
+    if (!token) return false;
+    const refuse = (reason: HedgeRefusal) => {
+      token.release();
+      hedged.refuse(reason);
+      return false;
+    };
     const instance = this.#freeInstance(excluded);
-    if (instance === undefined) return hedged.settle('full');
+    if (instance === undefined) return refuse('full');
     this.budgetAsked += 1;
     if (this.isBudgetUsedUp) {
       this.#policy.recordBudgetRefusal(SERVICE);
-      return hedged.settle('budget');
+      return refuse('budget');
     }
     const used = this.#running.reduce((sum, count) => sum + count, 0);
     this.usedShares.push(used / (SLOTS * this.#running.length));
     this.hedgedAtMs.push(this.#nowMs);
-    hedged.recordStart();
+    hedged.recordStart(token);
     send(instance);
-    return hedged.settle('withdrawn');
+    return true;
   }
 
   #hedgedRequest(): HedgedRequest {
--- a/src/mesh/router/dispatcher.ts
+++ b/src/mesh/router/dispatcher.ts
@@ -32,6 +32,7 @@
   type HedgePolicy,
   type HedgeRefusal,
 } from './hedge_policy.js';
+import type {HedgeToken} from './hedge_limit.js';
 import {HedgedRequest, refusalOf} from './hedged_request.js';
 import type {QueryOfDeathGuard} from './query_of_death.js';
 import {findSlot, type FoundSlot} from './slot_search.js';
@@ -360,22 +361,29 @@
   ): Promise<Attempt | undefined> {
     const isOver = () =>
       withdrawn.aborted || this.#signal.aborted || this.#isOutOfAttempts;
-    if (isOver() || !hedged.mayStart(this.#excluded)) return undefined;
+    if (isOver()) return undefined;
+    const token = hedged.reserve(this.#excluded);
+    if (!token) return undefined;
     let found: FoundSlot | Declined | undefined;
     let refusal: HedgeRefusal = 'withdrawn';
+    let attempt: Attempt | undefined;
     try {
-      found = await this.#findSlot(false);
+      found = await this.#findSlot(false, withdrawn);
+      if (isOver()) return undefined;
       if (found.kind === 'declined') refusal = refusalOf(found);
-      if (found.kind === 'declined' || isOver()) return undefined;
+      if (found.kind === 'declined') return undefined;
       if (!(await this.#takeToken('late'))) refusal = 'budget';
       if (refusal === 'budget' || isOver()) return undefined;
-      const attempt = this.#startAttempt(found, true);
+      attempt = this.#startAttempt(found, token);
       // Now, since an outcome may be processed before this promise resolves.
       this.#attempts.add(attempt);
       return attempt;
     } finally {
-      const isSent = hedged.settle(refusal);
-      if (!isSent && found?.kind === 'found') found.reservation.release();
+      if (!attempt) {
+        token.release();
+        hedged.refuse(refusal);
+        if (found?.kind === 'found') found.reservation.release();
+      }
     }
   }
 
@@ -442,8 +450,14 @@
     return isGranted;
   }
 
-  /** Searches for a slot, as long as the request could still be executed. */
-  async #findSlot(mayWait: boolean): Promise<FoundSlot | Declined> {
+  /**
+   * Searches for a slot, as long as the request could still be executed and the
+   * search isn't withdrawn.
+   */
+  async #findSlot(
+    mayWait: boolean,
+    withdrawn?: AbortSignal,
+  ): Promise<FoundSlot | Declined> {
     const {stop, usualTimes} = this.#options;
     const {route, deadlineAtMs} = this.#request;
     const boundMs = () => usualTimes.boundMs(route, deadlineAtMs, stop.isLate);
@@ -451,7 +465,9 @@
     if (!stop.allows(boundMs())) return tooLate;
     const search = new AbortController();
     const onAbort = () => search.abort(this.#signal.reason);
+    const onWithdrawn = () => search.abort(withdrawn?.reason);
     this.#signal.addEventListener('abort', onAbort, {once: true});
+    withdrawn?.addEventListener('abort', onWithdrawn, {once: true});
     if (this.#signal.aborted) onAbort();
     const unwatch = stop.watch(boundMs, () => search.abort(TOO_LATE_TO_START));
     try {
@@ -468,6 +484,7 @@
     } finally {
       unwatch();
       this.#signal.removeEventListener('abort', onAbort);
+      withdrawn?.removeEventListener('abort', onWithdrawn);
     }
   }
 
@@ -494,7 +511,7 @@
     });
   }
 
-  #startAttempt(found: FoundSlot, isHedge = false): Attempt {
+  #startAttempt(found: FoundSlot, hedgeToken?: HedgeToken): Attempt {
     const {id, method, path, headers, body, service} = this.#request;
     const leftMs = this.#request.callerDeadlineAtMs - performance.now();
     const work: Work = {
@@ -509,7 +526,7 @@
     const isFirst = !this.#wasSent;
     this.#wasSent = true;
     if (isFirst) this.#options.hedging?.countRequest(service);
-    if (isHedge) this.#hedged?.recordStart();
+    if (hedgeToken) this.#hedged?.recordStart(hedgeToken);
     const sentAtMs = performance.now();
     const controller = new AbortController();
     const onAbort = () => controller.abort(this.#signal.reason);
@@ -533,7 +550,7 @@
       return result;
     });
     const cancel = () => controller.abort(ANSWERED_ELSEWHERE);
-    return {found, isHedge, outcome, cancel};
+    return {found, isHedge: hedgeToken !== undefined, outcome, cancel};
   }
 
   #recordOutcome(outcome: Outcome, vm: string): void {
--- a/src/mesh/router/hedged_request.ts
+++ b/src/mesh/router/hedged_request.ts
@@ -52,7 +52,6 @@
   readonly #now: () => number;
   /** Reasons that were counted; a request asks many times. */
   readonly #refusals = new Set<HedgeRefusal>();
-  #token: HedgeToken | undefined;
   #gateLateAfterMs = Infinity;
   #started = 0;
   #hasWon = false;
@@ -70,8 +69,11 @@
     return policy.slowAfterMs(this.#request.route.name, gateLateAfterMs);
   }
 
-  /** Asks whether a slot for a hedge may be searched for now. */
-  mayStart(excluded: ReadonlySet<string>): boolean {
+  /**
+   * Reserves a token if a slot for a hedge may be searched for now. The token
+   * belongs to one start, since a withdrawn one may end after the next began.
+   */
+  reserve(excluded: ReadonlySet<string>): HedgeToken | undefined {
     const {policy, quarantine, gates} = this.#options;
     const {route, service, fingerprint, deadlineAtMs} = this.#request;
     const candidates = gates.forService(service);
@@ -84,15 +86,14 @@
       gateLateAfterMs: this.#gateLateAfterMs,
       load: loadOf(candidates, excluded),
     });
-    if (decision.kind === 'granted') this.#token = decision.token;
-    else this.#refuse(decision.reason);
-    return decision.kind === 'granted';
+    if (decision.kind === 'granted') return decision.token;
+    this.refuse(decision.reason);
+    return undefined;
   }
 
-  /** Called when a hedge is sent. */
-  recordStart(): void {
-    this.#token?.use();
-    this.#token = undefined;
+  /** Called when the hedge with the token is sent. */
+  recordStart(token: HedgeToken): void {
+    token.use();
     this.#started += 1;
     const {id, route, service} = this.#request;
     const {policy, log, metrics} = this.#options;
@@ -102,18 +103,6 @@
     log.step('hedge', {...fields, slowAfterMs: Math.round(slowAfterMs)});
   }
 
-  /**
-   * Ends the start of a hedge. If it wasn't sent, its token is returned and the
-   * refusal counted. Returns whether it was sent.
-   */
-  settle(reason: HedgeRefusal): boolean {
-    if (!this.#token) return true;
-    this.#token.release();
-    this.#token = undefined;
-    this.#refuse(reason);
-    return false;
-  }
-
   /** Called when the response of a hedge is used. */
   recordWin(): void {
     this.#hasWon = true;
@@ -153,7 +142,8 @@
     log.step('hedge-ended', fields);
   }
 
-  #refuse(reason: HedgeRefusal): void {
+  /** Counts and logs why no hedge is sent, once for each reason. */
+  refuse(reason: HedgeRefusal): void {
     if (this.#refusals.has(reason)) return;
     this.#refusals.add(reason);
     const {id, route, service} = this.#request;
