--- a/features/mesh_cold.feature
+++ b/features/mesh_cold.feature
@@ -97,6 +97,15 @@
     Then VM 0 got at most 23 requests in any second
     And at least 97 in 100 requests were served
 
+  # Guards against a gate that looks empty and without a limit to a router after a
+  # change of state, since a full status has no wait for a turn.
+  Scenario: The wait for a turn follows each full status
+    Given a mesh fleet of 2 VMs with 8 slots each
+    And a service with WarmupS 20 and ColdPerS 10 is configured on the fleet
+    And every instance reports that it stays cold for 20000 ms
+    When a peer connects to VM 0, whose configuration changes later
+    Then it gets 2 full statuses, each followed by a wait for a turn
+
   # Guards against a daemon that never paces, because a peer with an old version
   # passed the configuration on without the cold limits.
   Scenario: The store completes a configuration that an old daemon passed on
--- a/features/mesh_slot_search.feature
+++ b/features/mesh_slot_search.feature
@@ -34,3 +34,11 @@
     Given a near gate whose instance leaves meanwhile and a far one whose instance leaves meanwhile
     When a non-idempotent request searches for a slot
     Then it gets no slot
+
+  # Guards against a search that begins anew at busy gates, and a refusal without
+  # the time to wait, because the decline of an evacuated gate has no wait.
+  Scenario: One gate is evacuated while the other one stays full
+    Given a near gate whose instance is full and a far one whose instance is evacuated meanwhile
+    When a non-idempotent request searches for a slot
+    Then it gets no slot, with the wait of the near gate
+    And it has queued once at each gate
--- a/features/mesh_stop.feature
+++ b/features/mesh_stop.feature
@@ -91,3 +91,16 @@
     And 2400 ms pass
     And the caller sends a request to "/once/" on its connection
     Then it is answered with 503 and has run 0 times
+
+  # Guards against the refusal of a waiting request by a bound that was taken when
+  # it began to wait: its deadline draws nearer, and counts only late in the stop.
+  Scenario Outline: A request that waits for a slot <case>
+    Given a planned stop that takes 3000 ms, by a fake clock
+    When a request that may run once waits from <from> ms with its deadline at <deadline> ms
+    Then it is refused as too late <when>
+
+    Examples:
+      | case                                            | from | deadline | when       |
+      | late in a stop is served until its deadline     | 1600 | 2800     | never      |
+      | early in a stop is served until its deadline    | 0    | 2800     | never      |
+      | is refused late if its deadline is past the end | 0    | 5000     | at 1500 ms |
--- a/features/steps/mesh_cold_steps.ts
+++ b/features/steps/mesh_cold_steps.ts
@@ -1,6 +1,9 @@
 /** Steps for the pacing of cold instances. */
 import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {Given, Then, When} from '@cucumber/cucumber';
+import {WebSocket} from 'ws';
 import fc from 'fast-check';
 import {ConfigurationTracker} from '../../src/mesh/configuration/configuration_tracker.js';
 import {ColdPacing} from '../../src/mesh/gate/cold_pacing.js';
@@ -9,6 +12,7 @@
 import type {Outcome, Reservation} from '../../src/mesh/gate/work.js';
 import {MeshMetrics} from '../../src/mesh/mesh_metrics.js';
 import type {FleetConfiguration} from '../../src/mesh/model.js';
+import {decodeFrame, PEER_PATH} from '../../src/mesh/peers/frames.js';
 import {SILENT_LOG} from '../support/silent_log.js';
 import {
   allowanceOf,
@@ -19,6 +23,8 @@
 import type {World} from '../support/world.js';
 import {configuration, SERVICE, stateOf} from './mesh_path_steps.js';
 
+type Frame = ReturnType<typeof decodeFrame>;
+
 /** One case of the simulation. */
 interface ColdCase {
   readonly limits: ColdLimits;
@@ -38,6 +44,7 @@
   sent?: number;
   reservations?: readonly Reservation[];
   outcomes?: readonly Outcome[];
+  frames?: readonly Frame[];
 }
 
 const SEED = 20_264;
@@ -270,6 +277,45 @@
   },
 );
 
+/** Time in which a peer gets a status that has changed. */
+const STATUS_WAIT_MS = 300;
+
+When(
+  'a peer connects to VM {int}, whose configuration changes later',
+  async function (this: ColdWorld, index: number) {
+    const {fleet} = stateOf(this);
+    const {self, configurationTracker} = fleet.vm(index).daemon;
+    const frames: Frame[] = [];
+    const socket = new WebSocket(`ws://${self.address}${PEER_PATH}`);
+    socket.on('message', (bytes: Buffer) =>
+      frames.push(decodeFrame(bytes, 'peer')),
+    );
+    await once(socket, 'open');
+    await sleep(STATUS_WAIT_MS);
+    const current = configurationTracker.configuration;
+    assert.ok(current);
+    fleet.configure({...current, version: current.version + 1});
+    await sleep(STATUS_WAIT_MS);
+    socket.terminate();
+    this.frames = frames;
+  },
+);
+
+Then(
+  'it gets {int} full statuses, each followed by a wait for a turn',
+  function (this: ColdWorld, least: number) {
+    const frames = this.frames ?? [];
+    const next = frames.flatMap(({kind}, index) =>
+      kind === 'status' ? [frames[index + 1]] : [],
+    );
+    assert.ok(next.length >= least, `${next.length} full statuses`);
+    next.forEach(frame => {
+      assert.ok(frame?.kind === 'load', frame?.kind);
+      assert.notEqual(frame.load.turnWaitMs, undefined);
+    });
+  },
+);
+
 function worstSecond(arrivalsAtMs: readonly number[]): number {
   const counts = arrivalsAtMs.map(
     from => arrivalsAtMs.filter(at => at >= from && at < from + 1000).length,
--- a/features/steps/mesh_slot_search_steps.ts
+++ b/features/steps/mesh_slot_search_steps.ts
@@ -34,6 +34,9 @@
     assurance === 'none' ? reservationAt(place) : declined('doubtful', 2000),
   'is full': (_, place) => declined('busy', WAIT_MS[place]),
   'leaves meanwhile': () => declined('leaving'),
+  // Full at first, and evacuated while the request queues there.
+  'is evacuated meanwhile': ({leftMs}) =>
+    leftMs > 0 ? declined('evacuated') : declined('busy', WAIT_MS.far),
 };
 
 function reservationAt(place: GateName): Reservation {
@@ -48,13 +51,15 @@
 
 interface SearchState {
   gates: readonly GateCandidate[];
+  /** Gates at which a request has queued, in order. */
+  readonly queuedAt: GateName[];
   result?: FoundSlot | Declined;
 }
 
 const states = new WeakMap<object, SearchState>();
 
 function stateOf(world: object): SearchState {
-  const known = states.get(world) ?? {gates: []};
+  const known = states.get(world) ?? {gates: [], queuedAt: []};
   states.set(world, known);
   return known;
 }
@@ -69,6 +74,7 @@
   assert.ok(decide, behaviour);
   const gate: GateClient = {
     reserve: request => {
+      if (request.leftMs > 0) state.queuedAt.push(place);
       const decision = decide(request, place);
       const isLeaving =
         decision.kind === 'declined' && decision.reason === 'leaving';
@@ -153,3 +159,14 @@
   assert.equal(result?.kind, 'declined');
   assert.equal(result.waitMs, Math.min(...Object.values(WAIT_MS)));
 });
+
+Then('it gets no slot, with the wait of the near gate', function () {
+  const {result} = stateOf(this);
+  assert.equal(result?.kind, 'declined');
+  assert.equal(result.reason, 'busy');
+  assert.equal(result.waitMs, WAIT_MS.near);
+});
+
+Then('it has queued once at each gate', function () {
+  assert.deepEqual(stateOf(this).queuedAt.toSorted(), ['far', 'near']);
+});
