--- a/src/mesh/gate/response_reader.ts
+++ b/src/mesh/gate/response_reader.ts
@@ -61,8 +61,8 @@
 
 /**
  * Reads a response to its end; rejects if the connection ends first. The grant
- * goes when the promise settles: the router of this daemon then gets its own in
- * the same turn of the event loop.
+ * goes when the promise settles: the router of this daemon then gets its own, in
+ * the same turn of the event loop unless it looks for a slot for a repeat.
  */
 export async function readResponse(
   res: IncomingMessage,
