Don't close a connection at work for part of a next request

A lone line break or part of a next head made a connection unfinished, and closed it at a bound although its earlier request was dispatched. Connections with a complete request whose response isn't sent are no longer closed there.

--- a/features/mesh_caller_guards.feature
+++ b/features/mesh_caller_guards.feature
@@ -53,3 +53,18 @@
     When a caller has gone 200 ms before the body is read
     Then its body is "broken" within 1000 ms
     And no bytes of the budget are in use
+
+  # Guards against a request at work whose connection is closed because some of a
+  # next one has arrived.
+  Scenario Outline: Part of a next request arrives, and there is room for 1 <limit>
+    Given a guarded server with room for 1 <limit>
+    When a caller sends a slow request, and after 100 ms <packet>
+    And another caller sends an unfinished body 700 ms later
+    Then the first caller reads "whole"
+
+    Examples:
+      | limit              | packet         |
+      | unfinished request | a line break   |
+      | unfinished request | part of a head |
+      | connection         | a line break   |
+      | connection         | part of a head |
--- a/features/steps/mesh_caller_guard_steps.ts
+++ b/features/steps/mesh_caller_guard_steps.ts
@@ -10,6 +10,7 @@
   stallMs: 4000,
   maxConnections: 100,
   maxUnfinished: 100,
+  refusesConnect: true,
 };
 
 const ORDER_PAUSE_MS = 20;
@@ -28,9 +29,9 @@
   return state;
 }
 
-function connectOne(world: object): RawConnection {
+function connectOne(world: object, allowHalfOpen = false): RawConnection {
   const {server, callers} = stateOf(world);
-  const caller = server.connect();
+  const caller = server.connect(allowHalfOpen);
   callers.push(caller);
   return caller;
 }
@@ -63,11 +64,44 @@
   await start(this);
 });
 
+const LIMITS: Readonly<Record<string, Partial<typeof OPTIONS>>> = {
+  'unfinished request': {maxUnfinished: 1},
+  connection: {maxConnections: 1},
+};
+
+Given('a guarded server with room for 1 {}', async function (limit: string) {
+  await start(this, LIMITS[limit]);
+});
+
+Given('a guarded server that allows half-open connections', async function () {
+  await start(this);
+});
+
+Given('a guarded server that has no refusal for CONNECT', async function () {
+  await start(this, {refusesConnect: false});
+});
+
 const PACKETS: Readonly<Record<string, string>> = {
   'a request and an unfinished body': get() + post(1000, 10),
+  'a line break': '\r\n',
+  'part of a head': 'GET / HT',
   'a whole and an unfinished body': post(1000, 1000) + post(1000, 10),
 };
 
+When('a caller sends CONNECT and stays', function () {
+  connectOne(this, true).write('CONNECT a:443 HTTP/1.1\r\nhost: a\r\n\r\n');
+});
+
+When(
+  'a caller sends a slow request, and after {int} ms {}',
+  async function (ms: number, packet: string) {
+    const caller = connectOne(this);
+    caller.write(get('/slow'));
+    await sleep(ms);
+    caller.write(PACKETS[packet] ?? '');
+  },
+);
+
 When('a caller sends at once: {}', function (packet: string) {
   connectOne(this).write(PACKETS[packet] ?? '');
 });
@@ -168,3 +202,26 @@
     assert.equal(result?.kind, kind);
   },
 );
+
+When(
+  'another caller sends an unfinished body {int} ms later',
+  async function (ms: number) {
+    await sleep(ms);
+    connectOne(this).write(post(1000, 10));
+  },
+);
+
+Then('the first caller reads {string}', async function (text: string) {
+  const [first] = stateOf(this).callers;
+  await until(text, () => first?.text.includes(text) === true, WAIT_MS);
+});
+
+Then(
+  "the caller's connection is closed within {int} ms",
+  async function (boundMs: number) {
+    const [caller] = stateOf(this).callers;
+    const {guard} = stateOf(this).server;
+    const isClosed = () => caller?.hasEnded === true && guard.connections === 0;
+    await until('closed', isClosed, boundMs);
+  },
+);
--- a/features/support/guarded_server.ts
+++ b/features/support/guarded_server.ts
@@ -28,6 +28,8 @@
   readonly stallMs: number;
   readonly maxConnections: number;
   readonly maxUnfinished: number;
+  /** Whether it responds to CONNECT, as only the listener for callers does. */
+  readonly refusesConnect: boolean;
 }
 
 /** One server with its guard and budget. */
@@ -45,6 +47,7 @@
     const {budgetBytes, stallMs, maxConnections, maxUnfinished} = options;
     this.budget = new MemoryBudget(budgetBytes);
     this.#server = createCallerServer(MAX_HEADER_BYTES);
+    if (!options.refusesConnect) this.#server.removeAllListeners('connect');
     this.guard = new ConnectionGuard(this.#server, {
       meter: new ReadMeter(),
       maxConnections,
@@ -65,8 +68,8 @@
     this.#server.closeAllConnections();
   }
 
-  connect(): RawConnection {
-    return new RawConnection(this.#address);
+  connect(allowHalfOpen: boolean): RawConnection {
+    return new RawConnection(this.#address, allowHalfOpen);
   }
 
   read(req: IncomingMessage): Promise<ReadResult> {
@@ -93,12 +96,15 @@
 export class RawConnection {
   text = '';
   isClosed = false;
+  /** The server has ended its side; this side stays open until it is closed. */
+  hasEnded = false;
   readonly #socket: Socket;
 
-  constructor(address: string) {
+  constructor(address: string, allowHalfOpen: boolean) {
     const [host, port] = address.split(':');
-    this.#socket = connect(Number(port), host);
+    this.#socket = connect({port: Number(port), host, allowHalfOpen});
     this.#socket.on('data', data => (this.text += String(data)));
+    this.#socket.on('end', () => (this.hasEnded = true));
     this.#socket.on('error', () => this.#socket.destroy());
     this.#socket.on('close', () => (this.isClosed = true));
   }
--- a/src/http/connection_guard.ts
+++ b/src/http/connection_guard.ts
@@ -101,7 +101,7 @@
     this.#unfinished.add(connection);
     const {maxUnfinished} = this.#options;
     if (isNew && this.#unfinished.size > maxUnfinished) {
-      this.#close('unfinished', this.#unfinished);
+      this.#close('unfinished', this.#closable());
     }
   }
 
@@ -162,18 +162,24 @@
 
   /** Closes the connection that is the least loss; false if all are in use. */
   #closeOne(): boolean {
-    const [stalled] = this.#unfinished;
+    const unfinished = this.#closable();
+    const [stalled] = unfinished;
     const beforeMs = performance.now() - DISPLACE_AFTER_MS;
     const isStalled = stalled !== undefined && stalled.lastAtMs < beforeMs;
     return (
       this.#close('connections', this.#lingering) ||
-      (isStalled && this.#close('connections', this.#unfinished)) ||
+      (isStalled && this.#close('connections', unfinished)) ||
       this.#close('connections', this.#idle) ||
-      this.#close('connections', this.#unfinished) ||
+      this.#close('connections', unfinished) ||
       this.#close('connections', this.#unread())
     );
   }
 
+  /** Unfinished ones without an earlier request at work, in their order. */
+  #closable(): ReadonlySet<GuardedConnection> {
+    return new Set([...this.#unfinished].filter(c => !c.isServing));
+  }
+
   /** Connections whose response isn't read, longest without data first. */
   #unread(): ReadonlySet<GuardedConnection> {
     const unread = [...this.#bySocket.values()].filter(c => c.isUnread);
--- a/src/http/guarded_connection.ts
+++ b/src/http/guarded_connection.ts
@@ -50,6 +50,8 @@
   readonly #observer: ConnectionObserver;
   #req: IncomingMessage | undefined;
   #res: ServerResponse | undefined;
+  /** Requests whose response isn't sent, by response; several if pipelined. */
+  readonly #open = new Map<ServerResponse, IncomingMessage>();
   #isHeadArriving = false;
   #contentBytes = 0;
   #parsedBytes = 0;
@@ -81,6 +83,11 @@
     return this.isResponding && this.#res?.writableEnded === true;
   }
 
+  /** Whether a request has arrived completely and has no complete response. */
+  get isServing(): boolean {
+    return [...this.#open.values()].some(req => req.complete);
+  }
+
   get isWaiting(): boolean {
     return this.body?.isWaiting ?? false;
   }
@@ -93,6 +100,8 @@
   begin(req: IncomingMessage, res: ServerResponse): void {
     this.#req = req;
     this.#res = res;
+    this.#open.set(res, req);
+    res.on('close', () => this.#open.delete(res));
     this.#isHeadArriving = false;
     this.#contentBytes = 0;
     this.#parsedBytes = 0;
