Close connections after CONNECT within the linger time

The HTTP server hands the socket of CONNECT over. Where nothing handled it, and where the caller kept its side open after the 405, it stayed open.

--- a/features/mesh_caller_guards.feature
+++ b/features/mesh_caller_guards.feature
@@ -68,3 +68,15 @@
       | unfinished request | part of a head |
       | connection         | a line break   |
       | connection         | part of a head |
+
+  # Guards against connections that stay open after CONNECT at a listener that
+  # has no handler for it.
+  Scenario Outline: A caller sends CONNECT to <listener>
+    Given a guarded server <handling>
+    When a caller sends CONNECT and stays
+    Then the caller's connection is closed within 3000 ms
+
+    Examples:
+      | listener                        | handling                          |
+      | a listener with a refusal       | that allows half-open connections |
+      | a listener without any handling | that has no refusal for CONNECT   |
--- a/src/http/connection_guard.ts
+++ b/src/http/connection_guard.ts
@@ -49,9 +49,12 @@
     // Before the server's own handlers.
     server.prependListener('request', begin);
     server.prependListener('checkContinue', begin);
-    server.on('connect', (req: IncomingMessage) =>
-      this.connectionOf(req)?.closeAfterResponse(),
-    );
+    server.on('connect', (req: IncomingMessage) => {
+      const connection = this.connectionOf(req);
+      connection?.closeAfterResponse();
+      // The HTTP server hands the socket over, and closes it no more.
+      connection?.socket.destroySoon();
+    });
     const timer = setInterval(() => this.#check(), CHECK_INTERVAL_MS).unref();
     server.on('close', () => clearInterval(timer));
   }
