Give long bodies a turn beside many short requests

Short data always came first, so that an upload of 360 KB got nothing beside 60 connections of pipelined requests. One long body now gets a portion after every 4 preferred ones.

The scenario failed before (0 of 360000 bytes parsed in 600 turns) and passes now. 4 is chosen, not measured.

--- a/features/mesh_caller_guards.feature
+++ b/features/mesh_caller_guards.feature
@@ -80,3 +80,9 @@
       | listener                        | handling                          |
       | a listener with a refusal       | that allows half-open connections |
       | a listener without any handling | that has no refusal for CONNECT   |
+
+  # Guards against an upload that gets no turn beside a crowd of short requests.
+  Scenario: Many connections of pipelined requests send beside one upload
+    Given a crowd of 60 connections that always have short data to parse
+    When a connection has 360000 bytes to parse
+    Then they are parsed within 600 turns
--- a/features/steps/mesh_caller_guard_steps.ts
+++ b/features/steps/mesh_caller_guard_steps.ts
@@ -1,7 +1,13 @@
 /** Steps for the guards for callers on one server. */
 import assert from 'node:assert/strict';
-import {setTimeout as sleep} from 'node:timers/promises';
+import {EventEmitter} from 'node:events';
+import type {Socket} from 'node:net';
+import {
+  setImmediate as nextTurn,
+  setTimeout as sleep,
+} from 'node:timers/promises';
 import {After, Given, Then, When} from '@cucumber/cucumber';
+import {ReadMeter} from '../../src/http/read_meter.js';
 import {until} from '../support/fleet.js';
 import {GuardedServer, type RawConnection} from '../support/guarded_server.js';
 
@@ -225,3 +231,81 @@
     await until('closed', isClosed, boundMs);
   },
 );
+
+/** A socket without a network, and how much of its data was parsed. */
+class StubSocket extends EventEmitter {
+  readonly destroyed = false;
+  parsedBytes = 0;
+
+  constructor(meter: ReadMeter, onParsed: (bytes: number) => void) {
+    super();
+    this.on('data', (data: Buffer) => {
+      this.parsedBytes += data.length;
+      onParsed(data.length);
+    });
+    const reader = {
+      accept: () => true,
+      parsed: () => undefined,
+      canParse: () => true,
+    };
+    meter.attach(this as unknown as Socket, reader);
+  }
+
+  pause(): void {
+    this.emit('pause');
+  }
+
+  resume(): void {
+    this.emit('resumed');
+  }
+}
+
+/** Time that the parsing of one portion takes here. */
+const PARSE_MS = 1;
+const SHORT_BYTES = 9000;
+const meters = new WeakMap<object, ReadMeter>();
+
+function parseFor(ms: number): void {
+  const endMs = performance.now() + ms;
+  while (performance.now() < endMs);
+}
+
+Given(
+  'a crowd of {int} connections that always have short data to parse',
+  function (count: number) {
+    const meter = new ReadMeter();
+    meters.set(this, meter);
+    Array.from({length: count}, () => {
+      const socket = new StubSocket(meter, () => parseFor(PARSE_MS));
+      const send = () => socket.emit('data', Buffer.alloc(SHORT_BYTES));
+      socket.on('resumed', () => {
+        if (!finishedMeters.has(meter)) send();
+      });
+      send();
+    });
+  },
+);
+
+When('a connection has {int} bytes to parse', function (bytes: number) {
+  const meter = meters.get(this);
+  assert.ok(meter);
+  const socket = new StubSocket(meter, () => parseFor(PARSE_MS));
+  uploads.set(this, {socket, bytes});
+  socket.emit('data', Buffer.alloc(bytes));
+});
+
+const uploads = new WeakMap<object, {socket: StubSocket; bytes: number}>();
+/** Meters whose crowd sends no more. */
+const finishedMeters = new WeakSet<ReadMeter>();
+
+Then('they are parsed within {int} turns', async function (turns: number) {
+  const upload = uploads.get(this);
+  const meter = meters.get(this);
+  assert.ok(upload && meter);
+  const {socket, bytes} = upload;
+  for (let turn = 0; turn < turns && socket.parsedBytes < bytes; turn++) {
+    await nextTurn();
+  }
+  finishedMeters.add(meter);
+  assert.equal(socket.parsedBytes, bytes);
+});
--- a/src/http/read_meter.ts
+++ b/src/http/read_meter.ts
@@ -25,6 +25,8 @@
 const TURN_MS = 5;
 /** A connection's first portions come before those of long bodies. */
 const PREFERRED_BYTES = 2 * PORTION_BYTES;
+/** Of the long ones, one gets its turn after this many preferred portions. */
+const PREFERRED_IN_A_ROW = 4;
 
 /** The data of one connection that isn't parsed yet. */
 class MeteredConnection {
@@ -75,6 +77,7 @@
 export class ReadMeter {
   readonly #preferred: MeteredConnection[] = [];
   readonly #others: MeteredConnection[] = [];
+  #preferredInARow = 0;
   #isScheduled = false;
   #spentMs = 0;
 
@@ -116,7 +119,7 @@
 
   #runTurn(): void {
     while (this.#spentMs < TURN_MS) {
-      const connection = this.#preferred.shift() ?? this.#others.shift();
+      const connection = this.#next();
       if (!connection) return;
       connection.isQueued = false;
       this.#parse(connection);
@@ -126,6 +129,14 @@
     this.#schedule();
   }
 
+  #next(): MeteredConnection | undefined {
+    const mayPrefer =
+      this.#others.length === 0 || this.#preferredInARow < PREFERRED_IN_A_ROW;
+    const preferred = mayPrefer ? this.#preferred.shift() : undefined;
+    this.#preferredInARow = preferred ? this.#preferredInARow + 1 : 0;
+    return preferred ?? this.#others.shift();
+  }
+
   #parse(connection: MeteredConnection): void {
     const {socket, reader} = connection;
     if (socket.destroyed) return connection.discardPending();
