Close the connection after a 408 or a displacement

A body of up to 64 KB of which nothing was read kept its connection, with the rest of the body still to come.

The scenario failed before (keep-alive in the 408) and passes now.

--- a/features/platform_limits.feature
+++ b/features/platform_limits.feature
@@ -22,13 +22,26 @@
     When a caller sends 200000 bytes in chunks of 1000
     Then it reads the status 413, and the connection is closed
 
-  # Guards against bodies that stop short and stay open.
-  Scenario: A body without progress gets 408
+  # Guards against bodies that stop short and stay open, also if none of them
+  # was sent.
+  Scenario Outline: A body without progress after <sent> bytes gets 408
     Given the platform's store with version 1
     And the process of a mesh daemon whose instance takes 10 ms
-    When a caller announces 500 bytes and sends 499
+    When a caller announces 500 bytes and sends <sent>
     Then it reads the status 408, and the connection is closed
 
+    Examples:
+      | sent |
+      | 499  |
+      | 0    |
+
+  # Guards against a refused body whose connection stays open for its rest.
+  Scenario: The connection of a body that was never sent is closed with the 408
+    Given the platform's store with version 1
+    And the process of a mesh daemon whose instance takes 10 ms
+    When a caller announces 500 bytes and sends 0
+    Then it reads the status 408, and "connection: close"
+
   # Guards against limits that affect callers inside them.
   Scenario: A connection serves requests in pieces, in chunks and one after another
     Given the platform's store with version 1
--- a/features/steps/platform_limit_steps.ts
+++ b/features/steps/platform_limit_steps.ts
@@ -173,3 +173,13 @@
     statuses.map((_, index) => index),
   );
 });
+
+Then(
+  'it reads the status {int}, and "connection: close"',
+  async function (status: number) {
+    const caller = callerOf(this);
+    const hasStatus = () => caller.statuses.includes(status);
+    await until(`status ${status}`, hasStatus, RESPONSE_TIMEOUT_MS);
+    assert.match(caller.text, /^connection: close\r$/im);
+  },
+);
--- a/src/mesh/router/caller_server.ts
+++ b/src/mesh/router/caller_server.ts
@@ -382,13 +382,14 @@
       res.setHeader('retry-after', (retryAfterMs / 1000).toFixed(2));
     }
     if (this.#isStopping) res.setHeader('connection', 'close');
-    this.#discardRest(context);
+    this.#discardRest(context, CUT_OFF.has(name));
     sendProblem(res, name, REFUSALS[name], {detail});
   }
 
   /** Parses nothing more of a refused request unless little is left of it. */
-  #discardRest({req, res}: RequestContext): void {
-    const isLittleLeft = (announcedBytes(req) ?? Infinity) <= SMALL_BODY_BYTES;
+  #discardRest({req, res}: RequestContext, isCutOff: boolean): void {
+    const isLittleLeft =
+      !isCutOff && (announcedBytes(req) ?? Infinity) <= SMALL_BODY_BYTES;
     if (req.complete || (isLittleLeft && !req.readableDidRead)) return;
     res.setHeader('connection', 'close');
     this.#guard.connectionOf(req)?.closeAfterResponse();
@@ -449,6 +450,12 @@
   displaced: 'displaced',
 };
 
+/** Refusals of bodies that are no longer waited for. */
+const CUT_OFF: ReadonlySet<RefusalName> = new Set([
+  'body-stalled',
+  'displaced',
+]);
+
 /** Releases a grant once the response is sent or its caller is gone. */
 function releaseAfter(res: ServerResponse, grant: MemoryGrant): void {
   if (res.closed) grant.release();
