--- a/features/mesh_caller_guards.feature
+++ b/features/mesh_caller_guards.feature
@@ -53,3 +53,36 @@
     When a caller has gone 200 ms before the body is read
     Then its body is "broken" within 1000 ms
     And no bytes of the budget are in use
+
+  # Guards against a request at work whose connection is closed because some of a
+  # next one has arrived.
+  Scenario Outline: Part of a next request arrives, and there is room for 1 <limit>
+    Given a guarded server with room for 1 <limit>
+    When a caller sends a slow request, and after 100 ms <packet>
+    And another caller sends an unfinished body 700 ms later
+    Then the first caller reads "whole"
+
+    Examples:
+      | limit              | packet         |
+      | unfinished request | a line break   |
+      | unfinished request | part of a head |
+      | connection         | a line break   |
+      | connection         | part of a head |
+
+  # Guards against connections that stay open after CONNECT at a listener that
+  # has no handler for it.
+  Scenario Outline: A caller sends CONNECT to <listener>
+    Given a guarded server <handling>
+    When a caller sends CONNECT and stays
+    Then the caller's connection is closed within 3000 ms
+
+    Examples:
+      | listener                        | handling                          |
+      | a listener with a refusal       | that allows half-open connections |
+      | a listener without any handling | that has no refusal for CONNECT   |
+
+  # Guards against an upload that gets no turn beside a crowd of short requests.
+  Scenario: Many connections of pipelined requests send beside one upload
+    Given a crowd of 60 connections that always have short data to parse
+    When a connection has 360000 bytes to parse
+    Then they are parsed within 600 turns
--- a/features/steps/mesh_caller_guard_steps.ts
+++ b/features/steps/mesh_caller_guard_steps.ts
@@ -1,7 +1,13 @@
 /** Steps for the guards for callers on one server. */
 import assert from 'node:assert/strict';
-import {setTimeout as sleep} from 'node:timers/promises';
+import {EventEmitter} from 'node:events';
+import type {Socket} from 'node:net';
+import {
+  setImmediate as nextTurn,
+  setTimeout as sleep,
+} from 'node:timers/promises';
 import {After, Given, Then, When} from '@cucumber/cucumber';
+import {ReadMeter} from '../../src/http/read_meter.js';
 import {until} from '../support/fleet.js';
 import {GuardedServer, type RawConnection} from '../support/guarded_server.js';
 
@@ -10,6 +16,7 @@
   stallMs: 4000,
   maxConnections: 100,
   maxUnfinished: 100,
+  refusesConnect: true,
 };
 
 const ORDER_PAUSE_MS = 20;
@@ -28,9 +35,9 @@
   return state;
 }
 
-function connectOne(world: object): RawConnection {
+function connectOne(world: object, allowHalfOpen = false): RawConnection {
   const {server, callers} = stateOf(world);
-  const caller = server.connect();
+  const caller = server.connect(allowHalfOpen);
   callers.push(caller);
   return caller;
 }
@@ -63,11 +70,44 @@
   await start(this);
 });
 
+const LIMITS: Readonly<Record<string, Partial<typeof OPTIONS>>> = {
+  'unfinished request': {maxUnfinished: 1},
+  connection: {maxConnections: 1},
+};
+
+Given('a guarded server with room for 1 {}', async function (limit: string) {
+  await start(this, LIMITS[limit]);
+});
+
+Given('a guarded server that allows half-open connections', async function () {
+  await start(this);
+});
+
+Given('a guarded server that has no refusal for CONNECT', async function () {
+  await start(this, {refusesConnect: false});
+});
+
 const PACKETS: Readonly<Record<string, string>> = {
   'a request and an unfinished body': get() + post(1000, 10),
+  'a line break': '\r\n',
+  'part of a head': 'GET / HT',
   'a whole and an unfinished body': post(1000, 1000) + post(1000, 10),
 };
 
+When('a caller sends CONNECT and stays', function () {
+  connectOne(this, true).write('CONNECT a:443 HTTP/1.1\r\nhost: a\r\n\r\n');
+});
+
+When(
+  'a caller sends a slow request, and after {int} ms {}',
+  async function (ms: number, packet: string) {
+    const caller = connectOne(this);
+    caller.write(get('/slow'));
+    await sleep(ms);
+    caller.write(PACKETS[packet] ?? '');
+  },
+);
+
 When('a caller sends at once: {}', function (packet: string) {
   connectOne(this).write(PACKETS[packet] ?? '');
 });
@@ -168,3 +208,104 @@
     assert.equal(result?.kind, kind);
   },
 );
+
+When(
+  'another caller sends an unfinished body {int} ms later',
+  async function (ms: number) {
+    await sleep(ms);
+    connectOne(this).write(post(1000, 10));
+  },
+);
+
+Then('the first caller reads {string}', async function (text: string) {
+  const [first] = stateOf(this).callers;
+  await until(text, () => first?.text.includes(text) === true, WAIT_MS);
+});
+
+Then(
+  "the caller's connection is closed within {int} ms",
+  async function (boundMs: number) {
+    const [caller] = stateOf(this).callers;
+    const {guard} = stateOf(this).server;
+    const isClosed = () => caller?.hasEnded === true && guard.connections === 0;
+    await until('closed', isClosed, boundMs);
+  },
+);
+
+/** A socket without a network, and how much of its data was parsed. */
+class StubSocket extends EventEmitter {
+  readonly destroyed = false;
+  parsedBytes = 0;
+
+  constructor(meter: ReadMeter, onParsed: (bytes: number) => void) {
+    super();
+    this.on('data', (data: Buffer) => {
+      this.parsedBytes += data.length;
+      onParsed(data.length);
+    });
+    const reader = {
+      accept: () => true,
+      parsed: () => undefined,
+      canParse: () => true,
+    };
+    meter.attach(this as unknown as Socket, reader);
+  }
+
+  pause(): void {
+    this.emit('pause');
+  }
+
+  resume(): void {
+    this.emit('resumed');
+  }
+}
+
+/** Time that the parsing of one portion takes here. */
+const PARSE_MS = 1;
+const SHORT_BYTES = 9000;
+const meters = new WeakMap<object, ReadMeter>();
+
+function parseFor(ms: number): void {
+  const endMs = performance.now() + ms;
+  while (performance.now() < endMs);
+}
+
+Given(
+  'a crowd of {int} connections that always have short data to parse',
+  function (count: number) {
+    const meter = new ReadMeter();
+    meters.set(this, meter);
+    Array.from({length: count}, () => {
+      const socket = new StubSocket(meter, () => parseFor(PARSE_MS));
+      const send = () => socket.emit('data', Buffer.alloc(SHORT_BYTES));
+      socket.on('resumed', () => {
+        if (!finishedMeters.has(meter)) send();
+      });
+      send();
+    });
+  },
+);
+
+When('a connection has {int} bytes to parse', function (bytes: number) {
+  const meter = meters.get(this);
+  assert.ok(meter);
+  const socket = new StubSocket(meter, () => parseFor(PARSE_MS));
+  uploads.set(this, {socket, bytes});
+  socket.emit('data', Buffer.alloc(bytes));
+});
+
+const uploads = new WeakMap<object, {socket: StubSocket; bytes: number}>();
+/** Meters whose crowd sends no more. */
+const finishedMeters = new WeakSet<ReadMeter>();
+
+Then('they are parsed within {int} turns', async function (turns: number) {
+  const upload = uploads.get(this);
+  const meter = meters.get(this);
+  assert.ok(upload && meter);
+  const {socket, bytes} = upload;
+  for (let turn = 0; turn < turns && socket.parsedBytes < bytes; turn++) {
+    await nextTurn();
+  }
+  finishedMeters.add(meter);
+  assert.equal(socket.parsedBytes, bytes);
+});
