Test that a further peer is asked for evacuations

Daemons of the evacuated domain adopt the version after the others, so that the daemon under test first gets it from a peer that knows no evacuations.

--- a/features/mesh_evacuation.feature
+++ b/features/mesh_evacuation.feature
@@ -77,6 +77,15 @@
     When the last daemon gets its configuration from a peer
     Then it knows the evacuated domains "a"
 
+  # Guards against a gate that stays closed until the store is back, because the
+  # first peer that reported the version knew no evacuations.
+  Scenario: A daemon asks a further peer if the first one knows no evacuations
+    Given a mesh fleet of 6 VMs with 2 slots each
+    And domain "a" is evacuated, as every daemon of domain a knows
+    When the last daemon gets its configuration from a peer outside the domain "a"
+    And the daemons of domain "a" report the same version
+    Then the last daemon learns the evacuated domains "a" within 9000 ms
+
   # Guards against a reservation that was made before the evacuation and reaches
   # the instance after it.
   Scenario: A reservation that was made earlier isn't used any more
--- a/features/steps/mesh_evacuation_steps.ts
+++ b/features/steps/mesh_evacuation_steps.ts
@@ -230,6 +230,38 @@
   },
 );
 
+function configureAgain(vms: readonly MeshVm[]): void {
+  vms.forEach(({daemon}) =>
+    daemon.configurationTracker.applyIfNewer(configuration(2), 'test'),
+  );
+}
+
+When(
+  'the last daemon gets its configuration from a peer outside the domain {string}',
+  async function (this: EvacuationWorld, domain: string) {
+    const others = vmsOf(this).slice(0, -1);
+    configureAgain(others.filter(vm => domainOf(vm) !== domain));
+    const tracker = vmsOf(this).at(-1)?.daemon.configurationTracker;
+    await until('version 2', () => tracker?.version === 2, 2000);
+  },
+);
+
+When(
+  'the daemons of domain {string} report the same version',
+  function (this: World, domain: string) {
+    configureAgain(vmsOf(this).filter(vm => domainOf(vm) === domain));
+  },
+);
+
+Then(
+  'the last daemon learns the evacuated domains {string} within {int} ms',
+  async function (this: World, names: string, withinMs: number) {
+    const domains = vmsOf(this).at(-1)?.daemon.evacuatedDomains;
+    const isKnown = () => domains?.known?.join(' ') === names;
+    await until(`evacuations "${names}"`, isKnown, withinMs);
+  },
+);
+
 Given('a gate with 1 slot', function (this: EvacuationWorld) {
   const run = () =>
     new Promise<Outcome>(resolve => {
