Wake up for checks of callers only while there is something to check

Five timers of 250 ms woke each idle daemon twenty times a second. The guards now check only while a request is unfinished, and the sender of responses while one can't be written at once.

--- a/src/http/connection_guard.ts
+++ b/src/http/connection_guard.ts
@@ -40,6 +40,8 @@
   readonly #idle = new Set<GuardedConnection>();
   readonly #lingering = new Set<GuardedConnection>();
   #checkedAtMs = performance.now();
+  /** Runs only while a request is unfinished: idle daemons should not wake up. */
+  #checkTimer: NodeJS.Timeout | undefined;
 
   constructor(server: Server, options: ConnectionGuardOptions) {
     this.#options = options;
@@ -55,8 +57,7 @@
       // The HTTP server hands the socket over, and closes it no more.
       connection?.socket.destroySoon();
     });
-    const timer = setInterval(() => this.#check(), CHECK_INTERVAL_MS).unref();
-    server.on('close', () => clearInterval(timer));
+    server.on('close', () => clearInterval(this.#checkTimer));
   }
 
   get connections(): number {
@@ -108,6 +109,13 @@
     }
   }
 
+  onUnfinished(): void {
+    if (this.#checkTimer) return;
+    this.#checkedAtMs = performance.now();
+    const check = () => this.#check();
+    this.#checkTimer = setInterval(check, CHECK_INTERVAL_MS).unref();
+  }
+
   onFinished(connection: GuardedConnection): void {
     // A request may end after the next one on its connection has begun.
     if (connection.isUnfinished) return;
@@ -208,5 +216,8 @@
     [...this.#unfinished].forEach(connection =>
       connection.check(nowMs, isLate),
     );
+    if (this.#unfinished.size > 0) return;
+    clearInterval(this.#checkTimer);
+    this.#checkTimer = undefined;
   }
 }
--- a/src/http/guarded_connection.ts
+++ b/src/http/guarded_connection.ts
@@ -33,6 +33,8 @@
 export interface ConnectionObserver {
   /** Data of a request that hasn't arrived completely. */
   onProgress(connection: GuardedConnection): void;
+  /** A request hasn't arrived completely with the data that came so far. */
+  onUnfinished(): void;
   /** Nothing of an unfinished request is left. */
   onFinished(connection: GuardedConnection): void;
   onLinger(connection: GuardedConnection): void;
@@ -133,6 +135,7 @@
 
   parsed(): void {
     if (!this.isUnfinished) return this.#observer.onFinished(this);
+    this.#observer.onUnfinished();
     if (!this.#isBodyArriving || this.#isDiscarding) return;
     const contentBytes = this.#contentBytes + (this.#req?.readableLength ?? 0);
     const framingBytes = this.#parsedBytes - contentBytes;
--- a/src/mesh/limits/response_memory.ts
+++ b/src/mesh/limits/response_memory.ts
@@ -55,6 +55,11 @@
     this.#checkedAtMs = this.#now();
   }
 
+  /** Whether no response is held, so that there is nothing to check. */
+  get isEmpty(): boolean {
+    return this.#held.size === 0;
+  }
+
   /** A grant for a response; displaces unread ones if it has no room. */
   reserve(bytes: number): MemoryGrant | undefined {
     let grant = this.#tryReserve(bytes);
--- a/src/mesh/mesh_daemon.ts
+++ b/src/mesh/mesh_daemon.ts
@@ -25,10 +25,7 @@
 } from './limits/caller_bounds.js';
 import {buildCustomerLimits} from './limits/customer_limits.js';
 import {MemoryBudget} from './limits/memory_budget.js';
-import {
-  RESPONSE_CHECK_INTERVAL_MS,
-  ResponseMemory,
-} from './limits/response_memory.js';
+import {ResponseMemory} from './limits/response_memory.js';
 import {RepeatBudget} from './limits/repeat_budget.js';
 import {RepeatCalls} from './limits/repeat_calls.js';
 import {SharedLimits, type Limit} from './limits/shared_limits.js';
@@ -92,7 +89,6 @@
   readonly #readMeter = new ReadMeter();
   readonly #readinessServer: Server;
   readonly #metricsServer: Server;
-  readonly #responseCheck: NodeJS.Timeout;
   #limitsByName: ReadonlyMap<string, Limit> = new Map();
   #weights: ReadonlyMap<string, number> = new Map();
   readonly #stopDeadline = new StopDeadline();
@@ -116,10 +112,6 @@
       unreadAfterMs: this.#bounds.progress.stallMs,
       onCut: reason => this.#recordClose('callers', reason),
     });
-    this.#responseCheck = setInterval(
-      () => responses.check(),
-      RESPONSE_CHECK_INTERVAL_MS,
-    ).unref();
     this.#exchange = new BackendClient(address, names, responses);
     this.gate = new Gate({
       service,
@@ -314,7 +306,6 @@
 
   /** Stops all components at once, without waiting for in-flight requests. */
   async halt(): Promise<void> {
-    clearInterval(this.#responseCheck);
     this.#limits.parts.stop();
     this.#repeatBudget.stop();
     this.peers.stop();
--- a/src/mesh/router/response_sender.ts
+++ b/src/mesh/router/response_sender.ts
@@ -4,11 +4,15 @@
  */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {ConnectionGuard} from '../../http/connection_guard.js';
-import type {HeldResponse, ResponseMemory} from '../limits/response_memory.js';
+import {
+  RESPONSE_CHECK_INTERVAL_MS,
+  type HeldResponse,
+  type ResponseMemory,
+} from '../limits/response_memory.js';
 
 /** Options of {@link ResponseSender}. */
 export interface ResponseSenderOptions {
-  readonly responses: Pick<ResponseMemory, 'hold'>;
+  readonly responses: Pick<ResponseMemory, 'hold' | 'check' | 'isEmpty'>;
   readonly guard: Pick<ConnectionGuard, 'connectionOf'>;
 }
 
@@ -19,6 +23,8 @@
 export class ResponseSender {
   readonly #options: ResponseSenderOptions;
   readonly #held = new WeakMap<ServerResponse, HeldResponse>();
+  /** Runs only while a response waits: idle daemons should not wake up. */
+  #checkTimer: NodeJS.Timeout | undefined;
 
   constructor(options: ResponseSenderOptions) {
     this.#options = options;
@@ -55,5 +61,20 @@
     };
     res.on('drain', onDrain);
     writeOn();
+    setImmediate(() => {
+      if (!res.closed && !res.writableFinished) this.#startChecks();
+    });
+  }
+
+  #startChecks(): void {
+    if (this.#checkTimer) return;
+    const {responses} = this.#options;
+    responses.check();
+    this.#checkTimer = setInterval(() => {
+      responses.check();
+      if (!responses.isEmpty) return;
+      clearInterval(this.#checkTimer);
+      this.#checkTimer = undefined;
+    }, RESPONSE_CHECK_INTERVAL_MS).unref();
   }
 }
