Let the number of unfinished requests follow the memory

Each unfinished request may have 128 KB that were read and not yet parsed, whatever the memory of the VM is.

--- a/src/mesh/limits/caller_bounds.ts
+++ b/src/mesh/limits/caller_bounds.ts
@@ -34,6 +34,8 @@
  * in a crowd of 300.
  */
 const MAX_UNFINISHED_REQUESTS = 128;
+/** So that on a VM with less memory they don't take it all. */
+const UNFINISHED_REQUESTS_PER_MB = 1;
 
 const DEFAULT_STALL_MS = 5000;
 /** 64 callers that share a slow link of 7 Mbit/s get 13 KB/s each. */
@@ -62,7 +64,11 @@
     maxConnections,
     maxUnfinishedRequests:
       callerLimits.maxUnfinishedRequests ??
-      Math.min(MAX_UNFINISHED_REQUESTS, maxConnections),
+      Math.min(
+        MAX_UNFINISHED_REQUESTS,
+        maxConnections,
+        Math.floor(budgetMb * UNFINISHED_REQUESTS_PER_MB),
+      ),
     maxOtherConnections: Math.max(
       MIN_OTHER_CONNECTIONS,
       Math.floor(descriptors * OTHER_DESCRIPTOR_SHARE),
