--- a/spec/evacuation.ts
+++ b/spec/evacuation.ts
@@ -140,7 +140,7 @@
   return isAllowed ? {...state, hasReservation: true} : state;
 }
 
-/** Whether the gate has been told of an evacuation that is in force. */
+/** Whether the gate knows of an evacuation that is in force. */
 function hasBeenTold({isEvacuated, gate}: EvacuationState): boolean {
   return gate.isWatching && gate.reported === null && isEvacuated;
 }
--- a/src/http/connection_guard.ts
+++ b/src/http/connection_guard.ts
@@ -70,8 +70,9 @@
   }
 
   /**
-   * Cuts off unfinished requests that hold bytes as this kind of holder and for
-   * which nobody waits, longest without progress first, until `bytes` come free.
+   * Cuts off unfinished requests that hold bytes as this kind of holder, unless
+   * the daemon itself reads nothing of them for now; longest without progress
+   * first, until `bytes` come free.
    * Cuts off none if all of them hold less; `except` stays.
    */
   displace(
--- a/src/http/guarded_connection.ts
+++ b/src/http/guarded_connection.ts
@@ -29,7 +29,7 @@
   cut(reason: CutReason): void;
 }
 
-/** Told about changes of a connection. */
+/** Observes the changes of a connection. */
 export interface ConnectionObserver {
   /** Data of a request that hasn't arrived completely. */
   onProgress(connection: GuardedConnection): void;
--- a/src/mesh/evacuation/evacuated_domains.ts
+++ b/src/mesh/evacuation/evacuated_domains.ts
@@ -1,7 +1,7 @@
 /**
  * The failure domains that the operators have evacuated. The store tells them;
  * a daemon that has never reached the store takes those that a peer knows.
- * Until one of the two has told them, nothing is known, and the daemon neither
+ * Until they come from one of the two, nothing is known, and the daemon neither
  * sends requests nor admits any.
  */
 import type {DecisionLog} from '../../log/decision_log.js';
--- a/src/mesh/gate/cold_pacing.ts
+++ b/src/mesh/gate/cold_pacing.ts
@@ -39,7 +39,7 @@
 const PROCESS_START_MS = 0;
 /**
  * Turns that may follow each other without a pause. With 1, the turns that
- * nobody wants for a moment are lost: a fleet of cold instances refused 13 and
+ * no request needs for a moment are lost: a fleet of cold instances refused 13 and
  * 21% of a load of four fifths of its rate.
  */
 const BURST = 3;
--- a/src/mesh/gate/cold_state.ts
+++ b/src/mesh/gate/cold_state.ts
@@ -44,10 +44,10 @@
 
 /** Whether the instance of one gate is cold, as far as the gate knows. */
 export class ColdState {
-  /** Undefined until a configuration has told them. */
+  /** Undefined until a configuration with them is known. */
   #limits: ColdLimits | undefined;
   #coldUntilMs = -Infinity;
-  /** Since when no report has told whether the instance is cold. */
+  /** Since when no report says whether the instance is cold. */
   #assumedSinceMs: number | undefined;
 
   constructor(nowMs: number) {
--- a/src/mesh/gate/wait_estimate.ts
+++ b/src/mesh/gate/wait_estimate.ts
@@ -28,7 +28,7 @@
 }
 
 /**
- * The wait that a refused request is told, so that it returns later; 0 if a slot
+ * The wait that a refused request gets, so that it returns later; 0 if a slot
  * is free. While requests run longer than usual, the estimate above is near 0.
  */
 export function usualWaitMs(load: LoadAhead): number {
--- a/src/mesh/limits/memory_budget.ts
+++ b/src/mesh/limits/memory_budget.ts
@@ -2,7 +2,7 @@
  * The byte budget of a daemon for bodies, whose size others determine. Each
  * kind of holder may use a part of it. Parts are set aside for small bodies and
  * small responses, so that ordinary requests find room beside large bodies that
- * don't end and large responses that nobody reads.
+ * don't end and large responses that callers don't read.
  */
 
 /**
--- a/src/mesh/limits/response_memory.ts
+++ b/src/mesh/limits/response_memory.ts
@@ -1,7 +1,7 @@
 /**
  * Decides which responses a daemon holds. A response without room displaces the
  * ones that have been unread for longest; one whose caller reads is never
- * displaced. Has no network: a holder closes its own connection when told to.
+ * displaced. Has no network: a holder closes its own connection on request.
  */
 import type {MemoryBudget, MemoryGrant} from './memory_budget.js';
 
--- a/src/mesh/router/dispatcher.ts
+++ b/src/mesh/router/dispatcher.ts
@@ -78,7 +78,7 @@
     'isQuarantined' | 'recordEnd' | 'recordSuccess'
   >;
   readonly stop: StopDeadline;
-  /** Gates are told the customer only with equal shares; `none` if omitted. */
+  /** Gates get the customer only with equal shares; `none` if omitted. */
   readonly customerShares?: CustomerShares;
   /** Undefined: late requests are repeated by the gates' estimates alone. */
   readonly hedging?: HedgePolicy;
