--- a/features/mesh_fair_sharing.feature
+++ b/features/mesh_fair_sharing.feature
@@ -122,7 +122,7 @@
   Scenario: A refused request is told a usual wait while all requests are late
     Given an instance with 4 slots and customer shares "none"
     When 4 bookings of 568 ms have run for 3000 ms, and 8 requests wait
-    Then a refused request is told a wait of 1278 ms
+    Then a refused request gets a wait of 1278 ms
     And the estimate that decides refusals is 1136 ms
 
   Scenario Outline: In any sequence of arrivals and slots, <rule>
--- a/features/steps/mesh_fair_sharing_steps.ts
+++ b/features/steps/mesh_fair_sharing_steps.ts
@@ -457,7 +457,7 @@
   },
 );
 
-Then('a refused request is told a wait of {int} ms', function (ms: number) {
+Then('a refused request gets a wait of {int} ms', function (ms: number) {
   assert.equal(Math.round(stateOf(this).waitedMs), ms);
 });
 
