Test crowds of whole bodies and unread responses at a fleet

Callers of several daemons exceed the memory of their VMs although each body and response is of legal size. Daemons of the platform's build run in processes of their own: one gate with the instance (8 slots, 1.5 s a request), the callers at the other daemons. The tests check that the processes run, that their largest resident size stays within the VM's memory, and that an ordinary request is answered afterwards.

--- a/limits/caller_limits.feature
+++ b/limits/caller_limits.feature
@@ -16,6 +16,7 @@
       | 300   | bodies in pieces that stop one byte short                 |
       | 300   | chunked bodies in large chunks that stop short            |
       | 40    | chunked bodies in one-byte chunks that stop short         |
+      | 300   | complete bodies of 1000000 bytes                          |
       | 250   | bodies far over the limit                                 |
       | 250   | announcements of bodies far over the limit                |
       | 250   | header fields without end                                 |
@@ -23,6 +24,14 @@
       | 250   | heartbeats that stop one byte short                       |
       | 60    | requests for large responses that they don't read         |
 
+  # Guards against bodies that stay in memory until the next request on their
+  # connection.
+  Scenario: A daemon keeps no body of callers that stay connected
+    Given a mesh daemon with 150 MB of memory and 1000 descriptors
+    When 150 callers send complete bodies of 1000000 bytes
+    Then the process runs and took at most 150 MB and 1000 descriptors
+    And an ordinary request is answered
+
   # Guards against a stop that a crowd delays until the process is killed.
   Scenario: A daemon with a crowd of unfinished bodies stops by itself
     Given a mesh daemon with 150 MB of memory and 200 descriptors
--- a/limits/steps/caller_limit_steps.ts
+++ b/limits/steps/caller_limit_steps.ts
@@ -10,16 +10,20 @@
   Then,
   When,
 } from '@cucumber/cucumber';
+import {until} from '../../features/support/fleet.js';
 import {
   Crowd,
   MEDIUM_PATH,
   MEDIUM_RESPONSE_BYTES,
 } from '../support/platform_crowd.js';
-import {LimitedDaemon} from '../support/limited_daemon.js';
+import type {LimitedDaemon} from '../support/limited_daemon.js';
+import {LimitedFleet, type FleetPlan} from '../support/limited_fleet.js';
 
 interface LimitState {
+  readonly fleet: LimitedFleet;
+  /** The daemon that the callers of the scenario use. */
   readonly daemon: LimitedDaemon;
-  crowd?: Crowd;
+  readonly crowds: Crowd[];
   exitCode?: number | null;
   statuses?: readonly number[];
   readBytes?: Promise<readonly number[]>;
@@ -28,6 +32,8 @@
 const STEP_TIMEOUT_MS = 60_000;
 /** How long a crowd may send before its effect is checked. */
 const CROWD_MS = 6000;
+/** Beyond the timeout of a request. */
+const SETTLE_TIMEOUT_MS = 40_000;
 
 const states = new WeakMap<object, LimitState>();
 
@@ -37,8 +43,8 @@
 });
 
 After(async function () {
-  states.get(this)?.crowd?.end();
-  await states.get(this)?.daemon.stop();
+  states.get(this)?.crowds.forEach(crowd => crowd.end());
+  await states.get(this)?.fleet.stop();
 });
 
 function stateOf(world: object): LimitState {
@@ -47,20 +53,73 @@
   return state;
 }
 
+async function startFleet(world: object, plan: FleetPlan): Promise<void> {
+  const fleet = await LimitedFleet.start(plan);
+  const [daemon = fleet.gate] = fleet.routers;
+  states.set(world, {fleet, daemon, crowds: []});
+}
+
 Given(
   'a mesh daemon with {int} MB of memory and {int} descriptors',
-  async function (memoryMb: number, maxDescriptors: number) {
-    const daemon = await LimitedDaemon.start({memoryMb, maxDescriptors});
-    states.set(this, {daemon});
+  function (memoryMb: number, maxDescriptors: number) {
+    return startFleet(this, {resources: {memoryMb, maxDescriptors}});
   },
 );
 
 When(/^(\d+) callers send (.*)$/, async function (count: string, kind: string) {
-  const state = stateOf(this);
-  state.crowd = new Crowd(kind, Number(count), state.daemon.listens);
+  const {crowds, daemon} = stateOf(this);
+  crowds.push(new Crowd(kind, Number(count), daemon.listens));
   await sleep(CROWD_MS);
 });
 
+Given(
+  'a gate and {int} router(s) with {int} MB of memory each',
+  function (routerCount: number, memoryMb: number) {
+    return startFleet(this, {
+      resources: {memoryMb, maxDescriptors: 4100},
+      routerCount,
+      maxBodyBytes: 67_108_864,
+      serviceMs: 1500,
+    });
+  },
+);
+
+When(
+  /^(\d+) callers at each router send (.*)$/,
+  async function (count: string, kind: string) {
+    const {fleet, crowds} = stateOf(this);
+    fleet.routers.forEach(({listens}) =>
+      crowds.push(new Crowd(kind, Number(count), listens)),
+    );
+    await sleep(CROWD_MS);
+  },
+);
+
+When('each of them was answered or its connection closed', async function () {
+  const {crowds} = stateOf(this);
+  const areSettled = () => crowds.every(({isSettled}) => isSettled);
+  await until('all callers are settled', areSettled, SETTLE_TIMEOUT_MS);
+});
+
+Then('each process runs and took at most {int} MB', function (maxMb: number) {
+  const {daemons} = stateOf(this).fleet;
+  const peaks = daemons.map(({peakMemoryMb}) => Math.round(peakMemoryMb));
+  daemons.forEach(({process}) =>
+    assert.ok(process.running, process.errors.join('\n')),
+  );
+  assert.ok(Math.max(...peaks) <= maxMb, `${peaks.join()} MB`);
+});
+
+Then('an ordinary request at each daemon is answered', async function () {
+  const {daemons} = stateOf(this).fleet;
+  const sent = daemons.map(daemon => daemon.sendOrdinary());
+  const statuses = await Promise.all(sent);
+  assert.deepEqual(
+    statuses,
+    daemons.map(() => 200),
+  );
+});
+
 When('the process gets SIGTERM', async function () {
   const state = stateOf(this);
   state.exitCode = await state.daemon.process.end('SIGTERM');
@@ -101,10 +160,9 @@
 
 Given(
   'a mesh daemon with {int} MB of memory and bodies of up to {int} bytes',
-  async function (memoryMb: number, maxBodyBytes: number) {
+  function (memoryMb: number, maxBodyBytes: number) {
     const resources = {memoryMb, maxDescriptors: 4100};
-    const daemon = await LimitedDaemon.start(resources, maxBodyBytes);
-    states.set(this, {daemon});
+    return startFleet(this, {resources, maxBodyBytes});
   },
 );
 
--- a/limits/support/limited_daemon.ts
+++ b/limits/support/limited_daemon.ts
@@ -1,27 +1,17 @@
 /**
- * A daemon of the platform's build in a process of its own, with the stand-ins
- * that it needs. Samples its memory and its open descriptors.
+ * A daemon of the platform's build in a process of its own. Samples its memory
+ * and its open descriptors.
  */
 import {mkdtempSync, readdirSync, rmSync, writeFileSync} from 'node:fs';
-import {createServer, request, type Server} from 'node:http';
+import {request} from 'node:http';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import {HEADER_NAMES as NAMES} from '../../platform/names.js';
-import {listen} from '../../src/http/listener.js';
 import {daemonNodeArgs} from '../../features/support/deploy_file.js';
 import {until} from '../../features/support/fleet.js';
-import {documentOfRoutes} from '../../features/support/platform_documents.js';
-import {PlatformStore} from '../../features/support/platform_store.js';
 import {freeAddress} from '../../features/support/ports.js';
 import {TestProcess} from '../../features/support/process.js';
-import {
-  LARGE_PATH,
-  LARGE_RESPONSE_BYTES,
-  MAX_BODY_BYTES,
-  MEDIUM_PATH,
-  MEDIUM_RESPONSE_BYTES,
-  type Listens,
-} from './platform_crowd.js';
+import type {Listens} from './platform_crowd.js';
 
 /** Memory and descriptors of the VM, as the daemon's settings say. */
 export interface Resources {
@@ -29,54 +19,46 @@
   readonly maxDescriptors: number;
 }
 
-const ANY_PORT = '127.0.0.1:0';
-const INSTANCE_SLOTS = 8;
+/** The VM of a daemon. */
+export interface LimitedVm {
+  readonly id: string;
+  readonly resources: Resources;
+  /** `IP:PORT` of the store. */
+  readonly store: string;
+  /** The instance beside the daemon; it may not be there. */
+  readonly backend: {readonly address: string; readonly service: string};
+}
+
+/** The host of all routes. */
+export const HOST = 'app.example';
+
 const READY_TIMEOUT_MS = 10_000;
 const SAMPLE_INTERVAL_MS = 50;
 /** An ordinary caller waits this long for its response. */
 const ORDINARY_DEADLINE_MS = 15_000;
-/** Responses by path; all others are short. */
-const RESPONSES: Readonly<Partial<Record<string, Buffer>>> = {
-  [LARGE_PATH]: Buffer.alloc(LARGE_RESPONSE_BYTES),
-  [MEDIUM_PATH]: Buffer.alloc(MEDIUM_RESPONSE_BYTES),
-};
 /** A slow reader reads this much at a time: 54 KB/s, 10 s for 540 KB. */
 const SLOW_READ_BYTES = 13_500;
 const SLOW_READ_INTERVAL_MS = 250;
 
-/** The daemon of one scenario. */
+/** A daemon whose memory and descriptors are watched. */
 export class LimitedDaemon {
   readonly listens: Listens;
   readonly process: TestProcess;
   readonly #folder: string;
-  readonly #backend: Server;
-  readonly #store: PlatformStore;
   readonly #sampling: NodeJS.Timeout;
   #peakDescriptors = 0;
   #peakMemoryMb = 0;
 
-  private constructor(
-    listens: Listens,
-    process: TestProcess,
-    parts: {folder: string; backend: Server; store: PlatformStore},
-  ) {
+  private constructor(listens: Listens, process: TestProcess, folder: string) {
     this.listens = listens;
     this.process = process;
-    this.#folder = parts.folder;
-    this.#backend = parts.backend;
-    this.#store = parts.store;
+    this.#folder = folder;
     this.#sampling = setInterval(() => this.#sample(), SAMPLE_INTERVAL_MS);
   }
 
-  static async start(
-    resources: Resources,
-    maxBodyBytes = MAX_BODY_BYTES,
-  ): Promise<LimitedDaemon> {
-    const store = new PlatformStore();
-    store.writeConfiguration(
-      documentOfRoutes('00000001', [ROUTE], {maxBodyBytes}),
-    );
-    const backend = createBackend();
+  /** Starts a daemon, and waits until it is ready. */
+  static async start(vm: LimitedVm): Promise<LimitedDaemon> {
+    const {id, resources, store, backend} = vm;
     const listens = {
       callers: await freeAddress(),
       readiness: await freeAddress(),
@@ -85,13 +67,10 @@
       metrics: await freeAddress(),
     };
     const settings = {
-      vm: {id: 'vm-1', failureDomain: 'a'},
+      vm: {id, failureDomain: 'a'},
       listen: listens,
-      backend: {
-        address: await listen(backend, ANY_PORT, 'backend server'),
-        service: ROUTE.service,
-      },
-      store: {address: await store.start()},
+      backend,
+      store: {address: store},
       isFirstStart: false,
       stopTimeoutS: 6,
       repeats: {ratio: 0.2, windowS: 10, slack: 60},
@@ -105,16 +84,19 @@
       nodeArgs: daemonNodeArgs(),
       args: ['--settings', file],
     });
-    const parts = {folder, backend, store};
-    const daemon = new LimitedDaemon(listens, process, parts);
+    const daemon = new LimitedDaemon(listens, process, folder);
     const isReady = async () =>
       (await fetch(`http://${listens.readiness}/`)).status === 200;
     await until('the daemon is ready', isReady, READY_TIMEOUT_MS);
-    const isServing = async () => (await daemon.sendOrdinary()) === 200;
-    await until('it serves', isServing, READY_TIMEOUT_MS);
     return daemon;
   }
 
+  /** Resolves once the daemon serves requests. */
+  async waitUntilServing(): Promise<void> {
+    const isServing = async () => (await this.sendOrdinary()) === 200;
+    await until('it serves', isServing, READY_TIMEOUT_MS);
+  }
+
   get peakMemoryMb(): number {
     return this.#peakMemoryMb;
   }
@@ -130,7 +112,7 @@
   ): Promise<number> {
     const [host, port] = this.listens.callers.split(':');
     const headers = {
-      host: ROUTE.host,
+      host: HOST,
       [NAMES.requestId]: `ordinary-${Math.random()}`,
       [NAMES.deadline]: String(ORDINARY_DEADLINE_MS),
       ...fields,
@@ -152,7 +134,7 @@
   readSlowly(requestPath: string): Promise<number> {
     const [host, port] = this.listens.callers.split(':');
     const headers = {
-      host: ROUTE.host,
+      host: HOST,
       [NAMES.requestId]: `slow-${Math.random()}`,
       [NAMES.deadline]: String(ORDINARY_DEADLINE_MS),
     };
@@ -179,9 +161,6 @@
   async stop(): Promise<void> {
     clearInterval(this.#sampling);
     await this.process.end();
-    this.#store.stop();
-    this.#backend.closeAllConnections();
-    this.#backend.close();
     rmSync(this.#folder, {recursive: true});
   }
 
@@ -198,25 +177,3 @@
     }
   }
 }
-
-const ROUTE = {
-  service: 'pay',
-  host: 'app.example',
-  prefix: '/app/',
-  kind: 'safe',
-  timeoutMs: 20_000,
-} as const;
-
-/** The instance: answers once it has read the whole request. */
-function createBackend(): Server {
-  return createServer((req, res) => {
-    req.resume();
-    res.setHeader(NAMES.instance, 'i-1');
-    res.setHeader(NAMES.load, `0,0,${INSTANCE_SLOTS}`);
-    if (req.url === '/health') return res.end();
-    res.setHeader(NAMES.requestId, String(req.headers[NAMES.requestId]));
-    res.setHeader(NAMES.signature, 'signed');
-    const body = RESPONSES[req.url ?? ''] ?? 'done';
-    req.on('end', () => res.end(body));
-  });
-}
--- a/limits/support/platform_crowd.ts
+++ b/limits/support/platform_crowd.ts
@@ -105,6 +105,16 @@
   }
 }
 
+/** Sends a whole body. */
+async function sendComplete(socket: Socket, bytes: number): Promise<void> {
+  await write(socket, `${head([`content-length: ${bytes}`])}\r\n`);
+  for (let sent = 0; sent < bytes && !socket.destroyed;) {
+    const part = ZEROS.subarray(0, bytes - sent);
+    await write(socket, part);
+    sent += part.length;
+  }
+}
+
 /** What one caller sends, by kind. */
 const CROWD_KINDS: Readonly<Record<string, (socket: Socket) => Promise<void>>> =
   {
@@ -135,6 +145,12 @@
     'header fields without end to the metrics listener': sendFieldsWithoutEnd,
     'heartbeats that stop one byte short': socket =>
       sendSized(socket, HEARTBEAT_BYTES, HEARTBEAT_BYTES - 1, HEARTBEAT_START),
+    'complete bodies of 1000000 bytes': socket =>
+      sendComplete(socket, 1_000_000),
+    'complete bodies of 2000000 bytes': socket =>
+      sendComplete(socket, 2_000_000),
+    'complete bodies of 15000000 bytes': socket =>
+      sendComplete(socket, 15_000_000),
     "requests for large responses that they don't read": async socket => {
       socket.pause();
       await write(socket, `${head([], `GET ${LARGE_PATH}`)}\r\n`);
@@ -144,6 +160,8 @@
 /** Callers that were started together. */
 export class Crowd {
   readonly #sockets: readonly Socket[];
+  /** Callers that have got data, or whose connection is closed. */
+  readonly #settled = new Set<Socket>();
 
   constructor(kind: string, count: number, listens: Listens) {
     const send = CROWD_KINDS[kind];
@@ -153,12 +171,18 @@
       const socket = connect(Number(port), host);
       // The daemon may close it at any time.
       socket.on('error', () => socket.destroy());
-      socket.resume();
+      socket.on('data', () => this.#settled.add(socket));
+      socket.on('close', () => this.#settled.add(socket));
       send(socket).catch(() => socket.destroy());
       return socket;
     });
   }
 
+  /** Whether each caller was answered, or its connection closed. */
+  get isSettled(): boolean {
+    return this.#settled.size === this.#sockets.length;
+  }
+
   end(): void {
     this.#sockets.forEach(socket => socket.destroy());
   }
