Free the bodies of requests whose connections stay open

Callers saw a daemon that was ended for its memory, or connections that were reset with it, after many whole bodies of legal size.

A request's listeners refer to the object that read its body, and that object kept the body: directly, and through the promise that it had resolved with it. Node keeps the last request of an idle connection, so the body stayed in memory until the next request or the end of the connection, long after its grant of the memory budget was released.

The reader now drops the body, and the function that resolves the promise, when it settles. The listeners stay, since they are needed to observe errors.

--- a/src/mesh/router/body_reader.ts
+++ b/src/mesh/router/body_reader.ts
@@ -101,7 +101,7 @@
   readonly #req: IncomingMessage;
   readonly #maxBytes: number;
   readonly #options: BodyReaderOptions;
-  readonly #resolve: (result: ReadResult) => void;
+  #resolve: ((result: ReadResult) => void) | undefined;
   readonly #announced: number | undefined;
   readonly #chunks = new BodyBuffer();
   #sized: Buffer | undefined;
@@ -246,7 +246,6 @@
       },
       () => {
         const bytes = this.#chunks.toBuffer();
-        this.#chunks.clear();
         this.#grant?.release();
         this.#finish(bytes, kept);
       },
@@ -270,17 +269,21 @@
   #fail(kind: Exclude<ReadResult['kind'], 'whole'>): void {
     if (this.#isSettled) return;
     this.#grant?.release();
-    this.#chunks.clear();
-    this.#sized = undefined;
     this.#settle({kind});
   }
 
   #settle(result: ReadResult): void {
     this.#isSettled = true;
     clearTimeout(this.#retry);
+    const resolve = this.#resolve;
+    // The listeners of the request keep this object until the next request on the
+    // connection; the body must not stay in memory for as long.
+    this.#resolve = undefined;
+    this.#sized = undefined;
+    this.#chunks.clear();
     const connection = this.#connection;
     // The next body on the connection may have begun.
     if (connection?.body === this) connection.body = undefined;
-    this.#resolve(result);
+    resolve?.(result);
   }
 }
