Send bodies over 512 KB to other daemons in parts

An upload of 17 or 60 MB (MaxBodyBytes is 64 MB) at a VM without an instance of its service got 503 in calm, since a body had to fit into one frame of 16 MB. Bodies that did fit were in memory four times: as read, encoded, masked, and joined by the receiving daemon, which had no memory reserved for it; only one copy of a frame was under the memory budget.

The router announces the body (run-parts); the gate accepts it once its budget has room for all of it, or declines after 2 s. Then the router sends parts of 32 KB, at most 3 on the way on a connection, the bodies in turn, so that heartbeats and reservations wait for 110 ms at most at 7 Mbit/s. The slot of the reservation serves others until the body is whole; then the gate takes a slot and runs the request. Without the whole body nothing runs, so a lost gate, router or connection during the transfer is known not to have run it. Bodies from peers get at most half of the budget, so that responses find room.

Two scenarios of mesh_responses.feature demanded the refusal of bodies that are served now.

--- a/features/mesh_responses.feature
+++ b/features/mesh_responses.feature
@@ -133,11 +133,11 @@
 
   # Guards against an upload that ends the connection between two daemons, and
   # with it all requests in flight on it.
-  Scenario: An upload that fits into no frame is refused as not run
+  Scenario: An upload that fits into no frame is served by an instance on another VM
     Given a mesh fleet whose only instance of the service is at VM 1
-    When a caller of VM 0 uploads 17000000 bytes to "/once/"
-    Then the response has status 503
-    And the request ran 0 times
+    When a caller of VM 0 uploads 17000000 bytes to "/long/"
+    Then the response has status 200
+    And the request ran 1 times
     And no connection between daemons was lost
     And within 500 ms no slot is held
 
@@ -145,15 +145,3 @@
     Given a mesh fleet whose only instance of the service is at VM 1
     When a caller of VM 1 uploads 17000000 bytes to "/once/"
     Then the response has status 200
-
-  # Guards against frames that wait for a slow link outside the memory budget: each
-  # is a second copy of its body.
-  Scenario: An upload whose frame finds no memory is refused as not run
-    Given the daemons have 16 MB of memory for bodies
-    And a mesh fleet whose only instance of the service is at VM 1
-    When a caller of VM 0 uploads 7900000 bytes to "/once/"
-    Then the response has status 503
-    And the request ran 0 times
-    And within 500 ms no slot is held
-    When a caller of VM 0 uploads 3000000 bytes to "/once/"
-    Then the response has status 200
--- a/features/support/mesh_fleet.ts
+++ b/features/support/mesh_fleet.ts
@@ -74,6 +74,7 @@
 export const BEHAVIOURS = {
   ...RAW_BEHAVIOURS,
   responds: (_, res) => res.end('done'),
+  'returns the body': (req, res) => req.pipe(res),
   'responds slowly': (_, res) => setTimeout(() => res.end('done'), SLOW_MS),
   hangs: () => undefined,
   'closes the connection': (_, res) => res.destroy(),
--- a/src/mesh/limits/memory_budget.ts
+++ b/src/mesh/limits/memory_budget.ts
@@ -7,14 +7,15 @@
 
 /**
  * What holds bytes: a small or a large body that is being read, a body kept
- * while its request is dispatched, a frame that a peer hasn't read yet, or a
- * response until its caller has read it; `small-response` uses the part set aside
- * for small ones.
+ * while its request is dispatched, a body that a peer sends, the copies of a body
+ * for a frame, or a response until its caller has read it; `small-response` uses
+ * the part set aside for small ones.
  */
 export const HOLDER_KINDS = [
   'small-body',
   'large-body',
   'kept-body',
+  'peer-body',
   'frame',
   'response',
   'small-response',
@@ -42,6 +43,8 @@
 const SMALL_RESPONSE_SHARE = 1 / 64;
 /** Shares of the limit; two bodies of 60 MB fit into half of 240 MB. */
 const UNFINISHED_SHARE = 0.5;
+/** So that responses find room beside bodies that peers send. */
+const PEER_BODY_SHARE = 0.5;
 /** One body of 64 MB fits into half of 140 MB, the budget of a small VM. */
 const ONE_BODY_SHARE = 0.5;
 
@@ -55,10 +58,13 @@
   /** Most bytes of all other kinds together. */
   readonly #commonBytes: number;
   readonly #maxUnfinishedBytes: number;
+  /** Most bytes of each kind that shares the common part with others. */
+  readonly #maxBytes: Readonly<Partial<Record<HolderKind, number>>>;
   readonly #usedByKind: Record<HolderKind, number> = {
     'small-body': 0,
     'large-body': 0,
     'kept-body': 0,
+    'peer-body': 0,
     frame: 0,
     response: 0,
     'small-response': 0,
@@ -77,6 +83,10 @@
       options.maxUnfinishedBytes ?? Math.floor(limitBytes * UNFINISHED_SHARE),
       this.#commonBytes,
     );
+    this.#maxBytes = {
+      'large-body': this.#maxUnfinishedBytes,
+      'peer-body': Math.floor(limitBytes * PEER_BODY_SHARE),
+    };
     this.maxBodyBytes = Math.min(
       Math.floor(limitBytes * ONE_BODY_SHARE),
       this.#maxUnfinishedBytes,
@@ -123,8 +133,8 @@
     const reservedBytes = this.#reservedBytes[kind];
     if (reservedBytes !== undefined) return reservedBytes - used[kind];
     const freeBytes = this.#commonBytes - this.#commonUsedBytes;
-    if (kind !== 'large-body') return freeBytes;
-    return Math.min(freeBytes, this.#maxUnfinishedBytes - used[kind]);
+    const maxBytes = this.#maxBytes[kind] ?? Infinity;
+    return Math.min(freeBytes, maxBytes - used[kind]);
   }
 
   /** Bytes of all kinds that nothing is set aside for. */
@@ -142,8 +152,9 @@
     const reservedBytes = this.#reservedBytes[kind];
     if (reservedBytes !== undefined) return used[kind] + bytes <= reservedBytes;
     if (this.#commonUsedBytes + bytes > this.#commonBytes) return false;
-    if (kind !== 'large-body') return true;
-    const isWithinPart = used[kind] + bytes <= this.#maxUnfinishedBytes;
+    const maxBytes = this.#maxBytes[kind];
+    if (maxBytes === undefined) return true;
+    const isWithinPart = used[kind] + bytes <= maxBytes;
     return isWithinPart && totalBytes <= this.maxBodyBytes;
   }
 }
--- a/src/mesh/mesh_daemon.ts
+++ b/src/mesh/mesh_daemon.ts
@@ -165,6 +165,7 @@
       vmId: settings.vm.id,
       address: settings.listen.peers,
       gate: this.gate,
+      memory: budget,
       log,
       rates: this.#limits,
       repeats: this.#repeatBudget,
--- a/src/mesh/peers/frames.ts
+++ b/src/mesh/peers/frames.ts
@@ -10,6 +10,8 @@
 import type {PartPayment} from '../limits/rate_parts.js';
 import type {FingerprintRecord} from '../router/query_of_death.js';
 import type {TokenAnswer, TokenRequest} from '../limits/shared_limits.js';
+import type {ReceiptFrame} from './body_receiver.js';
+import type {PartFrame} from './body_sender.js';
 import type {
   BackendStatus,
   FleetConfiguration,
@@ -23,6 +25,14 @@
   | {readonly kind: 'reserve'; readonly id: number; readonly slot: SlotRequest}
   | {readonly kind: 'withdraw'; readonly id: number}
   | {readonly kind: 'run'; readonly id: number; readonly work: Work}
+  | {
+      /** A run whose body follows in parts once the gate accepts it. */
+      readonly kind: 'run-parts';
+      readonly id: number;
+      readonly work: Work;
+      readonly bodyBytes: number;
+    }
+  | PartFrame
   | {readonly kind: 'share'; readonly id: number; readonly ask: TokenRequest}
   | {
       readonly kind: 'repeat';
@@ -53,6 +63,9 @@
       readonly kind: 'fingerprints';
       readonly records: readonly FingerprintRecord[];
     }
+  /** The daemon takes large bodies in parts; unknown to older daemons. */
+  | {readonly kind: 'takes-parts'}
+  | ReceiptFrame
   | {readonly kind: 'queued'; readonly id: number}
   | {
       readonly kind: 'reserved';
@@ -100,8 +113,12 @@
 export const MAX_FRAME_BYTES = 16 * 1024 * 1024;
 /** Part of a frame for everything but the body; callers' headers are 64 KiB. */
 const FRAME_OVERHEAD_BYTES = 256 * 1024;
-/** Largest body that can be sent to a peer. */
+/** Largest body that can be sent to a peer in one frame. */
 export const MAX_FRAME_BODY_BYTES = MAX_FRAME_BYTES - FRAME_OVERHEAD_BYTES;
+/** Larger bodies are sent in parts to peers that take them. */
+export const MAX_WHOLE_BODY_BYTES = 512 * 1024;
+/** In place of a body that follows in parts. */
+export const BODY_FOLLOWS = Buffer.alloc(0);
 
 /** The URL of a peer's listener. It names the peer that is meant. */
 export function peerUrl({id, address}: Vm): string {
--- a/src/mesh/peers/peer_link.ts
+++ b/src/mesh/peers/peer_link.ts
@@ -13,14 +13,11 @@
   declined,
   type Declined,
   type GateClient,
-  type Outcome,
   type Reservation,
   type SlotRequest,
-  type Work,
 } from '../gate/work.js';
 import type {RepeatPayment} from '../limits/repeat_budget.js';
 import type {PartPayment} from '../limits/rate_parts.js';
-import type {MemoryBudget, MemoryGrant} from '../limits/memory_budget.js';
 import type {FingerprintRecord} from '../router/query_of_death.js';
 import type {TokenAnswer, TokenRequest} from '../limits/shared_limits.js';
 import {ResponseTimeout} from '../../timing/response_timeout.js';
@@ -29,7 +26,6 @@
 import {
   decodeFrame,
   encodeFrame,
-  MAX_FRAME_BODY_BYTES,
   MISDIRECTED_STATUS,
   peerUrl,
   type GateLoad,
@@ -37,11 +33,18 @@
   type ResponseFrame,
 } from './frames.js';
 import type {HandshakeQueue} from './handshake_queue.js';
+import {
+  PeerRuns,
+  type PeerConnection,
+  type Reply,
+  type ReplyHandler,
+  type TransferMemory,
+} from './peer_runs.js';
 
 /** Options of {@link PeerLink}. */
 export interface PeerLinkOptions {
-  /** For frames with large bodies; without it, they are not accounted for. */
-  readonly memory?: Pick<MemoryBudget, 'reserve'>;
+  /** For large bodies; without it, they are not accounted for. */
+  readonly memory?: TransferMemory;
   readonly self: () => Vm;
   readonly peer: Vm;
   /** Shared by the links of a daemon. */
@@ -83,9 +86,6 @@
  */
 const MISDIRECTED_MAX_MS = 10_000;
 const MISDIRECTED_GROWTH = 8;
-/** Frames with a body of up to this size need no memory reserved. */
-const SMALL_FRAME_BYTES = 64 * 1024;
-const NO_MEMORY_NEEDED = {release: () => undefined};
 /** Up to this share of the delay is random, so that daemons spread out. */
 const RECONNECT_JITTER_RATIO = 0.5;
 
@@ -109,9 +109,21 @@
   ResponseFrame,
   {readonly kind: 'fingerprints'}
 >;
-type Reply = Extract<ResponseFrame, {readonly id: number}>;
-/** Gets undefined if the connection is lost. */
-type ReplyHandler = (reply: Reply | undefined) => void;
+
+/** Frames that concern the transfer of a body. */
+type TransferFrame = Extract<
+  ResponseFrame,
+  {readonly kind: 'body-ack' | 'body-accept'}
+>;
+const TRANSFER_KINDS: ReadonlySet<string> = new Set<TransferFrame['kind']>([
+  'body-ack',
+  'body-accept',
+]);
+type TransferHandlers = {
+  readonly [Kind in TransferFrame['kind']]: (
+    frame: Extract<TransferFrame, {readonly kind: Kind}>,
+  ) => void;
+};
 
 /** What a peer passes on of what it read from the store. */
 export interface PeerConfiguration {
@@ -125,6 +137,13 @@
   readonly #options: PeerLinkOptions;
   readonly #replyHandlers = new Map<number, ReplyHandler>();
   readonly #stopController = new AbortController();
+  readonly #runs: PeerRuns;
+  readonly #transferHandlers: TransferHandlers = {
+    'body-accept': ({id}) => this.#runs.accept(id),
+    'body-ack': ({id}) => this.#runs.acknowledge(id),
+  };
+  /** Whether the peer takes bodies in parts. */
+  #takesParts = false;
   #socket: WebSocket | undefined;
   #status: VmStatus | undefined;
   #lastHeardAtMs = -Infinity;
@@ -152,6 +171,7 @@
 
   constructor(options: PeerLinkOptions) {
     this.#options = options;
+    this.#runs = new PeerRuns(this.#createConnection(), options.memory);
   }
 
   get vm(): Vm {
@@ -361,66 +381,25 @@
       instance,
       lateAfterMs,
       release: () => this.#send({kind: 'withdraw', id}),
-      run: (work, signal) => this.#run(id, instance, work, signal),
+      run: (work, signal) => this.#runs.run({id, instance, work, signal}),
     };
   }
 
-  #run(
-    id: number,
-    instance: string,
-    work: Work,
-    signal: AbortSignal,
-  ): Promise<Outcome> {
-    const unknown = (reason: string): Outcome => {
-      return {kind: 'unknown', instance, reason};
+  /** The connection as the runs use it, over all times that it is opened. */
+  #createConnection(): PeerConnection {
+    const isOpen = () => this.#socket?.readyState === WebSocket.OPEN;
+    const takesParts = () => this.#takesParts;
+    return {
+      get isOpen() {
+        return isOpen();
+      },
+      get takesParts() {
+        return takesParts();
+      },
+      send: (frame, onSent) => this.#send(frame, onSent),
+      listen: (id, handler) => this.#replyHandlers.set(id, handler),
+      forget: id => this.#replyHandlers.delete(id),
     };
-    if (this.#socket?.readyState !== WebSocket.OPEN) {
-      const reason = 'connection to the gate lost before sending';
-      const hasArrived = false;
-      return Promise.resolve({kind: 'not-run', instance, reason, hasArrived});
-    }
-    // The peer would close the connection, with all that is in flight on it.
-    if (work.body.length > MAX_FRAME_BODY_BYTES) {
-      this.#send({kind: 'withdraw', id});
-      const reason = 'body too large for a frame';
-      const hasArrived = false;
-      return Promise.resolve({kind: 'not-run', instance, reason, hasArrived});
-    }
-    const memory = this.#reserveFrame(work.body.length);
-    if (!memory) {
-      this.#send({kind: 'withdraw', id});
-      const reason = 'no memory for the frame';
-      const hasArrived = false;
-      return Promise.resolve({kind: 'not-run', instance, reason, hasArrived});
-    }
-    return new Promise(resolve => {
-      const settle = (outcome: Outcome) => {
-        signal.removeEventListener('abort', onAbort);
-        this.#replyHandlers.delete(id);
-        resolve(outcome);
-      };
-      const onAbort = () => {
-        this.#send({kind: 'withdraw', id});
-        settle(unknown('cancelled'));
-      };
-      signal.addEventListener('abort', onAbort, {once: true});
-      this.#replyHandlers.set(id, reply => {
-        if (reply?.kind === 'outcome') return settle(reply.outcome);
-        settle(unknown('connection to the gate lost'));
-      });
-      this.#send({kind: 'run', id, work}, () => memory.release());
-    });
-  }
-
-  /**
-   * Reserves memory for a frame with a body, which stays until the peer has read
-   * it; undefined if there is none. Frames with a small body are as frequent as
-   * requests, and no more of them wait than there are slots.
-   */
-  #reserveFrame(bodyBytes: number): Pick<MemoryGrant, 'release'> | undefined {
-    const {memory} = this.#options;
-    if (!memory || bodyBytes <= SMALL_FRAME_BYTES) return NO_MEMORY_NEEDED;
-    return memory.reserve(bodyBytes, 'frame');
   }
 
   /** Opens one connection; resolves when it is closed. */
@@ -505,7 +484,9 @@
           this.#recordConnect('failed', startedAtMs, reason);
         this.#lastHeardAtMs = -Infinity;
         this.#status = undefined;
+        this.#takesParts = false;
         this.#failPendingReplies();
+        this.#runs.connectionLost();
         resolve();
       });
     });
@@ -554,6 +535,11 @@
     const frame = this.#decode(bytes);
     if (!frame) return;
     if (frame.kind === 'fingerprints') return this.#receiveRecords(frame);
+    if (isTransferFrame(frame)) return this.#receiveTransfer(frame);
+    if (frame.kind === 'takes-parts') {
+      this.#takesParts = true;
+      return;
+    }
     if (frame.kind === 'status') this.#status = frame.status;
     if ('load' in frame) this.#updateLoad(frame.load);
     if (!('id' in frame)) return this.#options.onStatus(this);
@@ -561,6 +547,13 @@
     this.#replyHandlers.get(frame.id)?.(frame);
   }
 
+  #receiveTransfer(frame: TransferFrame): void {
+    const handle = this.#transferHandlers[frame.kind] as (
+      frame: TransferFrame,
+    ) => void;
+    handle(frame);
+  }
+
   #receiveRecords({records}: FingerprintsFrame): void {
     const {peer, log, onFingerprints} = this.#options;
     const result = fingerprintRecordsSchema.safeParse(records);
@@ -612,6 +605,10 @@
   return delayMs * (1 - RECONNECT_JITTER_RATIO * Math.random());
 }
 
+function isTransferFrame(frame: ResponseFrame): frame is TransferFrame {
+  return TRANSFER_KINDS.has(frame.kind);
+}
+
 function isPowerOfTwo(count: number): boolean {
   return Number.isInteger(Math.log2(count));
 }
--- a/src/mesh/peers/peer_server.ts
+++ b/src/mesh/peers/peer_server.ts
@@ -32,6 +32,8 @@
   type ResponseFrame,
 } from './frames.js';
 import {customerSchema} from './customer_schema.js';
+import type {TransferMemory} from './peer_runs.js';
+import {SessionRuns, type HeldReservation} from './session_runs.js';
 import {vmSchema} from './vm_schema.js';
 
 /** Options of {@link PeerServer}. */
@@ -40,6 +42,8 @@
   /** `IP:PORT` to listen on. */
   readonly address: string;
   readonly gate: GateClient & {readonly status: BackendStatus | undefined};
+  /** For large bodies. */
+  readonly memory: TransferMemory;
   readonly log: DecisionLog;
   readonly rates: Pick<SharedLimits, 'grant' | 'parts'>;
   readonly repeats: Pick<RepeatBudget, 'grant' | 'receivePayment'>;
@@ -154,12 +158,6 @@
   }
 }
 
-/** One reservation of the peer, until it has run or is withdrawn. */
-interface HeldReservation {
-  readonly abort: AbortController;
-  reservation?: Reservation;
-}
-
 type Handlers = {
   readonly [Kind in RequestFrame['kind']]: (
     frame: Extract<RequestFrame, {readonly kind: Kind}>,
@@ -171,6 +169,7 @@
   readonly #socket: WebSocket;
   readonly #options: PeerServerOptions;
   readonly #held = new Map<number, HeldReservation>();
+  readonly #runs: SessionRuns;
   #peerId = 'unknown';
   #hasSentInvalidCustomer = false;
   #isFaultLogged = false;
@@ -188,7 +187,13 @@
       held?.abort.abort(WITHDRAWN);
       held?.reservation?.release();
     },
-    run: frame => void this.#run(frame),
+    run: ({id, work}) =>
+      this.#whenHeld(id, ({abort}, reservation) =>
+        this.#runs.run(id, work, reservation, abort.signal),
+      ),
+    'run-parts': frame =>
+      this.#whenHeld(frame.id, held => this.#runs.runInParts(frame, held)),
+    'body-part': ({id, bytes}) => this.#runs.addPart(id, bytes),
     share: ({id, ask}) => {
       this.#send({kind: 'share', id, share: this.#options.rates.grant(ask)});
     },
@@ -209,6 +214,15 @@
   constructor(socket: WebSocket, options: PeerServerOptions) {
     this.#socket = socket;
     this.#options = options;
+    const {gate, memory, log} = options;
+    this.#runs = new SessionRuns({
+      gate,
+      memory,
+      log,
+      peerId: () => this.#peerId,
+      load: () => this.#load,
+      send: frame => this.#send(frame),
+    });
   }
 
   start(): void {
@@ -222,6 +236,7 @@
     });
     this.#socket.on('close', () => this.#cancelAll());
     statusFrames(this.#options.status()).forEach(frame => this.#send(frame));
+    this.#send({kind: 'takes-parts'});
     const records = this.#options.fingerprints();
     if (records.length > 0) this.#send({kind: 'fingerprints', records});
   }
@@ -257,16 +272,15 @@
     id: number,
     frame: Extract<RequestFrame, {readonly kind: 'reserve'}>,
   ): Promise<void> {
-    const held: HeldReservation = {abort: new AbortController()};
+    const slot = this.#checkCustomer(frame.slot);
+    const held: HeldReservation = {slot, abort: new AbortController()};
     this.#held.set(id, held);
     let isSettled = false;
     setImmediate(() => {
       if (!isSettled) this.#send({kind: 'queued', id});
     });
-    const result = await this.#options.gate.reserve(
-      this.#checkCustomer(frame.slot),
-      held.abort.signal,
-    );
+    const {signal} = held.abort;
+    const result = await this.#options.gate.reserve(slot, signal);
     isSettled = true;
     if (result.kind === 'declined') {
       this.#held.delete(id);
@@ -299,26 +313,15 @@
     return {...slot, customer: undefined};
   }
 
-  async #run(
-    frame: Extract<RequestFrame, {readonly kind: 'run'}>,
-  ): Promise<void> {
-    const {id, work} = frame;
+  /** Runs a request whose reservation is held until then. */
+  #whenHeld(
+    id: number,
+    run: (held: HeldReservation, reservation: Reservation) => Promise<void>,
+  ): void {
     const held = this.#held.get(id);
-    if (!held?.reservation) {
-      const reason = 'no such reservation';
-      const outcome = {
-        kind: 'not-run',
-        instance: '',
-        reason,
-        hasArrived: false,
-      } as const;
-      this.#send({kind: 'outcome', id, outcome, load: this.#load});
-      return;
-    }
-    const {reservation, abort} = held;
-    const outcome = await reservation.run(work, abort.signal);
-    this.#held.delete(id);
-    this.#send({kind: 'outcome', id, outcome, load: this.#load});
+    const reservation = held?.reservation;
+    if (!reservation) return this.#runs.refuse(id, 'no such reservation');
+    void run(held, reservation).finally(() => this.#held.delete(id));
   }
 
   get #load(): GateLoad {
@@ -336,6 +339,7 @@
       abort.abort(WITHDRAWN);
       reservation?.release();
     });
+    this.#runs.end();
   }
 
   #send(frame: ResponseFrame): void {
--- a/src/mesh/peers/peers.ts
+++ b/src/mesh/peers/peers.ts
@@ -30,7 +30,7 @@
   readonly metrics: MeshMetrics;
   readonly onStatus: (link: PeerLink) => void;
   readonly onFingerprints: PeerLinkOptions['onFingerprints'];
-  /** For frames with large bodies. */
+  /** For large bodies. */
   readonly memory?: PeerLinkOptions['memory'];
 }
 
--- a/src/mesh/router/caller_server.ts
+++ b/src/mesh/router/caller_server.ts
@@ -481,6 +481,7 @@
   evacuated: 'no-instance',
   stopping: 'no-instance',
   'daemon-stopping': 'stopping',
+  'no-memory': 'no-memory',
   silent: 'no-instance',
 };
 
