Measure the process before memory is granted

The budget is the VM's memory less a fixed 110 MB for the process, but released buffers stay until a garbage collection, which V8 starts only after up to 64 MB of them; a router had 146 MB in buffers while requests held 86.

ProcessMemory measures the resident size, the heap and the buffers before the budget grants memory that is to be allocated, and leaves a tenth of the VM's memory for what has no grant. What is set aside for small bodies and responses, and bodies that are in memory already, are granted without a measurement.

--- a/src/mesh/limits/caller_bounds.ts
+++ b/src/mesh/limits/caller_bounds.ts
@@ -7,6 +7,8 @@
 
 /** The bounds of one daemon. */
 export interface CallerBounds {
+  /** Memory of the VM. */
+  readonly memoryBytes: number;
   readonly budgetBytes: number;
   readonly maxUnfinishedBytes: number | undefined;
   readonly progress: ProgressLimits;
@@ -54,6 +56,7 @@
     callerLimits.maxConnections ??
     Math.floor(descriptors * CALLERS_DESCRIPTOR_SHARE);
   return {
+    memoryBytes: memoryMb * MEBIBYTE,
     budgetBytes: budgetMb * MEBIBYTE,
     maxUnfinishedBytes: callerLimits.maxUnfinishedBytes,
     progress: {
--- a/src/mesh/limits/memory_budget.ts
+++ b/src/mesh/limits/memory_budget.ts
@@ -35,6 +35,8 @@
 export interface MemoryBudgetOptions {
   /** Most bytes for unfinished large bodies; a share of the limit if omitted. */
   readonly maxUnfinishedBytes?: number;
+  /** Whether the process has room for more; it is taken to have if omitted. */
+  readonly hasRoom?: (bytes: number) => boolean;
 }
 
 /** Share of the limit that only small bodies may use. */
@@ -60,6 +62,7 @@
   readonly #maxUnfinishedBytes: number;
   /** Most bytes of each kind that shares the common part with others. */
   readonly #maxBytes: Readonly<Partial<Record<HolderKind, number>>>;
+  readonly #hasRoom: (bytes: number) => boolean;
   readonly #usedByKind: Record<HolderKind, number> = {
     'small-body': 0,
     'large-body': 0,
@@ -87,6 +90,7 @@
       'large-body': this.#maxUnfinishedBytes,
       'peer-body': Math.floor(limitBytes * PEER_BODY_SHARE),
     };
+    this.#hasRoom = options.hasRoom ?? (() => true);
     this.maxBodyBytes = Math.min(
       Math.floor(limitBytes * ONE_BODY_SHARE),
       this.#maxUnfinishedBytes,
@@ -102,9 +106,24 @@
     return this.#usedByKind[kind];
   }
 
-  /** Undefined if that much isn't free for this kind of holder. */
+  /**
+   * A grant for bytes that are to be allocated; undefined if that much isn't free
+   * for this kind of holder.
+   */
   reserve(bytes: number, kind: HolderKind): MemoryGrant | undefined {
-    if (!this.#isFree(bytes, bytes, kind)) return undefined;
+    const isFree = this.#isFree(bytes, bytes, kind);
+    return isFree && this.#fits(bytes, kind)
+      ? this.#grant(bytes, kind)
+      : undefined;
+  }
+
+  /** The same for bytes that are in memory already. */
+  keep(bytes: number, kind: HolderKind): MemoryGrant | undefined {
+    const isFree = this.#isFree(bytes, bytes, kind);
+    return isFree ? this.#grant(bytes, kind) : undefined;
+  }
+
+  #grant(bytes: number, kind: HolderKind): MemoryGrant {
     this.#usedByKind[kind] += bytes;
     let held = bytes;
     let isReleased = false;
@@ -115,6 +134,7 @@
       grow: moreBytes => {
         const isFree = this.#isFree(moreBytes, held + moreBytes, kind);
         if (isReleased || !isFree) return false;
+        if (!this.#fits(moreBytes, kind)) return false;
         this.#usedByKind[kind] += moreBytes;
         held += moreBytes;
         return true;
@@ -157,4 +177,9 @@
     const isWithinPart = used[kind] + bytes <= maxBytes;
     return isWithinPart && totalBytes <= this.maxBodyBytes;
   }
+
+  /** What is set aside for a kind is always there for it. */
+  #fits(bytes: number, kind: HolderKind): boolean {
+    return this.#reservedBytes[kind] !== undefined || this.#hasRoom(bytes);
+  }
 }
--- a/src/mesh/limits/response_memory.ts
+++ b/src/mesh/limits/response_memory.ts
@@ -10,7 +10,7 @@
 
 /** Options of {@link ResponseMemory}. */
 export interface ResponseMemoryOptions {
-  readonly budget: Pick<MemoryBudget, 'reserve'>;
+  readonly budget: Pick<MemoryBudget, 'reserve' | 'keep'>;
   /** A response without progress for this long may be displaced. */
   readonly unreadAfterMs: number;
   /** Called for each connection that is closed. */
@@ -27,6 +27,9 @@
   release(): void;
 }
 
+/** How a grant is taken from the budget. */
+type GrantWay = 'reserve' | 'keep';
+
 interface Held {
   readonly grant: MemoryGrant;
   readonly close: () => void;
@@ -60,11 +63,14 @@
     return this.#held.size === 0;
   }
 
-  /** A grant for a response; displaces unread ones if it has no room. */
+  /** A grant for a response to come; displaces unread ones without room. */
   reserve(bytes: number): MemoryGrant | undefined {
-    let grant = this.#tryReserve(bytes);
-    while (!grant && this.displaceOne()) grant = this.#tryReserve(bytes);
-    return grant;
+    return this.#take(bytes, 'reserve');
+  }
+
+  /** The same for a response that is in memory already. */
+  keep(bytes: number): MemoryGrant | undefined {
+    return this.#take(bytes, 'keep');
   }
 
   /**
@@ -72,7 +78,7 @@
    * connection of the caller, and returns undefined.
    */
   hold(bytes: number, close: () => void): HeldResponse | undefined {
-    const grant = this.reserve(bytes);
+    const grant = this.keep(bytes);
     if (!grant) {
       this.#options.onCut('no-response-memory');
       close();
@@ -114,11 +120,17 @@
     return true;
   }
 
-  #tryReserve(bytes: number): MemoryGrant | undefined {
+  #take(bytes: number, way: GrantWay): MemoryGrant | undefined {
+    let grant = this.#tryTake(bytes, way);
+    while (!grant && this.displaceOne()) grant = this.#tryTake(bytes, way);
+    return grant;
+  }
+
+  #tryTake(bytes: number, way: GrantWay): MemoryGrant | undefined {
     const {budget} = this.#options;
-    const grant = budget.reserve(bytes, 'response');
+    const grant = budget[way](bytes, 'response');
     if (grant || bytes > SMALL_RESPONSE_BYTES) return grant;
-    return budget.reserve(bytes, 'small-response');
+    return budget[way](bytes, 'small-response');
   }
 
   #release(held: Held): void {
--- a/src/mesh/mesh_daemon.ts
+++ b/src/mesh/mesh_daemon.ts
@@ -25,6 +25,7 @@
 } from './limits/caller_bounds.js';
 import {buildCustomerLimits} from './limits/customer_limits.js';
 import {MemoryBudget} from './limits/memory_budget.js';
+import {collectGarbage, ProcessMemory} from './limits/process_memory.js';
 import {ResponseMemory} from './limits/response_memory.js';
 import {RepeatBudget} from './limits/repeat_budget.js';
 import {RepeatCalls} from './limits/repeat_calls.js';
@@ -49,6 +50,11 @@
   readonly names: HeaderNames;
   readonly log: DecisionLog;
   readonly metrics: MeshMetrics;
+  /**
+   * Whether no other daemon runs in this process, so that the memory of the
+   * process counts as the daemon's. False if omitted.
+   */
+  readonly ownsProcess?: boolean;
 }
 
 /**
@@ -103,7 +109,17 @@
     const {service, address} = settings.backend;
     this.#bounds = computeCallerBounds(settings);
     const {budgetBytes, maxUnfinishedBytes} = this.#bounds;
-    const budget = new MemoryBudget(budgetBytes, {maxUnfinishedBytes});
+    const processMemory = new ProcessMemory({
+      limitBytes: this.#bounds.memoryBytes,
+      heldBytes: () => budget.usedBytes,
+      collect: collectGarbage,
+    });
+    const budget: MemoryBudget = new MemoryBudget(budgetBytes, {
+      maxUnfinishedBytes,
+      hasRoom: options.ownsProcess
+        ? bytes => processMemory.hasRoom(bytes)
+        : undefined,
+    });
     metrics.exportHeldBytes(budget);
     this.#peersAddress = settings.listen.peers;
     this.#boundAddresses = settings.listen;
--- a/src/mesh/router/body_reader.ts
+++ b/src/mesh/router/body_reader.ts
@@ -256,9 +256,7 @@
   #keep(): MemoryGrant | undefined {
     const {budget} = this.#options;
     const bytes = this.#receivedBytes;
-    return (
-      budget.reserve(bytes, 'kept-body') ?? budget.reserve(bytes, 'small-body')
-    );
+    return budget.keep(bytes, 'kept-body') ?? budget.keep(bytes, 'small-body');
   }
 
   #finish(bytes: Buffer, grant: MemoryGrant | undefined): void {
