Send responses over 512 KB to other daemons in parts

Callers that read nothing ended a gate or a router: 20 unread responses of 8 MB at each of 2 routers took 224 of 150 MB at the gate, 300 at one router 257 of 250 MB there (160 and 261 with garbage collected in time). A response between the gate's run and its frame, and between the frame and the router, wasn't under the budget of either daemon.

The gate takes a grant for the response in the turn in which its run ends, and keeps it until the router has acknowledged the last part, has withdrawn, or has done neither for 5 s. The router accepts once its own budget has room, in which unread responses give way, or withdraws after 0.5 s; its caller then gets answer-lost (502, unknown), as for a response that a local instance couldn't deliver. Frames with 64 to 512 KB, and all to older routers, have memory reserved for the response and its copy. A router says in its hello that it takes parts; older gates ignore the field.

--- a/features/mesh_body_parts.feature
+++ b/features/mesh_body_parts.feature
@@ -75,6 +75,20 @@
       | sends more than it announced |
       | announces a size of -1 bytes |
 
+  # Guards against responses that stay in the memory of a gate.
+  Scenario Outline: The memory of a response is free once its router <event>
+    Given a mesh fleet whose only instance of the service is at VM 1
+    And every backend server returns the body
+    When a router gets a response of 700000 bytes from VM 1 and <event>
+    Then no memory is held for bodies
+    And within 500 ms no slot is held
+
+    Examples:
+      | event                       |
+      | disconnects after one part  |
+      | withdraws it after one part |
+      | never accepts it            |
+
   # Guards against a refusal that says "unknown" although the gate got only a part
   # of the body.
   Scenario: A request is known not to have run when its gate is lost within the body
--- a/features/steps/mesh_body_parts_steps.ts
+++ b/features/steps/mesh_body_parts_steps.ts
@@ -335,6 +335,39 @@
   },
 );
 
+/** What a router does once a response in parts is announced, by event. */
+const RESPONSE_EVENTS: Readonly<
+  Record<string, (router: RawRouter) => Promise<unknown>>
+> = {
+  'disconnects after one part': async router => {
+    router.send({kind: 'body-accept', id: RUN_ID});
+    await router.waitFor('body-part');
+    router.close();
+  },
+  'withdraws it after one part': async router => {
+    router.send({kind: 'body-accept', id: RUN_ID});
+    await router.waitFor('body-part');
+    router.send({kind: 'withdraw', id: RUN_ID});
+  },
+  'never accepts it': router => router.waitFor('outcome'),
+};
+
+When(
+  /^a router gets a response of (\d+) bytes from VM 1 and (.+)$/,
+  async function (this: World, size: string, event: string) {
+    const {address} = stateOf(this).fleet.vm(1).daemon.self;
+    const router = await RawRouter.connect(address);
+    partsOf(this).router = router;
+    const vm = {id: 'raw', failureDomain: 'test', address: '127.0.0.1:9'};
+    router.send({kind: 'hello', vm, takesParts: true});
+    await router.reserve(SERVICE);
+    const work = router.workOf(Buffer.alloc(Number(size)));
+    router.send({kind: 'run', id: RUN_ID, work});
+    await router.waitFor('outcome-parts');
+    await RESPONSE_EVENTS[event]?.(router);
+  },
+);
+
 async function startAtRawGate(
   world: World,
   closesWithinBodies: boolean,
--- a/features/support/raw_peers.ts
+++ b/features/support/raw_peers.ts
@@ -15,7 +15,8 @@
 } from '../../src/mesh/peers/frames.js';
 import {until} from './fleet.js';
 
-const REPLY_TIMEOUT_MS = 5000;
+/** Beyond the time after which a daemon gives up a transfer. */
+const REPLY_TIMEOUT_MS = 8000;
 const RUN_ID = 1;
 const DEADLINE_MS = 5000;
 
--- a/src/mesh/mesh_daemon.ts
+++ b/src/mesh/mesh_daemon.ts
@@ -160,7 +160,7 @@
     });
     this.peers = new Peers({
       self: () => this.self,
-      memory: budget,
+      memory: {budget, responses},
       log,
       metrics,
       onStatus: link => void this.configurationTracker.fetchIfNewer(link),
@@ -181,7 +181,7 @@
       vmId: settings.vm.id,
       address: settings.listen.peers,
       gate: this.gate,
-      memory: budget,
+      memory: {budget, responses},
       log,
       rates: this.#limits,
       repeats: this.#repeatBudget,
--- a/src/mesh/peers/frames.ts
+++ b/src/mesh/peers/frames.ts
@@ -5,7 +5,13 @@
  */
 import {Packr} from 'msgpackr';
 import {Failure, reasonOf} from '../../errors/failure.js';
-import type {Declined, Outcome, SlotRequest, Work} from '../gate/work.js';
+import type {
+  Answered,
+  Declined,
+  Outcome,
+  SlotRequest,
+  Work,
+} from '../gate/work.js';
 import type {RepeatPayment} from '../limits/repeat_budget.js';
 import type {PartPayment} from '../limits/rate_parts.js';
 import type {FingerprintRecord} from '../router/query_of_death.js';
@@ -21,7 +27,12 @@
 
 /** Frames sent by the daemon that opened the connection. */
 export type RequestFrame =
-  | {readonly kind: 'hello'; readonly vm: Vm}
+  | {
+      readonly kind: 'hello';
+      readonly vm: Vm;
+      /** Whether the daemon takes large responses in parts. */
+      readonly takesParts?: boolean;
+    }
   | {readonly kind: 'reserve'; readonly id: number; readonly slot: SlotRequest}
   | {readonly kind: 'withdraw'; readonly id: number}
   | {readonly kind: 'run'; readonly id: number; readonly work: Work}
@@ -33,6 +44,7 @@
       readonly bodyBytes: number;
     }
   | PartFrame
+  | ReceiptFrame
   | {readonly kind: 'share'; readonly id: number; readonly ask: TokenRequest}
   | {
       readonly kind: 'repeat';
@@ -65,6 +77,7 @@
     }
   /** The daemon takes large bodies in parts; unknown to older daemons. */
   | {readonly kind: 'takes-parts'}
+  | PartFrame
   | ReceiptFrame
   | {readonly kind: 'queued'; readonly id: number}
   | {
@@ -86,6 +99,14 @@
       readonly outcome: Outcome;
       readonly load: GateLoad;
     }
+  | {
+      /** An outcome whose body follows in parts once the router accepts it. */
+      readonly kind: 'outcome-parts';
+      readonly id: number;
+      readonly outcome: Answered;
+      readonly bodyBytes: number;
+      readonly load: GateLoad;
+    }
   | {readonly kind: 'share'; readonly id: number; readonly share: TokenAnswer}
   | {
       readonly kind: 'repeat';
--- a/src/mesh/peers/peer_link.ts
+++ b/src/mesh/peers/peer_link.ts
@@ -113,9 +113,10 @@
 /** Frames that concern the transfer of a body. */
 type TransferFrame = Extract<
   ResponseFrame,
-  {readonly kind: 'body-ack' | 'body-accept'}
+  {readonly kind: 'body-part' | 'body-ack' | 'body-accept'}
 >;
 const TRANSFER_KINDS: ReadonlySet<string> = new Set<TransferFrame['kind']>([
+  'body-part',
   'body-ack',
   'body-accept',
 ]);
@@ -140,6 +141,7 @@
   readonly #runs: PeerRuns;
   readonly #transferHandlers: TransferHandlers = {
     'body-accept': ({id}) => this.#runs.accept(id),
+    'body-part': ({id, bytes}) => this.#runs.addPart(id, bytes),
     'body-ack': ({id}) => this.#runs.acknowledge(id),
   };
   /** Whether the peer takes bodies in parts. */
@@ -467,7 +469,7 @@
         this.#lastHeardAtMs = this.#connectedAtMs;
         this.#silentChecks = 0;
         this.#backoffUntilMs = -Infinity;
-        this.#send({kind: 'hello', vm: self()});
+        this.#send({kind: 'hello', vm: self(), takesParts: true});
         log.belief('peer-connected', {peer: peer.id});
         resolve();
       });
@@ -548,10 +550,16 @@
   }
 
   #receiveTransfer(frame: TransferFrame): void {
+    const {peer, log} = this.#options;
     const handle = this.#transferHandlers[frame.kind] as (
       frame: TransferFrame,
     ) => void;
-    handle(frame);
+    try {
+      handle(frame);
+    } catch (err) {
+      log.belief('peer-frame-invalid', {peer: peer.id, reason: reasonOf(err)});
+      this.#socket?.terminate();
+    }
   }
 
   #receiveRecords({records}: FingerprintsFrame): void {
--- a/src/mesh/peers/peer_runs.ts
+++ b/src/mesh/peers/peer_runs.ts
@@ -1,10 +1,12 @@
 /**
  * Runs requests at the gate of a peer, over the connection to it. A body that
- * would block the connection, or doesn't fit into a frame, is sent in parts;
- * peers that don't know parts get whole frames.
+ * would block the connection, or doesn't fit into a frame, is sent in parts, and
+ * so is a response; peers that don't know parts get and send whole frames.
  */
 import type {Outcome, Work} from '../gate/work.js';
 import type {MemoryBudget, MemoryGrant} from '../limits/memory_budget.js';
+import type {ResponseMemory} from '../limits/response_memory.js';
+import {BodyReceiver, type ReceivedBody} from './body_receiver.js';
 import {BodySender, type SendResult} from './body_sender.js';
 import {
   BODY_FOLLOWS,
@@ -30,8 +32,11 @@
   forget(id: number): void;
 }
 
-/** Where bodies get their memory. */
-export type TransferMemory = Pick<MemoryBudget, 'reserve' | 'maxBodyBytes'>;
+/** Where bodies and responses get their memory. */
+export interface TransferMemory {
+  readonly budget: Pick<MemoryBudget, 'reserve' | 'maxBodyBytes'>;
+  readonly responses: Pick<ResponseMemory, 'reserve' | 'keep'>;
+}
 
 /** One request that is to run at the peer's gate. */
 export interface PeerRun {
@@ -46,19 +51,38 @@
 export const SMALL_FRAME_BYTES = 64 * 1024;
 /** A frame is a copy of its body, and masking it makes another one. */
 const REQUEST_COPIES = 2;
+/** How long a response waits for memory; the gate keeps it until then. */
+const RESPONSE_WAIT_MS = 500;
 
 const NO_MEMORY_NEEDED = {release: () => undefined};
 
+/** Why a response in parts didn't arrive. */
+const LOST_RESPONSES: Readonly<
+  Record<Exclude<ReceivedBody['kind'], 'whole'>, string>
+> = {
+  'no-memory': 'no memory for the response',
+  withdrawn: 'connection to the gate lost',
+  stalled: 'the response stalled',
+  invalid: 'the response has an invalid size',
+};
+
 /** The runs on the connection to one peer. */
 export class PeerRuns {
   readonly #connection: PeerConnection;
   readonly #memory: TransferMemory | undefined;
   readonly #sender: BodySender;
+  readonly #receiver: BodyReceiver;
 
   constructor(connection: PeerConnection, memory: TransferMemory | undefined) {
     this.#connection = connection;
     this.#memory = memory;
     this.#sender = new BodySender(frame => connection.send(frame));
+    this.#receiver = new BodyReceiver({
+      reserve: bytes => memory?.responses.reserve(bytes),
+      maxBodyBytes: memory?.budget.maxBodyBytes ?? 0,
+      maxWaitMs: RESPONSE_WAIT_MS,
+      send: frame => connection.send(frame),
+    });
   }
 
   /** Resolves when the run has ended, or its outcome is lost. */
@@ -94,9 +118,15 @@
     this.#sender.acknowledge(id);
   }
 
+  /** Throws if the response exceeds its announced size. */
+  addPart(id: number, bytes: Uint8Array): void {
+    this.#receiver.add(id, bytes);
+  }
+
   /** All runs have ended for this daemon. */
   connectionLost(): void {
     this.#sender.cancelAll();
+    this.#receiver.cancelAll();
   }
 
   /** `send` resolves to how its transfer ended, if there is one. */
@@ -119,17 +149,28 @@
         const lost = {kind: 'unknown', instance, reason} as const;
         settle(isPartial ? notRun(instance, reason) : lost);
       };
-      const onAbort = () => {
+      const withdraw = (reason: string) => {
         this.#connection.send({kind: 'withdraw', id});
-        settleLost('cancelled');
+        settleLost(reason);
       };
+      const onAbort = () => withdraw('cancelled');
       signal.addEventListener('abort', onAbort, {once: true});
       this.#connection.listen(id, reply => {
         if (reply?.kind === 'outcome') {
           this.#sender.cancel(id);
           return settle(reply.outcome);
         }
-        settleLost('connection to the gate lost');
+        if (reply?.kind !== 'outcome-parts') {
+          return settleLost('connection to the gate lost');
+        }
+        const {outcome, bodyBytes} = reply;
+        void this.#receiver.receive(id, bodyBytes, ended.signal).then(body => {
+          if (ended.signal.aborted) return;
+          if (body.kind !== 'whole') return withdraw(LOST_RESPONSES[body.kind]);
+          // The caller's response gets its own grant in the same turn.
+          body.grant.release();
+          settle({...outcome, body: body.bytes});
+        });
       });
       void send()?.then(result => {
         if (ended.signal.aborted || result !== 'partial') return;
@@ -157,7 +198,7 @@
     if (!this.#memory || bodyBytes <= SMALL_FRAME_BYTES) {
       return NO_MEMORY_NEEDED;
     }
-    return this.#memory.reserve(REQUEST_COPIES * bodyBytes, 'frame');
+    return this.#memory.budget.reserve(REQUEST_COPIES * bodyBytes, 'frame');
   }
 }
 
--- a/src/mesh/peers/peer_server.ts
+++ b/src/mesh/peers/peer_server.ts
@@ -42,7 +42,7 @@
   /** `IP:PORT` to listen on. */
   readonly address: string;
   readonly gate: GateClient & {readonly status: BackendStatus | undefined};
-  /** For large bodies. */
+  /** For large bodies and responses. */
   readonly memory: TransferMemory;
   readonly log: DecisionLog;
   readonly rates: Pick<SharedLimits, 'grant' | 'parts'>;
@@ -178,6 +178,7 @@
     hello: frame => {
       const vm = vmSchema.parse(frame.vm);
       this.#peerId = vm.id;
+      this.#runs.peerTakesParts = frame.takesParts === true;
       this.#options.onHello(vm);
     },
     reserve: frame => void this.#reserve(frame.id, frame),
@@ -186,6 +187,7 @@
       this.#held.delete(id);
       held?.abort.abort(WITHDRAWN);
       held?.reservation?.release();
+      this.#runs.withdraw(id);
     },
     run: ({id, work}) =>
       this.#whenHeld(id, ({abort}, reservation) =>
@@ -193,7 +195,9 @@
       ),
     'run-parts': frame =>
       this.#whenHeld(frame.id, held => this.#runs.runInParts(frame, held)),
+    'body-accept': ({id}) => this.#runs.accept(id),
     'body-part': ({id, bytes}) => this.#runs.addPart(id, bytes),
+    'body-ack': ({id}) => this.#runs.acknowledge(id),
     share: ({id, ask}) => {
       this.#send({kind: 'share', id, share: this.#options.rates.grant(ask)});
     },
@@ -221,7 +225,7 @@
       log,
       peerId: () => this.#peerId,
       load: () => this.#load,
-      send: frame => this.#send(frame),
+      send: (frame, onSent) => this.#send(frame, onSent),
     });
   }
 
@@ -342,9 +346,9 @@
     this.#runs.end();
   }
 
-  #send(frame: ResponseFrame): void {
-    if (this.#socket.readyState !== WebSocket.OPEN) return;
-    this.#socket.send(encodeFrame(frame));
+  #send(frame: ResponseFrame, onSent: () => void = () => undefined): void {
+    if (this.#socket.readyState !== WebSocket.OPEN) return onSent();
+    this.#socket.send(encodeFrame(frame), onSent);
   }
 }
 
