End the daemons of a test whose fleet doesn't start

A failed start left the store, the instance and daemons running, so that the test run never ended (a trial waited until it was killed after 500 s).

--- a/limits/steps/caller_limit_steps.ts
+++ b/limits/steps/caller_limit_steps.ts
@@ -21,8 +21,6 @@
 
 interface LimitState {
   readonly fleet: LimitedFleet;
-  /** The daemon that the callers of the scenario use. */
-  readonly daemon: LimitedDaemon;
   readonly crowds: Crowd[];
   exitCode?: number | null;
   statuses?: readonly number[];
@@ -47,6 +45,13 @@
   await states.get(this)?.fleet.stop();
 });
 
+/** The daemon that the callers of a scenario use: the first router, if any. */
+function daemonOf(world: object): LimitedDaemon {
+  const daemon = stateOf(world).fleet.daemons.slice(0, 2).at(-1);
+  assert.ok(daemon);
+  return daemon;
+}
+
 function stateOf(world: object): LimitState {
   const state = states.get(world);
   assert.ok(state);
@@ -54,9 +59,9 @@
 }
 
 async function startFleet(world: object, plan: FleetPlan): Promise<void> {
-  const fleet = await LimitedFleet.start(plan);
-  const [daemon = fleet.gate] = fleet.routers;
-  states.set(world, {fleet, daemon, crowds: []});
+  const fleet = new LimitedFleet(plan);
+  states.set(world, {fleet, crowds: []});
+  await fleet.start();
 }
 
 Given(
@@ -67,8 +72,8 @@
 );
 
 When(/^(\d+) callers send (.*)$/, async function (count: string, kind: string) {
-  const {crowds, daemon} = stateOf(this);
-  crowds.push(new Crowd(kind, Number(count), daemon.listens));
+  const {crowds} = stateOf(this);
+  crowds.push(new Crowd(kind, Number(count), daemonOf(this).listens));
   await sleep(CROWD_MS);
 });
 
@@ -122,13 +127,13 @@
 
 When('the process gets SIGTERM', async function () {
   const state = stateOf(this);
-  state.exitCode = await state.daemon.process.end('SIGTERM');
+  state.exitCode = await daemonOf(this).process.end('SIGTERM');
 });
 
 Then(
   'the process runs and took at most {int} MB and {int} descriptors',
   function (maxMb: number, maxDescriptors: number) {
-    const {daemon} = stateOf(this);
+    const daemon = daemonOf(this);
     assert.ok(daemon.process.running, daemon.process.errors.join('\n'));
     assertWithin(daemon, maxMb, maxDescriptors);
   },
@@ -137,7 +142,8 @@
 Then(
   'the process has ended by itself and took at most {int} MB and {int} descriptors',
   function (maxMb: number, maxDescriptors: number) {
-    const {daemon, exitCode} = stateOf(this);
+    const daemon = daemonOf(this);
+    const {exitCode} = stateOf(this);
     assert.equal(exitCode, 0);
     assertWithin(daemon, maxMb, maxDescriptors);
   },
@@ -155,7 +161,7 @@
 }
 
 Then('an ordinary request is answered', async function () {
-  assert.equal(await stateOf(this).daemon.sendOrdinary(), 200);
+  assert.equal(await daemonOf(this).sendOrdinary(), 200);
 });
 
 Given(
@@ -172,7 +178,7 @@
     const state = stateOf(this);
     const body = Buffer.alloc(bodyBytes);
     state.statuses = await Promise.all(
-      Array.from({length: count}, () => state.daemon.sendOrdinary(body)),
+      Array.from({length: count}, () => daemonOf(this).sendOrdinary(body)),
     );
   },
 );
@@ -183,12 +189,13 @@
     const state = stateOf(this);
     const fields = {'transfer-encoding': 'chunked'};
     const body = Buffer.alloc(bodyBytes);
-    state.statuses = [await state.daemon.sendOrdinary(body, fields)];
+    state.statuses = [await daemonOf(this).sendOrdinary(body, fields)];
   },
 );
 
 Then('all of them are served', function () {
-  const {statuses = [], daemon} = stateOf(this);
+  const {statuses = []} = stateOf(this);
+  const daemon = daemonOf(this);
   assert.ok(daemon.process.running);
   assert.ok(
     statuses.every(status => status === 200),
@@ -201,7 +208,7 @@
   function (count: number) {
     const state = stateOf(this);
     state.readBytes = Promise.all(
-      Array.from({length: count}, () => state.daemon.readSlowly(MEDIUM_PATH)),
+      Array.from({length: count}, () => daemonOf(this).readSlowly(MEDIUM_PATH)),
     );
   },
 );
--- a/limits/support/limited_daemon.ts
+++ b/limits/support/limited_daemon.ts
@@ -87,7 +87,12 @@
     const daemon = new LimitedDaemon(listens, process, folder);
     const isReady = async () =>
       (await fetch(`http://${listens.readiness}/`)).status === 200;
-    await until('the daemon is ready', isReady, READY_TIMEOUT_MS);
+    try {
+      await until('the daemon is ready', isReady, READY_TIMEOUT_MS);
+    } catch (err) {
+      await daemon.stop();
+      throw err;
+    }
     return daemon;
   }
 
--- a/limits/support/limited_fleet.ts
+++ b/limits/support/limited_fleet.ts
@@ -9,7 +9,12 @@
 import {documentOfRoutes} from '../../features/support/platform_documents.js';
 import {PlatformStore} from '../../features/support/platform_store.js';
 import {freeAddress} from '../../features/support/ports.js';
-import {HOST, LimitedDaemon, type Resources} from './limited_daemon.js';
+import {
+  HOST,
+  LimitedDaemon,
+  type LimitedVm,
+  type Resources,
+} from './limited_daemon.js';
 import {
   LARGE_PATH,
   LARGE_RESPONSE_BYTES,
@@ -42,72 +47,72 @@
 
 /** The fleet of one scenario. */
 export class LimitedFleet {
-  readonly gate: LimitedDaemon;
-  readonly routers: readonly LimitedDaemon[];
-  readonly #store: PlatformStore;
+  readonly #plan: FleetPlan;
+  readonly #store = new PlatformStore();
   readonly #backend: Server;
+  #daemons: readonly LimitedDaemon[] = [];
 
-  private constructor(
-    [gate, ...routers]: readonly [LimitedDaemon, ...LimitedDaemon[]],
-    {store, backend}: {store: PlatformStore; backend: Server},
-  ) {
-    this.gate = gate;
-    this.routers = routers;
-    this.#store = store;
-    this.#backend = backend;
+  constructor(plan: FleetPlan) {
+    this.#plan = plan;
+    this.#backend = createBackend(plan.serviceMs ?? 0);
   }
 
-  /** Starts a fleet, and waits until each daemon serves requests. */
-  static async start(plan: FleetPlan): Promise<LimitedFleet> {
-    const {routerCount = 0, maxBodyBytes = MAX_BODY_BYTES} = plan;
-    const {resources, serviceMs = 0} = plan;
-    const store = new PlatformStore();
-    // Uploads may run once; a repeat would hide a request that is lost.
-    const kind = routerCount === 0 ? 'safe' : 'upload';
-    const route = {
-      service: SERVICE,
-      host: HOST,
-      prefix: '/app/',
-      kind,
-    } as const;
-    const routes = [{...route, timeoutMs: ROUTE_TIMEOUT_MS}];
-    store.writeConfiguration(
-      documentOfRoutes('00000001', routes, {maxBodyBytes}),
-    );
-    const vm = {resources, store: await store.start()};
-    const backend = createBackend(serviceMs);
-    const address = await listen(backend, ANY_PORT, 'backend server');
-    const gate = await LimitedDaemon.start({
-      ...vm,
-      id: 'vm-1',
-      backend: {address, service: SERVICE},
-    });
+  /** Starts all daemons, and waits until each serves requests. */
+  async start(): Promise<void> {
+    const {resources, routerCount = 0} = this.#plan;
+    this.#store.writeConfiguration(documentOf(this.#plan));
+    const store = await this.#store.start();
+    const address = await listen(this.#backend, ANY_PORT, 'backend server');
+    const start = async (id: string, backend: LimitedVm['backend']) => {
+      const daemon = await LimitedDaemon.start({id, resources, store, backend});
+      this.#daemons = [...this.#daemons, daemon];
+    };
+    await start('vm-1', {address, service: SERVICE});
     const startRouter = async (index: number) =>
-      LimitedDaemon.start({
-        ...vm,
-        id: `vm-${index + 2}`,
-        backend: {address: await freeAddress(), service: OTHER_SERVICE},
+      start(`vm-${index + 2}`, {
+        address: await freeAddress(),
+        service: OTHER_SERVICE,
       });
-    const routers = await Promise.all(
-      Array.from({length: routerCount}, (_, index) => startRouter(index)),
-    );
-    const fleet = new LimitedFleet([gate, ...routers], {store, backend});
-    await Promise.all(fleet.daemons.map(daemon => daemon.waitUntilServing()));
-    return fleet;
+    const starts = Array.from({length: routerCount}, (_, i) => startRouter(i));
+    const failed = (await Promise.allSettled(starts)).find(
+      ({status}) => status === 'rejected',
+    ) as PromiseRejectedResult | undefined;
+    if (failed) throw failed.reason;
+    await Promise.all(this.#daemons.map(daemon => daemon.waitUntilServing()));
   }
 
+  /** The gate comes first. */
   get daemons(): readonly LimitedDaemon[] {
-    return [this.gate, ...this.routers];
+    return this.#daemons;
+  }
+
+  get routers(): readonly LimitedDaemon[] {
+    return this.#daemons.slice(1);
   }
 
+  /** Also ends what was started of a fleet whose start failed. */
   async stop(): Promise<void> {
-    await Promise.all(this.daemons.map(daemon => daemon.stop()));
+    await Promise.all(this.#daemons.map(daemon => daemon.stop()));
     this.#store.stop();
     this.#backend.closeAllConnections();
     this.#backend.close();
   }
 }
 
+/** The configuration of a fleet, with one route to the instance's service. */
+function documentOf({routerCount = 0, maxBodyBytes}: FleetPlan): string {
+  const route = {
+    service: SERVICE,
+    host: HOST,
+    prefix: '/app/',
+    // Uploads may run once; a repeat would hide a request that is lost.
+    kind: routerCount === 0 ? 'safe' : 'upload',
+    timeoutMs: ROUTE_TIMEOUT_MS,
+  } as const;
+  const options = {maxBodyBytes: maxBodyBytes ?? MAX_BODY_BYTES};
+  return documentOfRoutes('00000001', [route], options);
+}
+
 /** The instance: answers some time after it has read the whole request. */
 function createBackend(serviceMs: number): Server {
   return createServer((req, res) => {
