--- a/src/mesh/peers/frames.ts
+++ b/src/mesh/peers/frames.ts
@@ -138,6 +138,8 @@
 export const MAX_FRAME_BODY_BYTES = MAX_FRAME_BYTES - FRAME_OVERHEAD_BYTES;
 /** Larger bodies are sent in parts to peers that take them. */
 export const MAX_WHOLE_BODY_BYTES = 512 * 1024;
+/** Frames with a body of up to this size need no memory reserved. */
+export const SMALL_FRAME_BYTES = 64 * 1024;
 /** In place of a body that follows in parts. */
 export const BODY_FOLLOWS = Buffer.alloc(0);
 
--- a/src/mesh/peers/peer_runs.ts
+++ b/src/mesh/peers/peer_runs.ts
@@ -12,6 +12,7 @@
   BODY_FOLLOWS,
   MAX_FRAME_BODY_BYTES,
   MAX_WHOLE_BODY_BYTES,
+  SMALL_FRAME_BYTES,
   type RequestFrame,
   type ResponseFrame,
 } from './frames.js';
@@ -47,8 +48,6 @@
   readonly signal: AbortSignal;
 }
 
-/** Frames with a body of up to this size need no memory reserved. */
-export const SMALL_FRAME_BYTES = 64 * 1024;
 /** A frame is a copy of its body, and masking it makes another one. */
 const REQUEST_COPIES = 2;
 /** How long a response waits for memory; the gate keeps it until then. */
--- a/src/mesh/peers/session_runs.ts
+++ b/src/mesh/peers/session_runs.ts
@@ -19,11 +19,12 @@
 import {
   BODY_FOLLOWS,
   MAX_WHOLE_BODY_BYTES,
+  SMALL_FRAME_BYTES,
   type GateLoad,
   type RequestFrame,
   type ResponseFrame,
 } from './frames.js';
-import {SMALL_FRAME_BYTES, type TransferMemory} from './peer_runs.js';
+import type {TransferMemory} from './peer_runs.js';
 
 /** One reservation of the peer, until it has run or is withdrawn. */
 export interface HeldReservation {
