--- a/review/support-2/configuration.ts
+++ b/review/support-2/configuration.ts
@@ -57,7 +57,7 @@
       Metadata: {Name: 'limits'},
       Spec: {
         MaxHeaderBytes: 16_384,
-        MaxBodyBytes: 1_048_576,
+        MaxBodyBytes: 67_108_864,
         HeaderTimeoutMs: 10_000,
         IdleTimeoutMs: 60_000,
       },
--- a/review/support-2/fleet.ts
+++ b/review/support-2/fleet.ts
@@ -44,7 +44,7 @@
   readonly method?: 'GET' | 'POST';
   readonly key?: string;
   readonly deadlineMs: number;
-  readonly body?: string;
+  readonly body?: string | Buffer;
 }
 
 /** What a client saw of its request. */
--- a/review/support-2/instance.ts
+++ b/review/support-2/instance.ts
@@ -10,7 +10,12 @@
   type IncomingMessage,
   type ServerResponse,
 } from 'node:http';
-import {connect, createServer as createRelay, type AddressInfo} from 'node:net';
+import {
+  connect,
+  createServer as createRelay,
+  type AddressInfo,
+  type Server,
+} from 'node:net';
 import type {Recorder} from './recorder.js';
 
 /** Options of {@link Instance}. */
@@ -73,6 +78,14 @@
     this.#timer = setInterval(() => void this.beat(), HEARTBEAT_MS);
   }
 
+  /** Answers requests by another server from now on, at the same address. */
+  replaceServer(server: Server): void {
+    const [host = '', port] = this.#options.address.split(':');
+    this.#server.close();
+    this.#server.closeAllConnections();
+    server.listen(Number(port), host);
+  }
+
   /** Sends a heartbeat now; resolves to the status of its acknowledgement. */
   beat(): Promise<number | undefined> {
     return this.#post('Heartbeat', this.#nextBeat(), this.#options.control);
