--- a/review/support-2/configuration.ts
+++ b/review/support-2/configuration.ts
@@ -4,7 +4,7 @@
 export interface RoutePlan {
   readonly name: string;
   readonly prefix: string;
-  readonly kind: 'safe' | 'unsafe' | 'upload';
+  readonly kind: 'safe' | 'unsafe' | 'upload' | 'download';
   readonly service: string;
 }
 
--- a/review/support-2/fleet.ts
+++ b/review/support-2/fleet.ts
@@ -23,6 +23,7 @@
   readonly service: string;
   readonly slots: number;
   readonly workMs: number;
+  readonly answerBytes?: (path: string) => number;
 }
 
 /** Options of {@link Fleet.start}. */
@@ -31,6 +32,8 @@
   readonly configuration: string;
   /** How long the store keeps an idle connection; 0: for good. */
   readonly storeIdleMs?: number;
+  /** Memory of each machine; 350 if omitted. */
+  readonly memoryMb?: number;
   /** How far ahead a machine's time of day is as its instance starts. */
   readonly stepMs?: (machine: string) => number;
   readonly record: Recorder;
@@ -55,6 +58,8 @@
   /** Undefined: the connection ended without an answer. */
   readonly status: number | undefined;
   readonly isLeaving: boolean;
+  /** Whether it was sent on a connection that had been used before. */
+  readonly isKept: boolean;
 }
 
 /** One machine: a daemon and its instance. */
@@ -88,7 +93,7 @@
 
   /** An incarnation of this machine's instance. */
   createInstance(changes: Partial<InstanceOptions>): Instance {
-    const {id, service, slots, workMs} = this.#plan;
+    const {id, service, slots, workMs, answerBytes} = this.#plan;
     return new Instance({
       id: `i-${id}`,
       service,
@@ -96,6 +101,7 @@
       control: this.#addresses.announcements ?? '',
       slots,
       workMs,
+      answerBytes,
       record: this.#fleet.record,
       ...changes,
     });
@@ -113,7 +119,7 @@
       isFirstStart,
       scheduling: {customerShares: 'equal'},
       stopTimeoutS: 6,
-      resources: {memoryMb: 350, maxDescriptors: 4100},
+      resources: {memoryMb: this.#fleet.memoryMb, maxDescriptors: 4100},
       repeats: {ratio: 0.2, windowS: 10, slack: 60, callReserve: 0.2},
     };
     this.#settingsFile = path.join(this.#fleet.folder, `${this.id}.json`);
@@ -153,6 +159,11 @@
     throw new Error(`the daemon of ${this.id} is not ready`);
   }
 
+  /** The address that clients on this machine send to. */
+  get outbound(): string {
+    return this.#addresses.callers ?? '';
+  }
+
   /** Sends a request from a client on this machine, on a kept connection. */
   send(req: ClientRequest): Promise<ClientResult> {
     const [host, port] = (this.#addresses.callers ?? '').split(':');
@@ -166,6 +177,7 @@
           tookMs: performance.now() - sentAtMs,
           status,
           isLeaving,
+          isKept: out.reusedSocket,
         });
       const out = request({
         host,
@@ -206,13 +218,16 @@
   readonly #machines: Machine[] = [];
   readonly #log: Buffer[] = [];
 
-  private constructor(record: Recorder) {
+  readonly memoryMb: number;
+
+  private constructor({record, memoryMb = 350}: FleetOptions) {
     this.record = record;
+    this.memoryMb = memoryMb;
   }
 
   /** Starts the store, the instances and the daemons. */
   static async start(options: FleetOptions): Promise<Fleet> {
-    const fleet = new Fleet(options.record);
+    const fleet = new Fleet(options);
     fleet.store.writeConfiguration(options.configuration);
     const storeAddress = await fleet.store.start();
     for (const plan of options.machines) {
--- a/review/support-2/instance.ts
+++ b/review/support-2/instance.ts
@@ -28,6 +28,8 @@
   readonly control: string;
   readonly slots: number;
   readonly workMs: number;
+  /** The size of the answer to a request for a path; a few bytes if omitted. */
+  readonly answerBytes?: (path: string) => number;
   /** Its own time of day at its start; the system's if omitted. */
   readonly born?: number;
   readonly record: Recorder;
@@ -207,7 +209,8 @@
     setTimeout(() => {
       if (res.destroyed) return;
       res.setHeader('x-server-signature', `sig.${id}.${requestId}`);
-      res.end(`run by ${service}`);
+      const bytes = this.#options.answerBytes?.(req.url ?? '') ?? 0;
+      res.end(bytes > 0 ? Buffer.alloc(bytes, 'a') : `run by ${service}`);
     }, workMs);
   }
 }
