--- a/review/7/main.ts
+++ b/review/7/main.ts
@@ -22,7 +22,10 @@
 const SERVES_MS = 6000;
 const KEY = 'key-1';
 
-void runCase(async ({record, hasTrouble, use}) => {
+/** With `TROUBLE=0` the same is played without the disruption. */
+const hasTrouble = process.env.TROUBLE !== '0';
+
+void runCase(hasTrouble, async ({record, use}) => {
   const fleet = await Fleet.start({
     machines: [
       {id: 'm-front', service: 'desk', slots: 3, workMs: 300},
--- a/review/support-2/script.ts
+++ b/review/support-2/script.ts
@@ -1,4 +1,4 @@
-/** Runs one case: with the disruption, or without it if `TROUBLE` is 0. */
+/** Runs one case, with the disruption or without it, and records the result. */
 import {writeFileSync} from 'node:fs';
 import path from 'node:path';
 import type {Fleet} from './fleet.js';
@@ -7,7 +7,6 @@
 /** What a case needs. */
 export interface CaseContext {
   readonly record: Recorder;
-  readonly hasTrouble: boolean;
   /** Registers the fleet, which is stopped at the end. */
   readonly use: (fleet: Fleet) => void;
 }
@@ -20,11 +19,10 @@
 const MAX_RUN_MS = 115_000;
 
 /** Runs a case and ends the process with its exit code. */
-export async function runCase(play: Case): Promise<void> {
+export async function runCase(hasTrouble: boolean, play: Case): Promise<void> {
   const folder = process.env.CASE_FOLDER ?? '.';
   const recording = new Recording(folder);
   const fleets: Fleet[] = [];
-  const hasTrouble = process.env.TROUBLE !== '0';
   const {add: record} = recording;
   record(`with the disruption: ${hasTrouble ? 'yes' : 'no'}`);
   const use = (fleet: Fleet) => void fleets.push(fleet);
@@ -34,10 +32,7 @@
   });
   let code = COULD_NOT_RUN;
   try {
-    const broken = await Promise.race([
-      play({record, hasTrouble, use}),
-      timeout,
-    ]);
+    const broken = await Promise.race([play({record, use}), timeout]);
     record(`the rule was broken ${broken} times`);
     code = broken > 0 ? BROKEN : 0;
   } catch (err) {
